--- /dev/null
+++ b/Makefile
@@ -0,0 +1,42 @@
+# Commands for developers and first users. See README.md.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+SECONDS ?= 60
+SEED ?=
+
+.PHONY: run test lint format lock soak clean
+
+$(VENV)/.installed: requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q -r requirements.lock
+	$(BIN)/pip install -q --no-build-isolation --no-deps -e .
+	touch $@
+
+# Stand-ins and two instances; prints a curl line.
+run: $(VENV)/.installed
+	exec $(BIN)/python scripts/run_local.py
+
+test: $(VENV)/.installed
+	$(BIN)/python -m pytest
+
+lint: $(VENV)/.installed
+	$(BIN)/ruff check .
+	$(BIN)/ruff format --check .
+	$(BIN)/mypy
+
+format: $(VENV)/.installed
+	$(BIN)/ruff check --fix .
+	$(BIN)/ruff format .
+
+# Real processes with random faults: make soak SECONDS=300 SEED=7
+soak: $(VENV)/.installed
+	$(BIN)/python scripts/soak.py --seconds $(SECONDS) $(if $(SEED),--seed $(SEED))
+
+lock:
+	$(PYTHON) -m venv build/lock
+	build/lock/bin/pip install -q -r requirements.in
+	build/lock/bin/pip freeze --all | grep -vi '^pip==' > requirements.lock
+
+clean:
+	rm -rf $(VENV) build run
--- /dev/null
+++ b/scripts/run_local.py
@@ -0,0 +1,223 @@
+"""Runs the whole path on this machine: stand-ins and two instances.
+
+Started by `make run`. It writes the instances' settings, starts every process,
+applies examples/models.toml through wayslipctl as an operator would, prints a
+curl line and waits. Ctrl-C or SIGTERM ends all processes by a planned stop.
+"""
+
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+import urllib.request
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+RUN = ROOT / "run"
+OBJECT_PORT = 6080
+OBJECT_TOKEN = "local-object-token"
+CALLER_KEY = "local-caller-key-0001"
+OPERATOR_KEY = "local-operator-key-0001"
+ENGINE_PORTS = (6101, 6102, 6103)
+SERVICE_PORT = 6201
+CAPACITY = 80_000_000
+HALLS = ("salt-lake", "howrah-hall", "newtown")
+_PREFIX = f"http://127.0.0.1:{OBJECT_PORT}/apis/wayslip.io/v1"
+
+SETTINGS = """\
+[instance]
+name = "local-{n}"
+data_hall = "{hall}"
+region = "kolkata-east"
+[entry]
+callers = "127.0.0.1:{callers}"
+operators = "127.0.0.1:{entry_operators}"
+peers = "127.0.0.1:{entry_peers}"
+[control]
+operators = "127.0.0.1:{operators}"
+peers = "127.0.0.1:{control_peers}"
+[objects]
+url = "http://127.0.0.1:{objects}"
+token = "{token}"
+[security]
+peer_key = "local-peer-key-0000000001"
+resume_key = "local-resume-key-00000001"
+[[callers]]
+name = "counter"
+key = "{caller_key}"
+[[operators]]
+name = "local"
+key = "{operator_key}"
+[peers]
+seeds = ["127.0.0.1:7080", "127.0.0.1:7180"]
+[placement]
+load_rate = 20.0
+[drain]
+balancer_seconds = 0.2
+finish_seconds = 30.0
+"""
+
+
+def main() -> int:
+    """Runs until a signal; returns the exit code."""
+    processes: list[subprocess.Popen] = []
+    signal.signal(signal.SIGTERM, _raise_interrupt)
+    try:
+        _start_stand_ins(processes)
+        _put_endpoints()
+        _start_instances(processes)
+        _seed()
+        _print_help()
+        while all(p.poll() is None for p in processes):
+            time.sleep(0.5)
+        print("a process ended; see the log above", file=sys.stderr)
+        return 1
+    except KeyboardInterrupt:
+        return 0
+    finally:
+        _stop(processes)
+
+
+def _raise_interrupt(number: int, frame: object) -> None:
+    raise KeyboardInterrupt
+
+
+def _start(processes: list[subprocess.Popen], *args: str) -> None:
+    # A group of its own, so that Ctrl-C reaches this script only and the
+    # processes are stopped in order.
+    env = {**os.environ, "PYTHONPATH": f"{ROOT}/src:{ROOT}"}
+    processes.append(
+        subprocess.Popen(
+            [sys.executable, "-m", *args], env=env, start_new_session=True
+        )
+    )
+
+
+def _start_stand_ins(processes: list[subprocess.Popen]) -> None:
+    objects = ["--port", str(OBJECT_PORT), "--token", OBJECT_TOKEN]
+    _start(processes, "standins.objects", *objects)
+    for port in ENGINE_PORTS:
+        options = ["--port", str(port), "--capacity", str(CAPACITY)]
+        _start(processes, "standins.engine", *options)
+    _start(processes, "standins.service", "--port", str(SERVICE_PORT))
+
+
+def _put_endpoints() -> None:
+    """Writes the platform's list of endpoints, which is the platform's job."""
+    for n, port in enumerate(ENGINE_PORTS, 1):
+        _put_endpoint(f"engine-{n}", "engine", port, HALLS[n - 1], CAPACITY)
+    _put_endpoint("register-1", "service", SERVICE_PORT, HALLS[0], 0)
+
+
+def _put_endpoint(
+    name: str, role: str, port: int, hall: str, capacity: int
+) -> None:
+    spec = {
+        "name": name,
+        "role": role,
+        "address": f"127.0.0.1:{port}",
+        "data_hall": hall,
+        "capacity": capacity,
+    }
+    body = {"kind": "Endpoint", "metadata": {"name": name}, "spec": spec}
+    headers = {"Authorization": f"Bearer {OBJECT_TOKEN}"}
+    request = urllib.request.Request(
+        f"{_PREFIX}/endpoints", json.dumps(body).encode(), headers
+    )
+    _wait_until(lambda: urllib.request.urlopen(request, timeout=2))
+
+
+def _wait_until(step) -> None:  # type: ignore[no-untyped-def]
+    limit = time.monotonic() + 30
+    while True:
+        try:
+            step()
+            return
+        except OSError:
+            if time.monotonic() > limit:
+                raise
+            time.sleep(0.1)
+
+
+def _start_instances(processes: list[subprocess.Popen]) -> None:
+    RUN.mkdir(exist_ok=True)
+    for n in (0, 1):
+        path = RUN / f"local-{n}.toml"
+        path.write_text(
+            SETTINGS.format(
+                n=n,
+                hall=HALLS[n],
+                callers=8080 + n,
+                operators=9080 + n,
+                entry_operators=9180 + n,
+                entry_peers=7080 + n,
+                control_peers=7180 + n,
+                objects=OBJECT_PORT,
+                token=OBJECT_TOKEN,
+                caller_key=CALLER_KEY,
+                operator_key=OPERATOR_KEY,
+            )
+        )
+        for program in ("control", "entry"):
+            _start(processes, f"wayslip.cli.{program}", "--settings", str(path))
+    health = "http://127.0.0.1:9080/healthz"
+    _wait_until(lambda: urllib.request.urlopen(health, timeout=2))
+
+
+def _seed() -> None:
+    """Applies the example's models as an operator would."""
+    env = {
+        **os.environ,
+        "WAYSLIP_KEY": OPERATOR_KEY,
+        "PYTHONPATH": f"{ROOT}/src",
+    }
+    ctl = [sys.executable, "-m", "wayslip.cli.ctl"]
+    models = str(ROOT / "examples" / "models.toml")
+    applied = subprocess.run(
+        [*ctl, "--json", "apply", models], env=env, capture_output=True
+    )
+    if applied.returncode:
+        raise SystemExit(applied.stderr.decode())
+    plan = json.loads(applied.stdout)["id"]
+    subprocess.run([*ctl, "confirm", plan, "--wait", "30"], env=env, check=True)
+    # The engines now hold the models; the entries hear of it by their polls.
+    ready = "http://127.0.0.1:9180/readyz"
+    _wait_until(lambda: urllib.request.urlopen(ready, timeout=2))
+    time.sleep(1.5)
+
+
+def _print_help() -> None:
+    print(
+        f"""
+wayslip runs. Callers: 127.0.0.1:8080, 8081. Operators: 127.0.0.1:9080, 9081.
+
+curl -N http://127.0.0.1:8080/v1/chat/completions \\
+  -H 'Authorization: Bearer {CALLER_KEY}' \\
+  -d '{{"model": "address-normaliser", "stream": true, "max_tokens": 8,
+       "messages": [{{"role": "user", "content": "12 Salt Lake"}}]}}'
+
+WAYSLIP_KEY={OPERATOR_KEY} .venv/bin/wayslipctl status
+
+Ctrl-C stops everything.
+""",
+        flush=True,
+    )
+
+
+def _stop(processes: list[subprocess.Popen]) -> None:
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, signal.SIG_IGN)
+    # Instances first, so that their streams can finish at the engines.
+    for process in reversed(processes):
+        process.terminate()
+    for process in reversed(processes):
+        try:
+            process.wait(timeout=40)
+        except subprocess.TimeoutExpired:
+            process.kill()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/wayslip/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The programs."""
--- /dev/null
+++ b/src/wayslip/cli/ctl.py
@@ -0,0 +1,319 @@
+"""Operators' command line.
+
+Usage:
+  wayslipctl [options] apply FILE
+  wayslipctl [options] plan PLAN
+  wayslipctl [options] confirm PLAN [--wait=SECONDS]
+  wayslipctl [options] cancel PLAN
+  wayslipctl [options] plans
+  wayslipctl [options] status
+  wayslipctl [options] models
+  wayslipctl [options] endpoints
+  wayslipctl [options] dump INSTANCE
+  wayslipctl [options] drain INSTANCE
+  wayslipctl --help
+
+Commands:
+  apply      Send what you want and get a plan; nothing changes yet.
+  plan       Show a plan: steps, cost, effect on callers, progress.
+  confirm    Put a plan in force, unless its world has changed meanwhile.
+  cancel     Drop a plan that was not confirmed.
+  plans      List the plans.
+  status     Members, configuration, and what is not resident.
+  models     What callers can name, and where it is ready.
+  endpoints  Endpoints with their memory, phase and load.
+  dump       The whole state of both daemons of an instance.
+  drain      Begin the planned stop of an instance.
+
+Options:
+  --url=URL        Operators' port of any control [default: http://127.0.0.1:9080].
+  --key-file=FILE  File with your key; else the variable WAYSLIP_KEY is used.
+  --json           Print JSON.
+  --timeout=S      Seconds to wait for an answer [default: 15].
+  --wait=SECONDS   After confirming, wait so long for the steps to be done.
+  --help           Show this text.
+
+Exit codes:
+  0  done                       3  refused: the world has changed, or the
+  1  the control failed            plan was ended by someone else
+  2  the command or file is     4  no control answered; asking again is safe
+     wrong                      5  not done within --wait
+"""
+
+import json
+import os
+import pathlib
+import sys
+import time
+from typing import Any
+
+import docopt
+import urllib3
+
+from wayslip import errors
+
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+EXIT_REFUSED = 3
+EXIT_UNREACHABLE = 4
+EXIT_WAITED = 5
+
+_EXIT_BY_STATUS = {
+    400: EXIT_USAGE,
+    401: EXIT_USAGE,
+    404: EXIT_USAGE,
+    409: EXIT_REFUSED,
+}
+_POLL_SECONDS = 0.2
+_MIB = 1 << 20
+
+
+class Control:
+    """Calls a control's operators' port."""
+
+    def __init__(self, url: str, key: str, timeout: float) -> None:
+        self._url = url.rstrip("/")
+        self._headers = {"Authorization": f"Bearer {key}"}
+        self._http = urllib3.PoolManager(retries=False, timeout=timeout)
+
+    def call(self, method: str, path: str, body: bytes = b"") -> "Reply":
+        """Returns the reply to a call.
+
+        Raises:
+            WayslipError: No control answered.
+        """
+        try:
+            response = self._http.request(
+                method,
+                f"{self._url}{path}",
+                body=body or None,
+                headers=self._headers,
+            )
+        except urllib3.exceptions.HTTPError as e:
+            raise errors.WayslipError(
+                f"{self._url} does not answer ({type(e).__name__})",
+                "name another instance with --url; asking again is safe",
+            ) from e
+        try:
+            return Reply(response.status, json.loads(response.data))
+        except ValueError as e:
+            raise errors.WayslipError(
+                f"{self._url} sent no JSON", "is it an operators' port?"
+            ) from e
+
+
+class Reply:
+    """A control's answer."""
+
+    def __init__(self, status: int, value: Any) -> None:
+        self.status = status
+        self.value = value
+
+    @property
+    def exit_code(self) -> int:
+        """The program's exit code for this answer."""
+        if self.status < 400:
+            return 0
+        return _EXIT_BY_STATUS.get(self.status, EXIT_FAILED)
+
+
+def main() -> None:
+    """Runs the program."""
+    assert __doc__ is not None
+    options = docopt.docopt(__doc__)
+    try:
+        sys.exit(_run(options))
+    except errors.BadRequestError as e:
+        print(e, file=sys.stderr)
+        sys.exit(EXIT_USAGE)
+    except errors.WayslipError as e:
+        print(e, file=sys.stderr)
+        sys.exit(EXIT_UNREACHABLE)
+
+
+def _run(options: Any) -> int:
+    try:
+        timeout = float(options["--timeout"])
+        wait = float(options["--wait"] or 0)
+    except ValueError as e:
+        raise errors.BadRequestError(
+            "--timeout or --wait is no number", "give seconds"
+        ) from e
+    control = Control(options["--url"], _read_key(options), timeout)
+    method, path, body = _choose_call(options)
+    reply = control.call(method, path, body)
+    if options["confirm"] and reply.status < 400 and wait:
+        reply = _wait(control, options["PLAN"], wait, reply)
+    if options["--json"]:
+        print(json.dumps(reply.value, indent=1))
+    else:
+        _print(options, reply)
+    if reply.exit_code:
+        return reply.exit_code
+    unfinished = options["confirm"] and wait and not _is_done(reply.value)
+    return EXIT_WAITED if unfinished else 0
+
+
+def _read_key(options: Any) -> str:
+    path = options["--key-file"]
+    if not path:
+        key = os.environ.get("WAYSLIP_KEY", "")
+        if key:
+            return key
+        raise errors.BadRequestError(
+            "there is no key", "set WAYSLIP_KEY or give --key-file"
+        )
+    return _read(path).decode().strip()
+
+
+def _read(path: str) -> bytes:
+    try:
+        return pathlib.Path(path).read_bytes()
+    except OSError as e:
+        raise errors.BadRequestError(
+            f"{path}: {e.strerror}", "name a readable file"
+        ) from e
+
+
+def _choose_call(options: Any) -> tuple[str, str, bytes]:
+    plan, instance = options["PLAN"], options["INSTANCE"]
+    if options["apply"]:
+        return "POST", "/v1/plans", _read(options["FILE"])
+    if options["plan"]:
+        return "GET", f"/v1/plans/{plan}", b""
+    for action in ("confirm", "cancel"):
+        if options[action]:
+            return "POST", f"/v1/plans/{plan}/{action}", b""
+    if options["dump"]:
+        return "GET", f"/v1/instances/{instance}/dump", b""
+    if options["drain"]:
+        return "POST", f"/v1/instances/{instance}/drain", b""
+    for subject in ("plans", "status", "models", "endpoints"):
+        if options[subject]:
+            return "GET", f"/v1/{subject}", b""
+    raise errors.BadRequestError("there is no such command", "see --help")
+
+
+def _is_done(plan: Any) -> bool:
+    progress = plan.get("progress", {})
+    return progress.get("done") == progress.get("total")
+
+
+def _wait(control: Control, plan: str, seconds: float, reply: Reply) -> Reply:
+    limit = time.monotonic() + seconds
+    while time.monotonic() < limit and not _is_done(reply.value):
+        time.sleep(_POLL_SECONDS)
+        reply = control.call("GET", f"/v1/plans/{plan}")
+    return reply
+
+
+# Printing
+
+
+def _print(options: Any, reply: Reply) -> None:
+    value = reply.value
+    if reply.status >= 400:
+        reason, remedy = value.get("reason"), value.get("remedy")
+        text = f"{reason}; {remedy}" if remedy else str(reason)
+        print(text, file=sys.stderr)
+        return
+    if options["plans"]:
+        _print_table(
+            ("PLAN", "STATE", "AUTHOR", "MOVES", "DONE", "ENDED BY"),
+            [
+                (
+                    p["id"],
+                    p["state"],
+                    p["author"],
+                    p["cost"]["moves"],
+                    f"{p['progress']['done']}/{p['progress']['total']}",
+                    p["ended_by"] or "-",
+                )
+                for p in value["plans"]
+            ],
+        )
+    elif options["status"]:
+        _print_status(value)
+    elif options["models"]:
+        _print_table(
+            ("NAME", "MIB", "READY ON"),
+            [
+                (
+                    m["name"],
+                    f"{m['size'] / _MIB:.1f}",
+                    ",".join(m["ready_on"]) or "-",
+                )
+                for m in value["models"]
+            ],
+        )
+    elif options["endpoints"]:
+        _print_table(
+            ("NAME", "ROLE", "HALL", "PHASE", "LIVE", "CHARGED", "UNSETTLED"),
+            [
+                (
+                    e["name"],
+                    e["role"],
+                    e["data_hall"],
+                    e["phase"],
+                    "yes" if e["is_live"] else "no",
+                    _percent(e["charged"], e["capacity"]),
+                    e["unsettled"],
+                )
+                for e in value["endpoints"]
+            ],
+        )
+    elif options["dump"] or options["drain"]:
+        print(json.dumps(value, indent=1))
+    else:
+        _print_plan(value)
+
+
+def _percent(part: int, whole: int) -> str:
+    return f"{100 * part / whole:.0f}%" if whole else "-"
+
+
+def _print_plan(plan: Any) -> None:
+    cost, progress = plan["cost"], plan["progress"]
+    print(f"plan {plan['id']}: {plan['state']}, by {plan['author']}")
+    print(
+        f"  moves {cost['moves']}, {cost['moved'] / _MIB:.1f} MiB,"
+        f" {cost['seconds']} load seconds,"
+        f" {100 * cost['store_share']:.0f}% of the weight store"
+    )
+    print(f"  steps done {progress['done']} of {progress['total']}")
+    for step in plan["steps"]:
+        print(
+            f"  {step['action']:>6} {step['item']} on {step['engine']}"
+            f" ({step['size'] / _MIB:.1f} MiB)"
+        )
+    for effect in plan["effects"]:
+        print(f"  effect: {effect}")
+    if plan["state"] == "proposed":
+        print(f"  confirm it with: wayslipctl confirm {plan['id']}")
+
+
+def _print_status(value: Any) -> None:
+    print(f"configuration generation {value['generation']}")
+    print(f"models {value['models']}, items {value['items']}")
+    missing = ", ".join(value["not_resident"]) or "none"
+    print(f"not resident: {missing}")
+    print(f"object API last heard {value['object_api_age']} s ago")
+    _print_table(
+        ("MEMBER", "STATUS", "ADDRESS", "HALL"),
+        [
+            (m["name"], m["status"], m["address"], m["data_hall"])
+            for m in value["members"]
+        ],
+    )
+
+
+def _print_table(head: tuple[str, ...], rows: list[tuple]) -> None:
+    table = [head, *[tuple(str(c) for c in row) for row in rows]]
+    widths = [max(len(row[i]) for row in table) for i in range(len(head))]
+    for row in table:
+        cells = (c.ljust(w) for c, w in zip(row, widths, strict=True))
+        print("  ".join(cells).rstrip())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/wayslip/control/__init__.py
@@ -0,0 +1,1 @@
+"""The control daemon: plans, the memory ledgers and their execution."""
--- /dev/null
+++ b/src/wayslip/control/executor.py
@@ -0,0 +1,443 @@
+"""Carries out placements on engines through their ledgers.
+
+Each engine has a usual owner among the live controls. Ownership only spreads
+the work: two controls that both think they own an engine are kept apart by
+the conditional updates of its ledger and of the replica sets.
+
+The order of one step: (1) for an eviction, take the engine out of the item's
+replica set, which checks that another replica is ready; (2) write the attempt
+into the ledger; (3) for an eviction, see that nobody put the engine back into
+the set meanwhile; (4) send; (5) settle by the answer. A crash after any of
+these leaves a state from which the next owner goes on.
+"""
+
+import dataclasses
+import logging
+import threading
+import time
+import uuid
+
+from wayslip import errors
+from wayslip import logs
+from wayslip import metrics as metrics_module
+from wayslip import refusals
+from wayslip import settings as settings_module
+from wayslip.control import world as world_module
+from wayslip.decisions import catalog as catalogs
+from wayslip.decisions import ledger as ledger_module
+from wayslip.decisions import membership
+from wayslip.decisions import ownership
+from wayslip.decisions import rate
+from wayslip.decisions import reconcile
+from wayslip.decisions import replicas
+from wayslip.endpoints import engine as engine_module
+from wayslip.objects import client as client_module
+from wayslip.objects import kinds
+
+_LOG = logging.getLogger(__name__)
+_REPORT_SECONDS = 1.0
+_ORDER_SECONDS = 3.0
+_STALE_ATTEMPT_SECONDS = 10.0
+
+
+@dataclasses.dataclass(frozen=True)
+class _Subject:
+    """An engine that is being worked on."""
+
+    endpoint: kinds.Endpoint
+    ledger: ledger_module.Ledger
+    report: engine_module.Report
+
+
+class Executor:
+    """Works on the engines this control usually owns, in a thread."""
+
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        world: world_module.WorldView,
+        client: client_module.ObjectClient,
+        metrics: metrics_module.Metrics,
+    ) -> None:
+        self._settings = settings
+        self._world = world
+        self._client = client
+        self._metrics = metrics
+        self._dialect = engine_module.DIALECTS.get("openai")
+        self._sender = world.node.incarnation
+        self._stopping = threading.Event()
+        share = settings.placement.load_rate
+        self._bucket = rate.Bucket(share, 2.0, 1.0, time.monotonic())
+        # When each unsettled attempt was first seen here, monotonic seconds.
+        self._first_seen: dict[str, float] = {}
+        self._thread = threading.Thread(
+            target=self._run, name="executor", daemon=True
+        )
+
+    def start(self) -> None:
+        """Starts to work."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Ends after the step that is under way."""
+        self._stopping.set()
+        self._thread.join(timeout=_ORDER_SECONDS + 1)
+
+    def _run(self) -> None:
+        while not self._stopping.wait(self._settings.placement.period):
+            for endpoint in self._owned():
+                if self._stopping.is_set():
+                    return
+                try:
+                    while self.work_on(endpoint):
+                        pass
+                except errors.WayslipError as e:
+                    logs.event(
+                        _LOG,
+                        "engine_not_worked_on",
+                        logging.WARNING,
+                        engine=endpoint.name,
+                        reason=e.reason,
+                    )
+                except Exception:
+                    # One engine's fault must not stop work on the others.
+                    _LOG.exception("engine_work_failed")
+
+    def _owned(self) -> list[kinds.Endpoint]:
+        controls = self._world.node.live_names(membership.Role.CONTROL)
+        me = self._world.node.identity.name
+        return [
+            e
+            for e in self._world.engines()
+            if ownership.find_owner(e.name, controls) == me
+        ]
+
+    def work_on(self, endpoint: kinds.Endpoint) -> bool:
+        """Observes an engine and makes one step; returns whether it did."""
+        try:
+            report = self._dialect.report(endpoint.address, _REPORT_SECONDS)
+        except errors.EndpointError:
+            self._world.lose_report(endpoint.name)
+            return False
+        self._world.note_report(endpoint.name, report)
+        ledger = self._observe(endpoint, report)
+        subject = _Subject(endpoint, ledger, report)
+        self._keep_replica_sets(subject)
+        if endpoint.phase is kinds.Phase.LEAVING:
+            return False
+        step = self._choose(subject)
+        if step is None:
+            return False
+        return self._carry_out(subject, step)
+
+    # Observing
+
+    def _observe(
+        self, endpoint: kinds.Endpoint, report: engine_module.Report
+    ) -> ledger_module.Ledger:
+        quarantine = self._settings.placement.quarantine
+
+        def step(
+            known: ledger_module.Ledger | None,
+        ) -> ledger_module.Ledger:
+            ledger = known or ledger_module.Ledger(
+                endpoint.name, endpoint.capacity, endpoint.checks_fence
+            )
+            now = time.time()
+            ledger = self._give_up_stale(ledger, now)
+            return ledger.observe(report.residency, now, quarantine)
+
+        # Most reports change nothing; then no call is made at all.
+        copy = self._world.ledgers.objects.get(endpoint.name)
+        if copy is not None and step(copy) == copy:
+            return copy
+        stored = self._client.change(kinds.LEDGER, endpoint.name, step)
+        assert not isinstance(stored, refusals.Refusal)
+        return stored.value
+
+    def _give_up_stale(
+        self, ledger: ledger_module.Ledger, now: float
+    ) -> ledger_module.Ledger:
+        """Gives up attempts whose sender is gone or no longer waits."""
+        live = {f"{m.name}#{m.incarnation}" for m in self._world.node.members()}
+        open_ids = {a.id for a in ledger.attempts}
+        for attempt in ledger.attempts:
+            if attempt.given_up:
+                continue
+            seen = self._first_seen.setdefault(attempt.id, time.monotonic())
+            is_old = time.monotonic() - seen > _STALE_ATTEMPT_SECONDS
+            # At an engine without fences a sender that may only be paused is
+            # never given up for it: only its own word or its end counts.
+            may = ledger.checks_fence or attempt.sender not in live
+            if is_old and may:
+                ledger = ledger.give_up(attempt.id, now)
+        for attempt_id in list(self._first_seen):
+            if attempt_id not in open_ids:
+                self._first_seen.pop(attempt_id, None)
+        return ledger
+
+    def _keep_replica_sets(self, subject: _Subject) -> None:
+        """Adds what became ready and takes out what was lost by itself."""
+        name = subject.endpoint.name
+        wanted = self._world.catalog.placements.get(name, ())
+        ready = {
+            c.item
+            for c in subject.ledger.charges
+            if c.phase is ledger_module.Phase.RESIDENT
+            and c.item in wanted
+            and not any(a.item == c.item for a in subject.ledger.attempts)
+        }
+        charged = {c.item for c in subject.ledger.charges}
+        for item in ready:
+            known = self._world.replica_sets().get(item)
+            if known is None or name not in known.engines:
+                self._change_set(item, lambda old: old.add(name))
+        for item, known in self._world.replica_sets().items():
+            if name in known.engines and item not in charged:
+                self._change_set(item, lambda old: old.lose(name))
+
+    def _change_set(self, item: str, step) -> None:  # type: ignore[no-untyped-def]
+        self._client.change(
+            kinds.REPLICA_SET,
+            object_name(item),
+            lambda known: step(known or replicas.ReplicaSet(item)),
+        )
+
+    # Choosing
+
+    def _choose(self, subject: _Subject) -> reconcile.Step | None:
+        catalog = self._world.catalog
+        items = catalog.placements.get(subject.endpoint.name, ())
+        sets = self._world.replica_sets()
+        wanted = reconcile.Wanted(
+            tuple(i for i in items if i in catalog.sizes),
+            catalog.sizes,
+            _find_bases(catalog),
+            {i for i in items if i not in sets or not sets[i].engines},
+        )
+        return reconcile.choose_step(subject.ledger, wanted, may_load=True)
+
+    def _take_load_permit(self) -> bool:
+        controls = self._world.node.live_names(membership.Role.CONTROL)
+        share = self._settings.placement.load_rate / max(len(controls), 1)
+        bucket = dataclasses.replace(self._bucket, rate=share)
+        taken = bucket.take(time.monotonic())
+        if taken is None:
+            return False
+        self._bucket = taken
+        return True
+
+    # Carrying out
+
+    def _carry_out(self, subject: _Subject, step: reconcile.Step) -> bool:
+        is_load = step.action is ledger_module.Action.LOAD
+        if is_load and not self._take_load_permit():
+            return False
+        is_unload = step.action is ledger_module.Action.UNLOAD
+        if is_unload and not self._release(subject, step.item):
+            return False
+        attempt_id = uuid.uuid4().hex
+        written = self._write_attempt(subject, step, attempt_id)
+        if isinstance(written, refusals.Refusal):
+            logs.event(
+                _LOG,
+                "step_refused",
+                engine=subject.endpoint.name,
+                item=step.item,
+                reason=written.reason,
+            )
+            return False
+        if is_unload and not self._is_still_released(subject, step.item):
+            self._change_ledger(subject, lambda old: old.withdraw(attempt_id))
+            return False
+        return self._send(subject, written, attempt_id)
+
+    def _write_attempt(
+        self, subject: _Subject, step: reconcile.Step, attempt_id: str
+    ) -> ledger_module.Ledger | refusals.Refusal:
+        def begin(
+            known: ledger_module.Ledger | None,
+        ) -> ledger_module.Ledger | refusals.Refusal:
+            assert known is not None
+            if known.find_attempt(attempt_id) is not None:
+                return known
+            following = known.follow(self._world.catalog.generation)
+            if isinstance(following, refusals.Refusal):
+                return following
+            return _begin(following, step, attempt_id, self._sender)
+
+        name = subject.endpoint.name
+        stored = self._client.change(kinds.LEDGER, name, begin)
+        return stored if isinstance(stored, refusals.Refusal) else stored.value
+
+    def _send(
+        self,
+        subject: _Subject,
+        ledger: ledger_module.Ledger,
+        attempt_id: str,
+    ) -> bool:
+        attempt = ledger.find_attempt(attempt_id)
+        assert attempt is not None
+        charge = ledger.get(attempt.item)
+        order = engine_module.Order(
+            attempt_id,
+            attempt.action,
+            attempt.item,
+            charge.size if charge else 0,
+            attempt.fence if ledger.checks_fence else 0,
+            attempt.boot if ledger.checks_fence else 0,
+        )
+        name = subject.endpoint.name
+        self._metrics.count("orders", action=attempt.action)
+        try:
+            answer = self._dialect.order(
+                subject.endpoint.address, order, _ORDER_SECONDS
+            )
+        except errors.NotSentError:
+            self._change_ledger(subject, lambda old: old.withdraw(attempt_id))
+            return False
+        except errors.EndpointError as e:
+            now = time.time()
+            self._change_ledger(
+                subject, lambda old: old.give_up(attempt_id, now)
+            )
+            logs.event(
+                _LOG,
+                "order_unclear",
+                logging.WARNING,
+                engine=name,
+                action=attempt.action,
+                item=attempt.item,
+                reason=e.reason,
+            )
+            return False
+        residency = answer.report.residency
+        self._change_ledger(
+            subject,
+            lambda old: old.settle(attempt_id, answer.outcome, residency),
+        )
+        self._world.note_report(name, answer.report)
+        logs.event(
+            _LOG,
+            "order_answered",
+            engine=name,
+            action=attempt.action,
+            item=attempt.item,
+            outcome=answer.outcome,
+            detail=answer.detail,
+        )
+        return answer.outcome is ledger_module.Outcome.APPLIED
+
+    def _change_ledger(self, subject: _Subject, step) -> None:  # type: ignore[no-untyped-def]
+        self._client.change(
+            kinds.LEDGER, subject.endpoint.name, lambda known: step(known)
+        )
+
+    # The last replica
+
+    def _release(self, subject: _Subject, item: str) -> bool:
+        """Takes the engine out of the item's set, if another one is ready."""
+        name = subject.endpoint.name
+        needed = self._is_needed(item)
+
+        def step(
+            known: replicas.ReplicaSet | None,
+        ) -> replicas.ReplicaSet | refusals.Refusal:
+            known = known or replicas.ReplicaSet(item)
+            alive = self._find_alive(known, name) if needed else frozenset()
+            return known.release(name, alive, needed)
+
+        result = self._client.change(kinds.REPLICA_SET, object_name(item), step)
+        if not isinstance(result, refusals.Refusal):
+            return True
+        logs.event(
+            _LOG,
+            "eviction_waits",
+            logging.DEBUG,
+            engine=name,
+            item=item,
+            reason=result.reason,
+        )
+        return False
+
+    def _is_needed(self, item: str) -> bool:
+        catalog = self._world.catalog
+        if item in catalog.required:
+            return True
+        successor = catalog.successors.get(item)
+        if successor is None:
+            return False
+        ready = self._world.replica_sets().get(successor)
+        return not (ready and ready.engines)
+
+    def _find_alive(
+        self, known: replicas.ReplicaSet, besides: str
+    ) -> frozenset[str]:
+        """Returns the engines that surely hold an item and will keep it.
+
+        Called between the read and the write of the replica set. The ledger
+        is read for certain: see `confirm_read`.
+        """
+        alive = set()
+        for name in known.engines - {besides}:
+            endpoint = self._world.endpoint(name)
+            if endpoint is None or endpoint.phase is kinds.Phase.LEAVING:
+                continue
+            try:
+                ledger = confirm_read(self._client, kinds.LEDGER, name)
+                report = self._dialect.report(endpoint.address, _REPORT_SECONDS)
+            except errors.WayslipError:
+                continue
+            charge = ledger.get(known.item)
+            is_free = all(a.item != known.item for a in ledger.attempts)
+            if charge and is_free and known.item in report.resident:
+                alive.add(name)
+        return frozenset(alive)
+
+    def _is_still_released(self, subject: _Subject, item: str) -> bool:
+        known = confirm_read(self._client, kinds.REPLICA_SET, object_name(item))
+        return subject.endpoint.name not in known.engines
+
+
+def _begin(
+    ledger: ledger_module.Ledger,
+    step: reconcile.Step,
+    attempt_id: str,
+    sender: str,
+) -> ledger_module.Ledger | refusals.Refusal:
+    match step.action:
+        case ledger_module.Action.LOAD:
+            return ledger.begin_load(step.item, step.size, attempt_id, sender)
+        case ledger_module.Action.UNLOAD:
+            return ledger.begin_unload(step.item, attempt_id, sender)
+    return ledger.begin_fence(attempt_id, sender)
+
+
+def object_name(item: str) -> str:
+    """Returns an item's name in the form that object names take."""
+    return item.replace("@", "--")
+
+
+def confirm_read(client: client_module.ObjectClient, kind, name: str):  # type: ignore[no-untyped-def]  # noqa: ANN001, ANN201
+    """Returns an object's content that was the newest during the call.
+
+    A plain read may be stale. Writing the same content back conditionally
+    succeeds only if it was not.
+    """
+    for _ in range(8):
+        stored = client.get(kind, name)
+        try:
+            return client.update(kind, stored, stored.value).value
+        except errors.ObjectConflictError:
+            continue
+    raise errors.ObjectUnavailableError(
+        f"{kind.plural}/{name} keeps changing", "try again"
+    )
+
+
+def _find_bases(catalog: catalogs.Catalog) -> dict[str, str]:
+    return {
+        target.items[1]: target.items[0]
+        for target in catalog.targets.values()
+        if len(target.items) > 1
+    }
--- /dev/null
+++ b/src/wayslip/control/world.py
@@ -0,0 +1,176 @@
+"""What a control knows of the platform, the engines and its peers."""
+
+import dataclasses
+import threading
+import time
+
+from wayslip.decisions import catalog as catalogs
+from wayslip.decisions import facts
+from wayslip.decisions import ledger as ledger_module
+from wayslip.decisions import membership
+from wayslip.decisions import ownership
+from wayslip.decisions import placement
+from wayslip.decisions import plan
+from wayslip.decisions import replicas
+from wayslip.endpoints import engine as engine_module
+from wayslip.objects import client as client_module
+from wayslip.objects import informer
+from wayslip.objects import kinds
+from wayslip.peers import node as node_module
+
+# An engine that has not answered for this long gets no new placements.
+DEAD_SECONDS = 5.0
+_LOST_TTL = 10.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Seen:
+    """A report and when it came, monotonic seconds."""
+
+    report: engine_module.Report
+    at: float
+
+
+class WorldView:
+    """Soft state: lists and watches, reports, members, configuration."""
+
+    def __init__(
+        self,
+        node: node_module.Node,
+        client: client_module.ObjectClient,
+        watchers: int,
+    ) -> None:
+        self.node = node
+        self._watchers = watchers
+        self._lock = threading.Lock()
+        self._reports: dict[str, Seen] = {}
+        self._lost: dict[str, float] = {}
+        self.endpoints = informer.Informer(client, kinds.ENDPOINT)
+        self.ledgers = informer.Informer(client, kinds.LEDGER)
+        self._sets = informer.Informer(client, kinds.REPLICA_SET)
+        self.configurations = informer.Informer(
+            client, kinds.CONFIGURATION, self._watches_configuration
+        )
+        self.configurations.subscribe(self._take_configuration)
+
+    def start(self) -> None:
+        """Starts all watches."""
+        for watch in self._watches:
+            watch.start()
+
+    def stop(self) -> None:
+        """Stops all watches."""
+        for watch in self._watches:
+            watch.stop()
+
+    @property
+    def _watches(self) -> tuple[informer.Informer, ...]:
+        return (self.endpoints, self.ledgers, self._sets, self.configurations)
+
+    # Looking up
+
+    @property
+    def catalog(self) -> catalogs.Catalog:
+        """The names in force."""
+        return self.node.holder.catalog
+
+    def engines(self) -> list[kinds.Endpoint]:
+        """Returns the engines in the platform's list."""
+        return [
+            e
+            for e in self.endpoints.objects.values()
+            if e.role is kinds.EndpointRole.ENGINE
+        ]
+
+    def endpoint(self, name: str) -> kinds.Endpoint | None:
+        """Returns an endpoint in the platform's list."""
+        return self.endpoints.objects.get(name)
+
+    def replica_sets(self) -> dict[str, replicas.ReplicaSet]:
+        """Returns the replica sets by item, as last heard."""
+        return {s.item: s for s in self._sets.objects.values()}
+
+    def seen(self, name: str) -> Seen | None:
+        """Returns the last report of an engine."""
+        with self._lock:
+            return self._reports.get(name)
+
+    def is_live(self, endpoint: kinds.Endpoint) -> bool:
+        """Whether an engine may be given something new to hold."""
+        if endpoint.phase is kinds.Phase.LEAVING:
+            return False
+        told = self.node.facts(facts.Topic.LOST)
+        if any(f.subject == endpoint.name and f.value for f in told):
+            return False
+        seen = self.seen(endpoint.name)
+        draining = engine_module.EngineState.DRAINING
+        return seen is None or seen.report.state is not draining
+
+    def engine_states(
+        self, ledgers: dict[str, ledger_module.Ledger] | None = None
+    ) -> dict[str, placement.EngineState]:
+        """Returns the engines as the planner sees them."""
+        known = self.ledgers.objects if ledgers is None else ledgers
+        states = {}
+        for endpoint in self.engines():
+            ledger = known.get(endpoint.name)
+            held = {c.item: c.size for c in ledger.charges} if ledger else {}
+            states[endpoint.name] = placement.EngineState(
+                endpoint.name,
+                endpoint.capacity,
+                held,
+                self.is_live(endpoint),
+            )
+        return states
+
+    def plan_world(
+        self, ledgers: dict[str, ledger_module.Ledger] | None = None
+    ) -> plan.World:
+        """Returns what a plan is drawn against."""
+        config = self.node.holder.configuration
+        return plan.World(config, self.engine_states(ledgers))
+
+    # Taking in
+
+    def note_report(self, name: str, report: engine_module.Report) -> None:
+        """Keeps an engine's report."""
+        with self._lock:
+            self._reports[name] = Seen(report, time.monotonic())
+            was_lost = self._lost.pop(name, None)
+        if was_lost is not None:
+            self._tell_lost(name, 0.0)
+
+    def lose_report(self, name: str) -> None:
+        """Notes that an engine did not answer; tells peers once it is dead."""
+        with self._lock:
+            since = self._lost.setdefault(name, time.monotonic())
+        if time.monotonic() - since > DEAD_SECONDS:
+            self._tell_lost(name, 1.0)
+
+    def _tell_lost(self, name: str, value: float) -> None:
+        now = time.time()
+        origin = self.node.identity.name
+        told = [
+            f
+            for f in self.node.facts(facts.Topic.LOST)
+            if f.subject == name and f.value == value
+        ]
+        if any(now - f.at < _LOST_TTL / 2 for f in told):
+            return
+        self.node.publish(
+            facts.Fact(
+                facts.Topic.LOST, name, origin, now, value, ttl=_LOST_TTL
+            )
+        )
+
+    def _watches_configuration(self) -> bool:
+        # A few watch the object; the others hear of it from their peers.
+        controls = self.node.live_names(membership.Role.CONTROL)
+        ranked = ownership.rank_owners("configuration", controls)
+        return self.node.identity.name in ranked[: self._watchers]
+
+    def _take_configuration(self, name: str, value) -> None:  # type: ignore[no-untyped-def]
+        if name != kinds.CURRENT or value is None:
+            return
+        if self.node.holder.offer(value, "objects"):
+            self.node.push_generation()
--- /dev/null
+++ b/src/wayslip/decisions/admission.py
@@ -0,0 +1,120 @@
+"""Whether a request starts now or is refused at once.
+
+A refused request never started, so the answer `not-run` is true, and it comes
+early with a time to come back rather than late.
+"""
+
+import dataclasses
+from typing import Protocol
+
+from wayslip import refusals
+from wayslip import registry
+from wayslip import settings
+
+_MIN_RETRY_AFTER = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Load:
+    """What an entry has in flight.
+
+    Attributes:
+        total: Requests of all callers.
+        caller: Requests of the request's caller.
+        endpoint: Requests at the chosen endpoint.
+        entries: Live entries, which share each caller's limit.
+        predicted: Predicted seconds to the first token there.
+        seconds_left: Seconds until the deadline.
+    """
+
+    total: int
+    caller: int
+    endpoint: int
+    entries: int
+    predicted: float
+    seconds_left: float
+
+
+class Policy(Protocol):
+    """Admits a request (None) or refuses it."""
+
+    def __call__(
+        self,
+        load: Load,
+        caller: settings.Caller,
+        limits: settings.Admission,
+    ) -> refusals.Refusal | None:
+        """Returns the refusal of a request, None where it may start."""
+
+
+POLICIES: registry.Registry[Policy] = registry.Registry("admission policy")
+
+
+def share_limit(limit: int, entries: int) -> int:
+    """Returns one entry's part of a limit over all entries.
+
+    The balancer's spread is uneven, so each entry gets half as much again as
+    an even part. No write for each request is needed.
+    """
+    if entries <= 1:
+        return limit
+    return min(limit, max(1, -(-limit * 3 // (2 * entries))))
+
+
+@POLICIES.register("limits")
+def admit_by_limits(
+    load: Load, caller: settings.Caller, limits: settings.Admission
+) -> refusals.Refusal | None:
+    """Refuses what would go over a limit of entry, caller or endpoint."""
+    rules = limits.classes[caller.priority]
+    if load.seconds_left <= 0:
+        return refusals.Refusal(
+            refusals.Reason.DEADLINE_PASSED,
+            "the deadline passed before the request could start",
+        )
+    if load.total >= limits.total_in_flight * rules.share:
+        return _refuse(
+            refusals.Reason.OVERLOADED, "the entry is at its limit", load
+        )
+    if load.caller >= share_limit(caller.max_in_flight, load.entries):
+        return _refuse(
+            refusals.Reason.CALLER_LIMIT,
+            "this caller has too many requests in flight",
+            load,
+        )
+    if load.endpoint >= limits.endpoint_in_flight * rules.share:
+        return _refuse(
+            refusals.Reason.ENDPOINT_LIMIT,
+            "every endpoint that could answer is at its limit",
+            load,
+        )
+    return None
+
+
+@POLICIES.register("deadline")
+def admit_by_deadline(
+    load: Load, caller: settings.Caller, limits: settings.Admission
+) -> refusals.Refusal | None:
+    """Refuses by the limits, and what could not meet its target anyway."""
+    refusal = admit_by_limits(load, caller, limits)
+    if refusal is not None:
+        return refusal
+    target = limits.classes[caller.priority].target
+    if load.predicted <= min(target, load.seconds_left):
+        return None
+    return _refuse(
+        refusals.Reason.TARGET_UNREACHABLE,
+        f"the first token would take {load.predicted:.2f} s,"
+        f" the target is {target:g} s",
+        load,
+        load.predicted - target,
+    )
+
+
+def _refuse(
+    reason: refusals.Reason, detail: str, load: Load, wait: float = 0.0
+) -> refusals.Refusal:
+    retry_after = max(wait, load.predicted / 2, _MIN_RETRY_AFTER)
+    return refusals.Refusal(
+        reason, f"{detail}; come back after Retry-After", retry_after
+    )
--- /dev/null
+++ b/src/wayslip/decisions/membership.py
@@ -0,0 +1,334 @@
+"""Which daemons are there, by probing one random peer at a time.
+
+The protocol follows SWIM (Das, Gupta and Motivala, 2002): each period a
+member probes one other, through a few helpers when it does not answer, and
+news rides on the probes. A suspect can refute with a higher incarnation. So
+a member's cost does not grow with the fleet, and there is no full mesh.
+
+The object is one member's state. It does no I/O: calls take the time and
+return the messages to send.
+"""
+
+from collections.abc import Iterable
+import dataclasses
+import enum
+import math
+import random
+
+_HELPERS = 2
+_NEWS_PER_MESSAGE = 6
+_RETRANSMIT = 3
+_DEAD_KEPT = 60.0
+_REJOIN_ODDS = 0.1
+
+
+class Role(enum.StrEnum):
+    """The programs that are members."""
+
+    ENTRY = "entry"
+    CONTROL = "control"
+
+
+class Status(enum.StrEnum):
+    """What a member is thought to be; later ones win at one incarnation."""
+
+    ALIVE = "alive"
+    LEAVING = "leaving"
+    SUSPECT = "suspect"
+    DEAD = "dead"
+
+
+_STRENGTH = {s: n for n, s in enumerate(Status)}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Member:
+    """A daemon.
+
+    Attributes:
+        name: Role and instance, "entry/kolkata-1".
+        incarnation: Start time in milliseconds; raised to refute.
+    """
+
+    name: str
+    role: Role
+    address: str
+    data_hall: str
+    incarnation: int
+    status: Status = Status.ALIVE
+
+    def beats(self, other: "Member") -> bool:
+        """Whether this word on a member replaces another."""
+        if self.incarnation != other.incarnation:
+            return self.incarnation > other.incarnation
+        return _STRENGTH[self.status] > _STRENGTH[other.status]
+
+
+class Probe(enum.StrEnum):
+    """The kinds of probe messages."""
+
+    PING = "ping"
+    ACK = "ack"
+    RELAY = "relay"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Message:
+    """A probe with news.
+
+    Attributes:
+        seq: Number that the answer repeats.
+        sender: Name of the member that sends it.
+        subject: For a relay, the address to probe.
+    """
+
+    probe: Probe
+    seq: int
+    sender: str
+    news: tuple[Member, ...]
+    subject: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Out:
+    """A message and the address it goes to."""
+
+    address: str
+    message: Message
+
+
+@dataclasses.dataclass(slots=True)
+class _Pending:
+    """A probe that waits for its answer."""
+
+    name: str
+    sent: float
+    relayed: bool = False
+    answer_to: str = ""
+    answer_seq: int = 0
+
+
+class Membership:
+    """One member's view of all."""
+
+    def __init__(
+        self,
+        me: Member,
+        seeds: Iterable[str],
+        period: float,
+        suspicion: float,
+        rng: random.Random,
+    ) -> None:
+        self.me = me
+        self._seeds = tuple(s for s in seeds if s != me.address)
+        self._period = period
+        self._suspicion = suspicion
+        self._rng = rng
+        self._members: dict[str, Member] = {me.name: me}
+        self._changed: dict[str, float] = {}
+        self._sends_left: dict[str, int] = {}
+        self._pending: dict[int, _Pending] = {}
+        self._seq = 0
+        self._next_probe = 0.0
+        self._order: list[str] = []
+        self._spread(me)
+
+    # Looking up
+
+    @property
+    def members(self) -> tuple[Member, ...]:
+        """All members that are remembered, dead ones for a while."""
+        return tuple(self._members.values())
+
+    def live(self, role: Role | None = None) -> tuple[Member, ...]:
+        """Returns the members that work, suspects included."""
+        working = (Status.ALIVE, Status.SUSPECT)
+        return tuple(
+            m
+            for m in self._members.values()
+            if m.status in working and (role is None or m.role is role)
+        )
+
+    def get(self, name: str) -> Member | None:
+        """Returns a member by name."""
+        return self._members.get(name)
+
+    def pick(self, count: int) -> list[Member]:
+        """Returns some random live members besides this one."""
+        others = [m for m in self.live() if m.name != self.me.name]
+        return self._rng.sample(others, min(count, len(others)))
+
+    # Events
+
+    def leave(self) -> None:
+        """Starts to tell the others that this member is stopping."""
+        self.me = dataclasses.replace(self.me, status=Status.LEAVING)
+        self._members[self.me.name] = self.me
+        self._spread(self.me)
+
+    def tick(self, now: float) -> list[Out]:
+        """Returns the messages that are due; call it several times a period."""
+        self._expire(now)
+        out = self._chase(now)
+        if now >= self._next_probe:
+            self._next_probe = now + self._period
+            out += self._probe_next(now)
+        return out
+
+    def receive(self, message: Message, source: str, now: float) -> list[Out]:
+        """Returns the answers to a message from an address."""
+        for member in message.news:
+            self.merge(member, now)
+        match message.probe:
+            case Probe.PING:
+                return [self._out(source, Probe.ACK, message.seq)]
+            case Probe.RELAY:
+                pending = _Pending(
+                    "", now, answer_to=source, answer_seq=message.seq
+                )
+                return [self._send(message.subject, pending)]
+        return self._settle(message, now)
+
+    def merge(self, member: Member, now: float) -> bool:
+        """Takes in word of a member; returns whether it was news."""
+        if member.name == self.me.name:
+            return self._refute(member)
+        known = self._members.get(member.name)
+        if known is not None and not member.beats(known):
+            return False
+        if known is None and member.status is Status.DEAD:
+            return False
+        self._members[member.name] = member
+        self._changed[member.name] = now
+        self._spread(member)
+        return True
+
+    def _refute(self, member: Member) -> bool:
+        if not member.beats(self.me):
+            return False
+        if member.incarnation == self.me.incarnation and member.status in (
+            Status.ALIVE,
+            self.me.status,
+        ):
+            return False
+        self.me = dataclasses.replace(
+            self.me, incarnation=member.incarnation + 1
+        )
+        self._members[self.me.name] = self.me
+        self._spread(self.me)
+        return True
+
+    # Probing
+
+    def _probe_next(self, now: float) -> list[Out]:
+        target = self._next_target()
+        if target is not None:
+            return [self._send(target.address, _Pending(target.name, now))]
+        return [self._send(s, _Pending("", now)) for s in self._seeds]
+
+    def _next_target(self) -> Member | None:
+        # Round robin over a shuffled list bounds the time to find a death.
+        if self._rng.random() < _REJOIN_ODDS:
+            lost = [
+                m for m in self._members.values() if m.status is Status.DEAD
+            ]
+            if lost:
+                return self._rng.choice(lost)
+        while self._order:
+            member = self._members.get(self._order.pop())
+            if member and member.status is not Status.DEAD:
+                return member
+        self._order = [
+            m.name
+            for m in self._members.values()
+            if m.name != self.me.name and m.status is not Status.DEAD
+        ]
+        self._rng.shuffle(self._order)
+        return self._members[self._order.pop()] if self._order else None
+
+    def _send(self, address: str, pending: _Pending) -> Out:
+        self._seq += 1
+        self._pending[self._seq] = pending
+        return self._out(address, Probe.PING, self._seq, about=pending.name)
+
+    def _chase(self, now: float) -> list[Out]:
+        out: list[Out] = []
+        for seq, pending in list(self._pending.items()):
+            waited = now - pending.sent
+            if waited >= self._period and not pending.relayed:
+                pending.relayed = True
+                out += self._ask_helpers(seq, pending)
+            if waited >= 2 * self._period:
+                del self._pending[seq]
+                self._suspect(pending.name, now)
+        return out
+
+    def _ask_helpers(self, seq: int, pending: _Pending) -> list[Out]:
+        target = self._members.get(pending.name)
+        if target is None:
+            return []
+        helpers = [m for m in self.pick(_HELPERS) if m.name != target.name]
+        return [
+            self._out(h.address, Probe.RELAY, seq, target.address)
+            for h in helpers
+        ]
+
+    def _settle(self, message: Message, now: float) -> list[Out]:
+        pending = self._pending.pop(message.seq, None)
+        if pending is None:
+            return []
+        if pending.answer_to:
+            answer = self._out(pending.answer_to, Probe.ACK, pending.answer_seq)
+            return [answer]
+        return []
+
+    def _suspect(self, name: str, now: float) -> None:
+        member = self._members.get(name)
+        if member is None or member.status in (Status.SUSPECT, Status.DEAD):
+            return
+        self.merge(dataclasses.replace(member, status=Status.SUSPECT), now)
+
+    def _expire(self, now: float) -> None:
+        for member in list(self._members.values()):
+            age = now - self._changed.get(member.name, now)
+            if member.status is Status.SUSPECT and age >= self._suspicion:
+                dead = dataclasses.replace(member, status=Status.DEAD)
+                self.merge(dead, now)
+            elif member.status is Status.DEAD and age >= _DEAD_KEPT:
+                del self._members[member.name]
+                self._changed.pop(member.name, None)
+                self._sends_left.pop(member.name, None)
+
+    # News
+
+    def _spread(self, member: Member) -> None:
+        count = max(len(self._members), 2)
+        self._sends_left[member.name] = _RETRANSMIT * math.ceil(
+            math.log2(count) + 1
+        )
+
+    def _out(
+        self,
+        address: str,
+        probe: Probe,
+        seq: int,
+        subject: str = "",
+        about: str = "",
+    ) -> Out:
+        news = self._take_news(about)
+        return Out(address, Message(probe, seq, self.me.name, news, subject))
+
+    def _take_news(self, about: str) -> tuple[Member, ...]:
+        fresh = sorted(self._sends_left, key=lambda n: -self._sends_left[n])
+        chosen = fresh[:_NEWS_PER_MESSAGE]
+        for name in chosen:
+            self._sends_left[name] -= 1
+            if self._sends_left[name] <= 0:
+                del self._sends_left[name]
+        # The sender itself always rides along: it proves that it lives. So
+        # does word of the receiver's own death or suspicion, to be refuted.
+        if about in self._members:
+            chosen.append(about)
+        news = {n: self._members[n] for n in chosen if n in self._members}
+        news[self.me.name] = self.me
+        return tuple(news.values())
--- /dev/null
+++ b/src/wayslip/decisions/placement.py
@@ -0,0 +1,168 @@
+"""Where versions and adapters are to sit, with as few moves as possible.
+
+What already sits well stays. Missing replicas go to the live engine of the
+pool with the most room. An adapter sits wherever a replica of its version
+does, up to the number its model wants. All sizes are bytes.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+import dataclasses
+
+from wayslip import refusals
+from wayslip.decisions import catalog as catalogs
+
+
+@dataclasses.dataclass(frozen=True)
+class EngineState:
+    """An engine as the planner sees it.
+
+    Attributes:
+        capacity: Bytes for weights and adapters.
+        held: What its ledger charges, with sizes.
+        is_live: Whether it may get new items.
+    """
+
+    name: str
+    capacity: int
+    held: Mapping[str, int]
+    is_live: bool = True
+
+
+@dataclasses.dataclass
+class _Draft:
+    """A placement while it is being made."""
+
+    catalog: catalogs.Catalog
+    engines: Mapping[str, EngineState]
+    placed: dict[str, list[str]]
+
+    def room(self, engine: str) -> int:
+        """Bytes left on an engine when only its placed items are there."""
+        used = sum(self.catalog.sizes[i] for i in self.placed[engine])
+        return self.engines[engine].capacity - used
+
+    def holders(self, item: str) -> list[str]:
+        """Live engines on which an item is placed."""
+        return [
+            e
+            for e, items in self.placed.items()
+            if item in items and self.engines[e].is_live
+        ]
+
+    def put(self, item: str, engine: str) -> None:
+        """Places an item."""
+        if item not in self.placed[engine]:
+            self.placed[engine].append(item)
+
+
+Placements = dict[str, tuple[str, ...]]
+
+
+def place(
+    catalog: catalogs.Catalog,
+    engines: Mapping[str, EngineState],
+    replicas: Mapping[str, int],
+) -> Placements | refusals.Refusal:
+    """Returns the items of every engine, or why they do not fit.
+
+    Args:
+        catalog: The names to be served and what each needs.
+        engines: All engines of the catalog's pools that are known.
+        replicas: Replicas wanted of each model; 1 where it says nothing.
+    """
+    kept = {
+        name: [
+            i
+            for i in dict.fromkeys(
+                (*catalog.placements.get(name, ()), *state.held)
+            )
+            if i in catalog.required
+            and name in catalog.engines_of_item[i]
+            and (i in state.held or state.is_live)
+        ]
+        for name, state in engines.items()
+    }
+    draft = _Draft(catalog, engines, kept)
+    _trim(draft, replicas)
+    # Large groups first: small ones fill the gaps.
+    groups = sorted(
+        catalog.targets.values(), key=lambda t: (-_size(catalog, t), t.name)
+    )
+    for target in groups:
+        refusal = _place_target(draft, target, replicas.get(target.model, 1))
+        if refusal is not None:
+            return refusal
+    return {name: tuple(items) for name, items in draft.placed.items()}
+
+
+def _size(catalog: catalogs.Catalog, target: catalogs.Target) -> int:
+    return sum(catalog.sizes[item] for item in target.items)
+
+
+def _place_target(
+    draft: _Draft, target: catalogs.Target, wanted: int
+) -> refusals.Refusal | None:
+    base = target.items[0]
+    while len(_complete(draft, target.items)) < wanted:
+        engine = _choose_engine(draft, target.items)
+        if engine is not None:
+            for item in target.items:
+                draft.put(item, engine)
+            continue
+        if _complete(draft, target.items):
+            # A further replica is wished for, the first is a promise.
+            return None
+        return refusals.Refusal(
+            refusals.Reason.NO_MEMORY,
+            f"no engine of {base}'s pool has room for {target.name};"
+            " add an engine, or remove or shrink a model",
+        )
+    return None
+
+
+def _complete(draft: _Draft, items: Iterable[str]) -> list[str]:
+    sets = [set(draft.holders(item)) for item in items]
+    return sorted(set.intersection(*sets))
+
+
+def _choose_engine(draft: _Draft, items: tuple[str, ...]) -> str | None:
+    best: str | None = None
+    best_rank: tuple[int, int] | None = None
+    for engine in draft.catalog.engines_of_item[items[0]]:
+        state = draft.engines.get(engine)
+        if state is None or not state.is_live:
+            continue
+        missing = [i for i in items if i not in draft.placed[engine]]
+        need = sum(draft.catalog.sizes[i] for i in missing)
+        room = draft.room(engine)
+        if not missing or need > room:
+            continue
+        rank = (-need, room - need)
+        if best_rank is None or rank > best_rank:
+            best, best_rank = engine, rank
+    return best
+
+
+def _trim(draft: _Draft, replicas: Mapping[str, int]) -> None:
+    """Takes out replicas beyond the wanted number, fullest engines first."""
+    model_of = {
+        item: target.model
+        for target in draft.catalog.targets.values()
+        for item in target.items
+    }
+    for item, model in sorted(model_of.items()):
+        holders = draft.holders(item)
+        surplus = len(holders) - replicas.get(model, 1)
+        for engine in sorted(holders, key=draft.room)[: max(surplus, 0)]:
+            if not _carries_adapter(draft, engine, item):
+                draft.placed[engine].remove(item)
+
+
+def _carries_adapter(draft: _Draft, engine: str, item: str) -> bool:
+    return any(
+        target.items[0] == item
+        and len(target.items) > 1
+        and target.items[1] in draft.placed[engine]
+        for target in draft.catalog.targets.values()
+    )
--- /dev/null
+++ b/src/wayslip/decisions/plan.py
@@ -0,0 +1,347 @@
+"""Plans: what an intent would change, step by step, and what it costs.
+
+A plan carries a digest of the world it was drawn against, piece by piece, so
+that a confirmation can say exactly what has changed since. Its steps are in
+an order that fits at every step: on each engine the loads run in that order,
+and an item is evicted only once its replacement is ready. Engines do not wait
+for each other otherwise, so any interleaving of their steps fits as well.
+"""
+
+from collections.abc import Mapping
+import dataclasses
+import enum
+import hashlib
+
+from wayslip import refusals
+from wayslip.decisions import catalog as catalogs
+from wayslip.decisions import configuration
+from wayslip.decisions import ledger
+from wayslip.decisions import placement
+
+
+class PlanState(enum.StrEnum):
+    """How far a plan has come."""
+
+    PROPOSED = "proposed"
+    CONFIRMED = "confirmed"
+    DONE = "done"
+    CANCELLED = "cancelled"
+
+
+@dataclasses.dataclass(frozen=True)
+class Step:
+    """One load or eviction on one engine."""
+
+    engine: str
+    action: ledger.Action
+    item: str
+    size: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Witness:
+    """A piece of the world as a plan saw it."""
+
+    subject: str
+    digest: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Cost:
+    """What carrying out a plan takes.
+
+    Attributes:
+        moved: Bytes loaded from the weight store.
+        seconds: Load time at the weight store's rate.
+        store_share: Part of the weight store's slots used at the height.
+        moves: Loads and evictions.
+    """
+
+    moved: int
+    seconds: float
+    store_share: float
+    moves: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Plan:
+    """An intent with its steps, cost and the world it was drawn against."""
+
+    id: str
+    author: str
+    at: float
+    state: PlanState
+    change: configuration.Change
+    steps: tuple[Step, ...]
+    cost: Cost
+    effects: tuple[str, ...]
+    world: tuple[Witness, ...]
+    generation: int = 0
+    ended_by: str = ""
+
+
+@dataclasses.dataclass(frozen=True)
+class World:
+    """What a plan is drawn against."""
+
+    config: configuration.Configuration
+    engines: Mapping[str, placement.EngineState]
+
+
+@dataclasses.dataclass(frozen=True)
+class WeightStore:
+    """The weight store's limits: loads a second, and at once."""
+
+    rate: float
+    slots: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Draft:
+    """Who asks for a plan, when, and under which id."""
+
+    id: str
+    author: str
+    at: float
+
+
+def build_plan(
+    world: World,
+    change: configuration.Change,
+    store: WeightStore,
+    draft: Draft,
+    replicas: Mapping[str, int] | None = None,
+) -> Plan | refusals.Refusal:
+    """Returns the plan of a change, or why there is none.
+
+    Args:
+        world: The configuration and engines now.
+        change: What the operator, or automatic placement, wants.
+        store: Limits of the weight store, for the cost.
+        draft: The plan's id, author and time.
+        replicas: Replicas wanted of each model, in place of the models' own.
+    """
+    change = _add_fallbacks(world.config, change)
+    wanted = world.config.apply(change, "", "")
+    fault = catalogs.find_fault(wanted)
+    if fault is not None:
+        return refusals.Refusal(
+            refusals.Reason.BAD_REQUEST, f"{fault}; correct the file"
+        )
+    catalog = catalogs.build_catalog(wanted)
+    counts = {m.name: m.replicas for m in catalog.models.values()}
+    counts.update(replicas or {})
+    placed = placement.place(catalog, world.engines, counts)
+    if isinstance(placed, refusals.Refusal):
+        return placed
+    steps = _order_steps(world, catalog, placed)
+    if isinstance(steps, refusals.Refusal):
+        return steps
+    change = _add_placements(world.config, change, placed, steps)
+    return Plan(
+        id=draft.id,
+        author=draft.author,
+        at=draft.at,
+        state=PlanState.PROPOSED,
+        change=change,
+        steps=steps,
+        cost=estimate_cost(steps, store),
+        effects=_describe_effects(world.config, change, steps),
+        world=witness_world(world, change),
+    )
+
+
+def estimate_cost(steps: tuple[Step, ...], store: WeightStore) -> Cost:
+    """Returns what steps cost at the weight store."""
+    loads = [s for s in steps if s.action is ledger.Action.LOAD]
+    engines = len({s.engine for s in loads})
+    return Cost(
+        moved=sum(s.size for s in loads),
+        seconds=round(len(loads) / store.rate, 3),
+        store_share=round(min(engines / store.slots, 1.0), 3),
+        moves=len(steps),
+    )
+
+
+def witness_world(
+    world: World, change: configuration.Change
+) -> tuple[Witness, ...]:
+    """Returns digests of the entries and engines that a change touches."""
+    witnesses = []
+    for kind, name in sorted(change.ids):
+        entry = world.config.get(kind, name)
+        seen = repr(entry.value) if entry else "absent"
+        witnesses.append(Witness(f"{kind} {name}", _digest(seen)))
+    for name in sorted({n for k, n in change.ids if k == "placement"}):
+        state = world.engines.get(name)
+        held = sorted(state.held) if state else None
+        live = state.is_live if state else None
+        witnesses.append(Witness(f"engine {name}", _digest(repr((held, live)))))
+    return tuple(witnesses)
+
+
+def find_changes(plan: Plan, world: World) -> tuple[str, ...]:
+    """Returns the pieces of the world that changed since a plan was drawn."""
+    now = {w.subject: w.digest for w in witness_world(world, plan.change)}
+    return tuple(
+        w.subject for w in plan.world if now.get(w.subject) != w.digest
+    )
+
+
+def _digest(text: str) -> str:
+    return hashlib.blake2b(text.encode(), digest_size=8).hexdigest()
+
+
+def _add_fallbacks(
+    config: configuration.Configuration, change: configuration.Change
+) -> configuration.Change:
+    """Keeps the old version answering until a new one is resident."""
+    put: list[configuration.Value] = []
+    for value in change.put:
+        if isinstance(value, configuration.Model):
+            entry = config.get(configuration.Kind.MODEL, value.name)
+            old = entry.value if entry else None
+            if (
+                isinstance(old, configuration.Model)
+                and old.version != value.version
+            ):
+                value = dataclasses.replace(value, fallback=old.version)
+        put.append(value)
+    return dataclasses.replace(change, put=tuple(put))
+
+
+def _add_placements(
+    config: configuration.Configuration,
+    change: configuration.Change,
+    placed: placement.Placements,
+    steps: tuple[Step, ...],
+) -> configuration.Change:
+    loads = [s for s in steps if s.action is ledger.Action.LOAD]
+    values: list[configuration.Value] = []
+    for engine, items in sorted(placed.items()):
+        order = [s.item for s in loads if s.engine == engine]
+        kept = [i for i in items if i not in order]
+        value = configuration.Placement(engine, (*kept, *order))
+        entry = config.get(configuration.Kind.PLACEMENT, engine)
+        if entry is None or entry.value != value:
+            values.append(value)
+    return dataclasses.replace(change, put=(*change.put, *values))
+
+
+class _Rehearsal:
+    """Goes through the steps in memory to find an order that fits."""
+
+    def __init__(
+        self,
+        world: World,
+        catalog: catalogs.Catalog,
+        placed: placement.Placements,
+    ) -> None:
+        self._catalog = catalog
+        self._held = {n: dict(e.held) for n, e in world.engines.items()}
+        self._capacity = {n: e.capacity for n, e in world.engines.items()}
+        self._live = {n for n, e in world.engines.items() if e.is_live}
+        self.loads = [
+            (e, i)
+            for e, items in placed.items()
+            for i in items
+            if i not in self._held[e] and e in self._live
+        ]
+        self.unloads = [
+            (e, i)
+            for e, held in self._held.items()
+            for i in held
+            if i not in placed.get(e, ()) and e in self._live
+        ]
+        self.steps: list[Step] = []
+
+    def run(self) -> bool:
+        """Does all steps that can be done; returns whether none is left."""
+        while self._unload_one() or self._load_one():
+            pass
+        return not self.loads and not self.unloads
+
+    def _holders(self, item: str) -> list[str]:
+        return [e for e in self._live if item in self._held[e]]
+
+    def _unload_one(self) -> bool:
+        for engine, item in self.unloads:
+            successor = self._catalog.successors.get(item)
+            needed = item in self._catalog.required or successor is not None
+            others = len(self._holders(item)) > 1
+            if needed and not others and not self._holders(successor or ""):
+                continue
+            self.unloads.remove((engine, item))
+            size = self._held[engine].pop(item)
+            self._add(engine, ledger.Action.UNLOAD, item, size)
+            return True
+        return False
+
+    def _load_one(self) -> bool:
+        # First what is nowhere, then what lets another engine evict.
+        waiting = {item for _, item in self.unloads}
+        order = sorted(
+            self.loads,
+            key=lambda load: (
+                bool(self._holders(load[1])),
+                load[1] not in waiting,
+            ),
+        )
+        for engine, item in order:
+            size = self._catalog.sizes[item]
+            used = sum(self._held[engine].values())
+            if used + size > self._capacity[engine]:
+                continue
+            self.loads.remove((engine, item))
+            self._held[engine][item] = size
+            self._add(engine, ledger.Action.LOAD, item, size)
+            return True
+        return False
+
+    def _add(
+        self, engine: str, action: ledger.Action, item: str, size: int
+    ) -> None:
+        self.steps.append(Step(engine, action, item, size))
+
+
+def _order_steps(
+    world: World, catalog: catalogs.Catalog, placed: placement.Placements
+) -> tuple[Step, ...] | refusals.Refusal:
+    rehearsal = _Rehearsal(world, catalog, placed)
+    if rehearsal.run():
+        return tuple(rehearsal.steps)
+    engine, item = (rehearsal.loads + rehearsal.unloads)[0]
+    return refusals.Refusal(
+        refusals.Reason.NO_MEMORY,
+        f"no order of steps fits: {item} on {engine} can not move while its"
+        " replacement needs room; free some room on another engine first",
+    )
+
+
+def _describe_effects(
+    config: configuration.Configuration,
+    change: configuration.Change,
+    steps: tuple[Step, ...],
+) -> tuple[str, ...]:
+    """Returns what callers would notice, a sentence each."""
+    effects = []
+    for value in change.put:
+        if isinstance(value, configuration.Placement):
+            continue
+        name = configuration.get_name(value)
+        known = config.get(configuration.Kind(value.kind), name)
+        verb = "changes" if known and known.value else "is created"
+        effects.append(f"{value.kind} {name} {verb}")
+        if isinstance(value, configuration.Model) and value.fallback:
+            effects.append(
+                f"model {name}: {value.fallback} answers until"
+                f" {value.version} is resident"
+            )
+    for kind, name in change.delete:
+        effects.append(f"{kind} {name} is deleted; calls to it get not-run")
+    cold = sum(1 for s in steps if s.action is ledger.Action.UNLOAD)
+    if cold:
+        effects.append(
+            f"{cold} evictions: prompts cached there are computed again"
+        )
+    return tuple(effects)
--- /dev/null
+++ b/src/wayslip/decisions/reconcile.py
@@ -0,0 +1,114 @@
+"""The next step that brings an engine to what it is meant to hold.
+
+Level-triggered: it compares the ledger with the placement, so it needs no
+memory of its own and goes on after any crash. One step at a time; the caller
+writes the ledger, sends the order and asks again.
+"""
+
+from collections.abc import Mapping
+from collections.abc import Set
+import dataclasses
+
+from wayslip.decisions import ledger as ledger_module
+
+
+@dataclasses.dataclass(frozen=True)
+class Step:
+    """An order to write down and send; item is empty for a fence."""
+
+    action: ledger_module.Action
+    item: str = ""
+    size: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class Wanted:
+    """What an engine is meant to hold.
+
+    Attributes:
+        items: In loading order, versions before their adapters.
+        sizes: Bytes of each item.
+        base_of: The version of each adapter.
+        nowhere: Items that no engine is known to hold.
+    """
+
+    items: tuple[str, ...]
+    sizes: Mapping[str, int]
+    base_of: Mapping[str, str]
+    nowhere: Set[str] = frozenset()
+
+
+def choose_step(
+    ledger: ledger_module.Ledger, wanted: Wanted, may_load: bool
+) -> Step | None:
+    """Returns the next step, None when there is nothing to do now.
+
+    Args:
+        ledger: The engine's ledger.
+        wanted: What the engine is meant to hold.
+        may_load: Whether the weight store's rate allows a load now.
+    """
+    unload = _choose_unload(ledger, wanted)
+    if unload is not None:
+        return unload
+    load = _choose_load(ledger, wanted)
+    if load is not None and may_load:
+        return load
+    # Orders whose fate is unknown are settled by a newer fence.
+    if ledger.checks_fence and any(a.given_up for a in ledger.attempts):
+        return Step(ledger_module.Action.FENCE)
+    return None
+
+
+def _choose_unload(ledger: ledger_module.Ledger, wanted: Wanted) -> Step | None:
+    bases = {
+        wanted.base_of[c.item]
+        for c in ledger.charges
+        if c.item in wanted.base_of
+    }
+    for charge in ledger.charges:
+        if charge.item in wanted.items or _is_busy(ledger, charge.item):
+            continue
+        if charge.item in bases:
+            continue
+        return Step(ledger_module.Action.UNLOAD, charge.item, charge.size)
+    return None
+
+
+def _choose_load(ledger: ledger_module.Ledger, wanted: Wanted) -> Step | None:
+    order = sorted(wanted.items, key=lambda item: item not in wanted.nowhere)
+    for item in order:
+        charge = ledger.get(item)
+        if charge is not None and not _is_lost(ledger, charge):
+            continue
+        base = wanted.base_of.get(item)
+        if base is not None and not _is_held(ledger, base):
+            continue
+        size = wanted.sizes[item]
+        if charge is None and size > ledger.free:
+            # Loads stay in order: a later, smaller one must not take the
+            # room that the plan meant for this one.
+            return None
+        return Step(ledger_module.Action.LOAD, item, size)
+    return None
+
+
+def _is_busy(ledger: ledger_module.Ledger, item: str) -> bool:
+    return any(a.item == item and not a.given_up for a in ledger.attempts)
+
+
+def _is_lost(
+    ledger: ledger_module.Ledger, charge: ledger_module.Charge
+) -> bool:
+    """Whether a load was given up, so that it may be sent again."""
+    if charge.phase is not ledger_module.Phase.RESERVED:
+        return False
+    mine = [a for a in ledger.attempts if a.item == charge.item]
+    return all(a.given_up for a in mine)
+
+
+def _is_held(ledger: ledger_module.Ledger, item: str) -> bool:
+    charge = ledger.get(item)
+    return (
+        charge is not None and charge.phase is not ledger_module.Phase.RESERVED
+    )
--- /dev/null
+++ b/src/wayslip/endpoints/exchange.py
@@ -0,0 +1,157 @@
+"""One HTTP exchange with an endpoint, with its failures told apart.
+
+Each exchange has a connection of its own: a reset on a reused connection
+would leave it open whether the request was read, and would turn a plain
+`not-run` into `unknown`. `NotSentError` is raised only while connecting, when
+no byte of the request can have left.
+"""
+
+from collections.abc import Mapping
+import dataclasses
+import http.client
+import socket
+from typing import Any
+
+import urllib3
+from urllib3 import connection
+
+from wayslip import errors
+from wayslip import settings
+
+_CONNECT_SECONDS = 1.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Call:
+    """A request to an endpoint.
+
+    Attributes:
+        address: "IP:PORT".
+        timeout: Seconds without a byte before it counts as unclear.
+    """
+
+    address: str
+    method: str
+    path: str
+    headers: Mapping[str, str]
+    body: bytes = b""
+    timeout: float = 30.0
+
+
+class Exchange:
+    """A sent request and the head of its answer.
+
+    Attributes:
+        status: The answer's status code.
+        headers: The answer's headers.
+    """
+
+    def __init__(
+        self,
+        conn: connection.HTTPConnection,
+        sock: socket.socket,
+        response: urllib3.HTTPResponse,
+    ) -> None:
+        self._conn = conn
+        self._sock = sock
+        self._response = response
+        self.status = response.status
+        self.headers = response.headers
+
+    @property
+    def is_stream(self) -> bool:
+        """Whether the answer is a stream of server-sent events."""
+        kind = self.headers.get("Content-Type", "")
+        return kind.startswith("text/event-stream")
+
+    def read(self, limit: int) -> bytes:
+        """Returns the whole body and ends the exchange.
+
+        Raises:
+            EndpointUnclearError: It broke off, or is longer than the limit.
+        """
+        try:
+            data = self._response.read(limit + 1)
+            is_cut = len(data) <= limit and _is_incomplete(self._response)
+        except (urllib3.exceptions.HTTPError, OSError) as e:
+            raise errors.EndpointUnclearError(
+                f"the answer broke off ({type(e).__name__})",
+                "see the endpoint's log",
+            ) from e
+        finally:
+            self.close()
+        if len(data) > limit or is_cut:
+            raise errors.EndpointUnclearError(
+                f"the answer is cut or longer than {limit} bytes",
+                "raise limits.answer_bytes or ask for less",
+            )
+        return data
+
+    def detach(self) -> tuple[socket.socket, bytes, Any]:
+        """Gives the socket away to a reader that does not block.
+
+        Returns:
+            The socket, now non-blocking; body bytes already read from it, in
+            wire form; and an object that keeps the socket open.
+        """
+        self._sock.setblocking(False)
+        # The head was read through a buffer, which may hold body bytes too.
+        raw: http.client.HTTPResponse = self._response._fp  # type: ignore
+        buffered = raw.fp.peek() if raw.fp is not None else b""
+        return self._sock, bytes(buffered or b""), self
+
+    def close(self) -> None:
+        """Ends the exchange, whatever came of it."""
+        self._response.close()
+        self._conn.close()
+
+
+def _is_incomplete(response: urllib3.HTTPResponse) -> bool:
+    left = response.length_remaining
+    return bool(left)
+
+
+def begin(call: Call) -> Exchange:
+    """Sends a request and reads the head of its answer.
+
+    Raises:
+        NotSentError: No connection was made, so nothing was sent.
+        EndpointUnclearError: Some of it may have been read.
+    """
+    host, port = settings.split_address(call.address)
+    conn = connection.HTTPConnection(
+        host, port, timeout=min(call.timeout, _CONNECT_SECONDS)
+    )
+    try:
+        conn.connect()
+    except (urllib3.exceptions.HTTPError, OSError) as e:
+        conn.close()
+        raise errors.NotSentError(
+            f"{call.address} accepts no connection ({type(e).__name__})",
+            "check that the endpoint runs",
+        ) from e
+    sock = conn.sock
+    assert sock is not None
+    try:
+        sock.settimeout(call.timeout)
+        conn.timeout = call.timeout
+        conn.request(
+            call.method,
+            call.path,
+            body=call.body or None,
+            headers=call.headers,
+            preload_content=False,
+            decode_content=False,
+        )
+        response = conn.getresponse()
+    except (
+        urllib3.exceptions.HTTPError,
+        http.client.HTTPException,
+        OSError,
+    ) as e:
+        conn.close()
+        raise errors.EndpointUnclearError(
+            f"{call.address} broke off or was late ({type(e).__name__})",
+            "see the endpoint's log; the request may have run",
+        ) from e
+    return Exchange(conn, sock, response)
--- /dev/null
+++ b/src/wayslip/endpoints/service.py
@@ -0,0 +1,63 @@
+"""Plain services: what they say of themselves, and calls to them."""
+
+from collections.abc import Mapping
+import dataclasses
+import json
+
+from wayslip import errors
+from wayslip.endpoints import exchange
+
+_REPORT_BYTES = 10_000
+
+
+@dataclasses.dataclass(frozen=True)
+class Response:
+    """A service's whole answer."""
+
+    status: int
+    content_type: str
+    body: bytes
+    is_not_started: bool
+
+
+def ask_state(address: str, timeout: float) -> bool:
+    """Returns whether a service says that it serves.
+
+    Raises:
+        EndpointError: It did not answer.
+    """
+    call = exchange.Call(address, "GET", "/report", {}, b"", timeout)
+    answer = exchange.begin(call)
+    data = answer.read(_REPORT_BYTES)
+    try:
+        return json.loads(data).get("state") == "serving"
+    except (ValueError, AttributeError) as e:
+        raise errors.EndpointUnclearError(
+            f"{address} sent a malformed report", "check the service"
+        ) from e
+
+
+def call_service(
+    address: str,
+    method: str,
+    path: str,
+    headers: Mapping[str, str],
+    body: bytes,
+    timeout: float,
+    limit: int,
+) -> Response:
+    """Calls a service once and returns its whole answer.
+
+    Raises:
+        NotSentError: Nothing was sent.
+        EndpointUnclearError: It may have run.
+    """
+    call = exchange.Call(address, method, path, headers, body, timeout)
+    answer = exchange.begin(call)
+    data = answer.read(limit)
+    return Response(
+        answer.status,
+        answer.headers.get("Content-Type", "application/octet-stream"),
+        data,
+        "X-Not-Started" in answer.headers,
+    )
--- /dev/null
+++ b/src/wayslip/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry daemon: callers' requests, from admission to the last token."""
--- /dev/null
+++ b/src/wayslip/entry/completions.py
@@ -0,0 +1,506 @@
+"""Completions: from a caller's request to an engine and back."""
+
+from collections.abc import Mapping
+import dataclasses
+import json
+import logging
+import random
+import threading
+import time
+from typing import Any
+import uuid
+
+from wayslip import errors
+from wayslip import logs
+from wayslip import metrics as metrics_module
+from wayslip import refusals
+from wayslip import settings as settings_module
+from wayslip import web
+from wayslip.decisions import admission
+from wayslip.decisions import catalog as catalogs
+from wayslip.decisions import membership
+from wayslip.decisions import retry
+from wayslip.decisions import routing
+from wayslip.endpoints import engine as engine_module
+from wayslip.endpoints import exchange
+from wayslip.entry import answers
+from wayslip.entry import callers as callers_module
+from wayslip.entry import relay as relay_module
+from wayslip.entry import tokens
+from wayslip.entry import view as view_module
+from wayslip.peers import messages as messages_module
+from wayslip.peers import node as node_module
+
+_LOG = logging.getLogger(__name__)
+_COLD_RETRY_SECONDS = 2.0
+_CANCEL_SECONDS = 1.0
+_RESUME_SECONDS = 5.0
+_STREAM_HEADERS = {
+    "Content-Type": "text/event-stream",
+    "Cache-Control": "no-store",
+    web.OUTCOME: web.RAN,
+}
+
+
+@dataclasses.dataclass(frozen=True)
+class Job:
+    """A checked completion request.
+
+    Attributes:
+        body: As it goes to an engine, but for the model's name.
+        started, deadline: Monotonic seconds.
+        may_repeat: Whether it may run again after an unclear failure.
+    """
+
+    caller: settings_module.Caller
+    path: str
+    body: Mapping[str, Any]
+    target: catalogs.Target
+    text: str
+    is_stream: bool
+    started: float
+    deadline: float
+    may_repeat: bool = True
+
+
+@dataclasses.dataclass(frozen=True)
+class Sent:
+    """An engine's answer, its head read, and where it comes from."""
+
+    endpoint: str
+    request_id: str
+    upstream: exchange.Exchange
+
+
+def read_prompt(body: Mapping[str, Any]) -> str:
+    """Returns a request's prompt as one string.
+
+    Raises:
+        BadRequestError: There is none, or it has the wrong form.
+    """
+    messages = body.get("messages")
+    if isinstance(messages, list):
+        parts = [
+            f"{m.get('role')}\0{json.dumps(m.get('content'))}"
+            for m in messages
+            if isinstance(m, dict)
+        ]
+        if len(parts) == len(messages) and parts:
+            return "\n".join(parts)
+    prompt = body.get("prompt")
+    if isinstance(prompt, str) and prompt:
+        return prompt
+    raise errors.BadRequestError(
+        "there is no prompt", 'send "messages" with objects, or a "prompt"'
+    )
+
+
+class Completions:
+    """Serves completions. Safe for many threads."""
+
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        node: node_module.Node,
+        view: view_module.EndpointView,
+        relay: relay_module.Relay,
+        in_flight: callers_module.InFlight,
+        metrics: metrics_module.Metrics,
+    ) -> None:
+        self._settings = settings
+        self._node = node
+        self._view = view
+        self._relay = relay
+        self._in_flight = in_flight
+        self._metrics = metrics
+        self._dialect = engine_module.DIALECTS.get("openai")
+        self._choose = routing.POLICIES.get(settings.routing.policy)
+        self._admit = admission.POLICIES.get(settings.admission.policy)
+        self._resume_key = settings.security.resume_key.encode()
+        self._rng = random.Random()
+        self._lock = threading.Lock()
+        self._cancels: dict[str, threading.Timer] = {}
+
+    # Checking
+
+    def check(
+        self, request: web.Request, caller: settings_module.Caller
+    ) -> Job | refusals.Refusal:
+        """Returns a request as a job, or why it can not be one.
+
+        Raises:
+            BadRequestError: The body or a header is malformed.
+        """
+        started = time.monotonic()
+        body = request.read_json()
+        model = body.get("model")
+        if not isinstance(model, str):
+            raise errors.BadRequestError(
+                "there is no model", 'send "model", see GET /v1/models'
+            )
+        target = self._node.holder.catalog.resolve(model)
+        if isinstance(target, refusals.Refusal):
+            return target
+        rules = self._settings.admission.classes[caller.priority]
+        seconds = read_deadline(request, rules.deadline)
+        return Job(
+            caller=caller,
+            path=request.path,
+            body=body,
+            target=target,
+            text=read_prompt(body),
+            is_stream=body.get("stream") is True,
+            started=started,
+            deadline=started + seconds,
+        )
+
+    # Running
+
+    def serve(self, request: web.Request, job: Job) -> web.Answer | None:
+        """Answers a job; returns None when the relay took it over."""
+        self._in_flight.begin(job.caller.name)
+        sent: Sent | web.Answer | None = None
+        try:
+            sent = self._send(job)
+            if isinstance(sent, web.Answer):
+                return sent
+            if sent.upstream.is_stream:
+                self._hand_over(request, job, sent)
+                return None
+            return self._read_whole(job, sent)
+        finally:
+            if not request.is_detached:
+                self._in_flight.end(job.caller.name)
+
+    def run_whole(self, job: Job) -> web.Answer:
+        """Returns the whole answer of a job that is not a stream."""
+        with self._in_flight.counted(job.caller.name):
+            sent = self._send(job)
+            if isinstance(sent, web.Answer):
+                return sent
+            return self._read_whole(job, sent)
+
+    def _send(self, job: Job) -> Sent | web.Answer:
+        """Tries endpoints until one answers or the verdict is final."""
+        self._in_flight.earn_retry()
+        progress = retry.Progress(job.may_repeat)
+        tried: frozenset[str] = frozenset()
+        while True:
+            chosen = self._route(job, tried)
+            if isinstance(chosen, refusals.Refusal):
+                return self._answer_refused(chosen, progress)
+            result = self._attempt(job, chosen)
+            if isinstance(result, Sent):
+                return result
+            progress = progress.fail(result)
+            tried |= {chosen.choice.name}
+            left = job.deadline - time.monotonic()
+            verdict = progress.judge(
+                self._settings.admission.max_attempts, left, True
+            )
+            if verdict is retry.Verdict.RETRY:
+                if self._in_flight.spend_retry():
+                    self._metrics.count("retries")
+                    continue
+                verdict = progress.judge(0, left, False)
+            return self._answer_verdict(verdict)
+
+    def _answer_refused(
+        self, refusal: refusals.Refusal, progress: retry.Progress
+    ) -> web.Answer:
+        self._metrics.count("refused", reason=refusal.reason)
+        if progress.may_have_run:
+            return answers.answer_unknown(refusal.detail, refusal.retry_after)
+        return answers.answer_refusal(refusal)
+
+    def _answer_verdict(self, verdict: retry.Verdict) -> web.Answer:
+        if verdict is retry.Verdict.UNKNOWN:
+            self._metrics.count("unknown")
+            return answers.answer_unknown(
+                "an endpoint broke off after it may have begun;"
+                " ask again if the request may be repeated"
+            )
+        return answers.answer_refusal(
+            refusals.Refusal(
+                refusals.Reason.NO_ENDPOINT,
+                "no endpoint took the request; come back after Retry-After",
+                1.0,
+            )
+        )
+
+    # Choosing
+
+    def _route(
+        self, job: Job, tried: frozenset[str]
+    ) -> "_Chosen | refusals.Refusal":
+        items, engine_model = view_module.resolve_items(self._view, job.target)
+        blocks = routing.hash_blocks(engine_model, job.text)
+        prompt = view_module.Prompt(routing.count_tokens(job.text), blocks)
+        found = self._view.candidates(job.target.engines, items, prompt, tried)
+        if not found:
+            return refusals.Refusal(
+                refusals.Reason.NOT_LOADED,
+                f"{job.target.name} is not ready on any endpoint now;"
+                " it is being loaded, come back after Retry-After",
+                _COLD_RETRY_SECONDS,
+            )
+        limits = self._settings.admission
+        share = limits.classes[job.caller.priority].share
+        room = [
+            c for c in found if c.in_flight < limits.endpoint_in_flight * share
+        ]
+        sample = routing.sample_candidates(room or found, self._rng)
+        choice = self._choose(sample, prompt.tokens, self._rng)
+        refusal = self._check_load(job, choice)
+        if refusal is not None and not tried:
+            return refusal
+        return _Chosen(choice, engine_model, prompt)
+
+    def _check_load(
+        self, job: Job, choice: routing.Choice
+    ) -> refusals.Refusal | None:
+        entries = self._node.live_names(membership.Role.ENTRY)
+        load = admission.Load(
+            # This request is counted already.
+            total=self._in_flight.total - 1,
+            caller=self._in_flight.of(job.caller.name) - 1,
+            endpoint=self._view.in_flight(choice.name),
+            entries=len(entries),
+            predicted=choice.predicted,
+            seconds_left=job.deadline - time.monotonic(),
+        )
+        return self._admit(load, job.caller, self._settings.admission)
+
+    # Attempting
+
+    def _attempt(self, job: Job, chosen: "_Chosen") -> Sent | retry.Failure:
+        name = chosen.choice.name
+        address = self._view.address(name)
+        if address is None:
+            return retry.Failure.NOT_SENT
+        request_id = uuid.uuid4().hex
+        body = json.dumps({**job.body, "model": chosen.engine_model}).encode()
+        timeout = max(job.deadline - time.monotonic(), 0.001)
+        self._view.begin(name, chosen.prompt)
+        result = self._begin(name, address, job, body, request_id, timeout)
+        if not isinstance(result, Sent):
+            self._view.end(name)
+        return result
+
+    def _begin(
+        self,
+        name: str,
+        address: str,
+        job: Job,
+        body: bytes,
+        request_id: str,
+        timeout: float,
+    ) -> Sent | retry.Failure:
+        try:
+            upstream = self._dialect.begin(
+                address, job.path, body, request_id, timeout
+            )
+        except errors.NotSentError:
+            self._view.note_failure(name)
+            return retry.Failure.NOT_SENT
+        except errors.EndpointError as e:
+            self._view.note_failure(name)
+            logs.event(
+                _LOG,
+                "attempt_unclear",
+                endpoint=name,
+                request=request_id,
+                reason=e.reason,
+            )
+            return retry.Failure.UNCLEAR
+        if engine_module.NOT_STARTED in upstream.headers:
+            upstream.close()
+            if upstream.status == 503:
+                self._view.note_refusal(name)
+            return retry.Failure.REFUSED
+        if upstream.status >= 500:
+            upstream.close()
+            return retry.Failure.UNCLEAR
+        return Sent(name, request_id, upstream)
+
+    # Answering
+
+    def _read_whole(self, job: Job, sent: Sent) -> web.Answer:
+        try:
+            data = sent.upstream.read(self._settings.limits.answer_bytes)
+        except errors.EndpointError as e:
+            self._metrics.count("unknown")
+            return answers.answer_unknown(f"{e.reason}; {e.remedy}")
+        finally:
+            self._view.end(sent.endpoint)
+        seconds = time.monotonic() - job.started
+        self._metrics.latency("completion").observe(seconds)
+        kind = sent.upstream.headers.get("Content-Type", "application/json")
+        headers = {web.OUTCOME: web.RAN}
+        return web.Answer(sent.upstream.status, data, kind, headers)
+
+    def _hand_over(self, request: web.Request, job: Job, sent: Sent) -> None:
+        token = tokens.StreamToken(
+            sent.endpoint, sent.request_id, self._node.identity.name
+        )
+        self._relay_stream(
+            request, job.caller, token, sent.upstream, -1, job.started
+        )
+
+    def _relay_stream(
+        self,
+        request: web.Request,
+        caller: settings_module.Caller,
+        token: tokens.StreamToken,
+        upstream: exchange.Exchange,
+        after: int,
+        started: float,
+    ) -> None:
+        name = token.endpoint
+
+        def resume(last: int) -> exchange.Exchange:
+            address = self._view.address(name)
+            if address is None:
+                raise errors.NotSentError(
+                    f"{name} is not listed any more", "ask again"
+                )
+            return self._dialect.resume(
+                address, token.request_id, last, _RESUME_SECONDS
+            )
+
+        def on_end(end: relay_module.End) -> None:
+            self._view.end(name)
+            self._in_flight.end(caller.name)
+            if end is relay_module.End.HUNG_UP:
+                self._cancel_later(token)
+
+        plan = relay_module.Plan(
+            tokens.seal_stream(self._resume_key, caller.name, token),
+            after,
+            resume,
+            on_end,
+            started,
+        )
+        sock, owner = request.detach(_STREAM_HEADERS)
+        self._relay.add(sock, owner, upstream, plan)
+
+    # Resuming and cancelling
+
+    def resume(
+        self,
+        request: web.Request,
+        caller: settings_module.Caller,
+        event_id: str,
+    ) -> web.Answer | None:
+        """Goes on with a stream after the last event that a caller got."""
+        opened = tokens.open_event_id(self._resume_key, caller.name, event_id)
+        if opened is None:
+            raise errors.BadRequestError(
+                "Last-Event-ID is not one of this caller's",
+                "send the last id of the stream as it came",
+            )
+        token, after = opened
+        self.keep(token.request_id)
+        self._tell_first_entry(token)
+        address = self._view.address(token.endpoint)
+        if address is None:
+            return self._answer_gone()
+        try:
+            upstream = self._dialect.resume(
+                address, token.request_id, after, _RESUME_SECONDS
+            )
+        except errors.EndpointError:
+            return answers.answer_unknown(
+                "the engine does not answer; resume again or ask again"
+            )
+        if not upstream.is_stream:
+            upstream.close()
+            return self._answer_gone()
+        self._metrics.count("resumed_by_caller")
+        self._in_flight.begin(caller.name)
+        self._view.begin(token.endpoint, view_module.Prompt(1))
+        self._relay_stream(
+            request, caller, token, upstream, after, time.monotonic()
+        )
+        return None
+
+    def _answer_gone(self) -> web.Answer:
+        return answers.answer_unknown(
+            "the stream is no longer kept; ask again for a new answer"
+        )
+
+    def _tell_first_entry(self, token: tokens.StreamToken) -> None:
+        if token.entry == self._node.identity.name:
+            return
+        member = self._node.find(token.entry)
+        if member is None:
+            return
+        try:
+            self._node.call(
+                member,
+                messages_module.Resumed(token.request_id),
+                messages_module.Noted,
+                _CANCEL_SECONDS,
+            )
+        except errors.WayslipError:
+            # A dead entry cancels nothing.
+            return
+
+    def keep(self, request_id: str) -> None:
+        """Calls off the cancellation of a stream that is resumed."""
+        with self._lock:
+            timer = self._cancels.pop(request_id, None)
+        if timer is not None:
+            timer.cancel()
+
+    def _cancel_later(self, token: tokens.StreamToken) -> None:
+        timer = threading.Timer(
+            self._settings.limits.resume_seconds, self._cancel, [token]
+        )
+        timer.daemon = True
+        with self._lock:
+            self._cancels[token.request_id] = timer
+        timer.start()
+
+    def _cancel(self, token: tokens.StreamToken) -> None:
+        with self._lock:
+            self._cancels.pop(token.request_id, None)
+        address = self._view.address(token.endpoint)
+        if address is None:
+            return
+        try:
+            self._dialect.cancel(address, token.request_id, _CANCEL_SECONDS)
+            self._metrics.count("streams_cancelled")
+        except errors.WayslipError:
+            # The engine ends it by itself at the token limit.
+            return
+
+
+@dataclasses.dataclass(frozen=True)
+class _Chosen:
+    """An engine, the model's name there and the prompt's features."""
+
+    choice: routing.Choice
+    engine_model: str
+    prompt: view_module.Prompt
+
+
+def read_deadline(request: web.Request, longest: float) -> float:
+    """Returns the seconds until the caller's deadline.
+
+    Raises:
+        BadRequestError: The header is no positive number.
+    """
+    text = request.header("Wayslip-Deadline")
+    if not text:
+        return longest
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = 0.0
+    if not seconds > 0:
+        raise errors.BadRequestError(
+            "Wayslip-Deadline is no positive number",
+            "send seconds, such as 2.5",
+        )
+    return min(seconds, longest)
--- /dev/null
+++ b/src/wayslip/entry/daemon.py
@@ -0,0 +1,207 @@
+"""The entry daemon put together, with its planned stop."""
+
+import logging
+import threading
+import time
+from typing import Any
+
+from wayslip import admin
+from wayslip import errors
+from wayslip import logs
+from wayslip import metrics as metrics_module
+from wayslip import settings as settings_module
+from wayslip import web
+from wayslip.decisions import facts
+from wayslip.decisions import membership
+from wayslip.entry import callers
+from wayslip.entry import completions
+from wayslip.entry import journal
+from wayslip.entry import keyed
+from wayslip.entry import relay
+from wayslip.entry import routes
+from wayslip.entry import services
+from wayslip.entry import view
+from wayslip.objects import client as client_module
+from wayslip.peers import messages
+from wayslip.peers import node as node_module
+
+_LOG = logging.getLogger(__name__)
+_DRAIN_STEP = 0.05
+_LIST_PERIOD = 2.0
+
+
+class EntryDaemon:
+    """One instance's entry."""
+
+    def __init__(self, settings: settings_module.Settings) -> None:
+        self._settings = settings
+        self.metrics = metrics_module.Metrics()
+        identity = node_module.Identity(
+            membership.Role.ENTRY, settings.instance, settings.entry.peers
+        )
+        self.node = node_module.Node(identity, settings, self.metrics)
+        client = client_module.ObjectClient(settings.objects, self.metrics)
+        self.view = view.EndpointView(settings, self.node, client, self.metrics)
+        self.in_flight = callers.InFlight(settings.admission.retry_fraction)
+        self.relay = relay.Relay(
+            self.metrics, settings.limits.stream_buffer_bytes
+        )
+        self.completions = completions.Completions(
+            settings,
+            self.node,
+            self.view,
+            self.relay,
+            self.in_flight,
+            self.metrics,
+        )
+        self._services = services.Services(
+            settings, self.node, self.view, self.in_flight, self.metrics
+        )
+        self._journal = journal.Journal(settings.journal, client, self.metrics)
+        self.routes = routes.Routes(
+            settings, self.node, self.completions, self._services, self.metrics
+        )
+        self.keyed = keyed.Keyed(
+            settings,
+            self.node,
+            self._journal,
+            self.routes.execute,
+            self.metrics,
+        )
+        self.routes.keyed = self.keyed
+        self._callers_port = web.Server(
+            settings.entry.callers,
+            self.routes.answer,
+            settings.limits,
+            settings.limits.worker_threads,
+            settings.security,
+        )
+        self._admin = admin.AdminServer(
+            settings.entry.operators,
+            settings,
+            self.metrics,
+            admin.Hooks(self.is_ready, self.dump, lambda request, name: None),
+        )
+        self.stopping = threading.Event()
+        self._answer_calls()
+
+    def _answer_calls(self) -> None:
+        calls = self.node.calls
+        calls.handle(messages.Dump, self._answer_dump)
+        calls.handle(messages.Drain, self._answer_drain)
+        calls.handle(messages.Forward, self.keyed.answer_forwarded)
+        calls.handle(messages.Resumed, self._answer_resumed)
+        calls.handle(messages.ListEndpoints, self._answer_list)
+
+    def start(self) -> None:
+        """Starts all parts; the callers' port last."""
+        self._admin.start()
+        self.node.start()
+        self.view.start()
+        self.relay.start()
+        self._callers_port.start()
+        threading.Thread(
+            target=self._learn_endpoints, name="learn", daemon=True
+        ).start()
+        logs.event(
+            _LOG,
+            "entry_started",
+            instance=self._settings.instance.name,
+            address=self._callers_port.address,
+        )
+
+    def is_ready(self) -> bool:
+        """Whether the balancer should send callers here."""
+        return not self.stopping.is_set() and self.node.holder.generation > 0
+
+    # The planned stop
+
+    def stop(self) -> None:
+        """Lets the balancer notice, finishes what runs, then ends."""
+        began = time.monotonic()
+        self.stopping.set()
+        self.node.leave()
+        time.sleep(self._settings.drain.balancer_seconds)
+        self.routes.is_draining = True
+        left = self._wait_for_requests()
+        self._callers_port.stop()
+        self.relay.stop()
+        self.view.stop()
+        self.node.stop()
+        self._admin.stop()
+        logs.event(
+            _LOG,
+            "entry_stopped",
+            instance=self._settings.instance.name,
+            seconds=round(time.monotonic() - began, 3),
+            cut=left,
+        )
+
+    def _wait_for_requests(self) -> int:
+        """Waits until nothing runs; returns what still does at the limit."""
+        limit = time.monotonic() + self._settings.drain.finish_seconds
+        while time.monotonic() < limit:
+            running = (
+                self.in_flight.total + self.relay.active + self.keyed.active
+            )
+            if not running:
+                return 0
+            time.sleep(_DRAIN_STEP)
+        return self.in_flight.total
+
+    # Starting in an outage
+
+    def _learn_endpoints(self) -> None:
+        """Asks peers for the endpoints while the object API is silent."""
+        while not self.stopping.wait(_LIST_PERIOD):
+            if self.view.list.synced_at:
+                return
+            for member in self.node.live(membership.Role.ENTRY):
+                if member.name == self.node.identity.name:
+                    continue
+                try:
+                    answer = self.node.call(
+                        member, messages.ListEndpoints(), messages.Endpoints
+                    )
+                except errors.WayslipError:
+                    continue
+                for endpoint in answer.endpoints:
+                    self.view.adopt(endpoint)
+                break
+
+    # Calls
+
+    def dump(self) -> Any:
+        """Returns the state of the process, with ages in seconds."""
+        return {
+            "member": self.node.incarnation,
+            "time": time.time(),
+            "generation": self.node.holder.generation,
+            "configuration_age": time.time() - self.node.holder.changed_at,
+            "entries": self.node.holder.configuration.entries,
+            "members": self.node.members(),
+            "facts": [f for t in facts.Topic for f in self.node.facts(t)],
+            "endpoints": {"age": self.view.list.age, "is": self.view.dump()},
+            "journal": self._journal.dump(),
+            "in_flight": self.in_flight.total,
+            "streams": self.relay.active,
+            "keyed": self.keyed.active,
+            "draining": self.stopping.is_set(),
+        }
+
+    def _answer_dump(self, message: object) -> object:
+        return messages.Dumped(admin.render_state(self.dump()))
+
+    def _answer_drain(self, message: object) -> object:
+        assert isinstance(message, messages.Drain)
+        logs.event(_LOG, "drain_ordered", operator=message.operator)
+        self.stopping.set()
+        return messages.Draining()
+
+    def _answer_resumed(self, message: object) -> object:
+        assert isinstance(message, messages.Resumed)
+        self.completions.keep(message.request_id)
+        return messages.Noted()
+
+    def _answer_list(self, message: object) -> object:
+        return messages.Endpoints(self.view.endpoints())
--- /dev/null
+++ b/src/wayslip/entry/journal.py
@@ -0,0 +1,223 @@
+"""Writes the journal of requests that may not be repeated.
+
+Operations on one slot are gathered while a write is under way and go out
+together in the next, so the object API sees far fewer writes than there are
+requests. An operation may be applied again to newer content, so it has to
+recognise its own effect.
+"""
+
+from collections.abc import Callable
+import concurrent.futures
+import dataclasses
+import threading
+import time
+from typing import Any
+
+from wayslip import errors
+from wayslip import metrics as metrics_module
+from wayslip import refusals
+from wayslip import settings as settings_module
+from wayslip.decisions import journal
+from wayslip.objects import client as client_module
+from wayslip.objects import kinds
+
+_MAX_BATCH = 256
+_MAX_TRIES = 32
+
+
+@dataclasses.dataclass(frozen=True)
+class Applied:
+    """A segment after an operation, and what the operation found."""
+
+    segment: journal.Segment
+    result: Any
+
+
+Operation = Callable[[journal.Segment], Applied]
+
+
+@dataclasses.dataclass
+class _Waiting:
+    """An operation and the future of its result."""
+
+    operation: Operation
+    future: concurrent.futures.Future
+
+
+class _Slot:
+    """One slot's queue and its last known content."""
+
+    def __init__(self, number: int) -> None:
+        self.number = number
+        self.lock = threading.Lock()
+        self.queue: list[_Waiting] = []
+        self.is_writing = False
+        self.stored: client_module.Stored[journal.Segment] | None = None
+
+
+class Journal:
+    """All slots as one entry writes them. Safe for many threads."""
+
+    def __init__(
+        self,
+        settings: settings_module.Journal,
+        client: client_module.ObjectClient,
+        metrics: metrics_module.Metrics,
+    ) -> None:
+        self._settings = settings
+        self._client = client
+        self._metrics = metrics
+        self._slots = [_Slot(n) for n in range(settings.slots)]
+
+    def start(
+        self, key: str, fingerprint: str, runner: str
+    ) -> journal.Record | refusals.Refusal:
+        """Writes that a runner starts a key; returns the key's record.
+
+        The record is the runner's own when it may go on, and another's when
+        the key is known already.
+
+        Raises:
+            ObjectUnavailableError: Whether it was written is unknown.
+        """
+
+        def operation(segment: journal.Segment) -> Applied:
+            known = segment.records.get(key)
+            if known is not None and known.runner == runner:
+                return Applied(segment, known)
+            now = time.time()
+            pruned = segment.expire(
+                now, self._settings.retention, self._settings.segment_bytes
+            )
+            started = pruned.start(key, fingerprint, runner, now)
+            if not isinstance(started, journal.Segment):
+                return Applied(segment, started)
+            if pruned.is_full(self._settings.segment_bytes):
+                return Applied(segment, _refuse_full())
+            return Applied(started, started.records[key])
+
+        return self._submit(key, operation)
+
+    def look_up(self, key: str) -> journal.Record | None:
+        """Reads what is known of a key from the object itself.
+
+        Raises:
+            ObjectUnavailableError: The object API did not answer.
+        """
+        slot = self._slots[journal.choose_slot(key, len(self._slots))]
+        return self._read(slot).value.records.get(key)
+
+    def finish(
+        self,
+        key: str,
+        runner: str,
+        state: journal.State,
+        answer: journal.Answer | None,
+    ) -> None:
+        """Writes what came of a key.
+
+        Raises:
+            ObjectUnavailableError: Whether it was written is unknown.
+        """
+
+        def operation(segment: journal.Segment) -> Applied:
+            now = time.time()
+            finished = segment.finish(key, runner, state, answer, now)
+            return Applied(finished, None)
+
+        self._submit(key, operation)
+
+    def dump(self) -> dict[int, Any]:
+        """Returns the slots that this entry wrote, with their sizes."""
+        shown = {}
+        for slot in self._slots:
+            stored = slot.stored
+            if stored is not None:
+                shown[slot.number] = {
+                    "version": stored.version,
+                    "records": len(stored.value.records),
+                    "bytes": stored.value.size,
+                    "waiting": len(slot.queue),
+                }
+        return shown
+
+    # Gathering
+
+    def _submit(self, key: str, operation: Operation) -> Any:
+        slot = self._slots[journal.choose_slot(key, len(self._slots))]
+        waiting = _Waiting(operation, concurrent.futures.Future())
+        with slot.lock:
+            slot.queue.append(waiting)
+            leads = not slot.is_writing
+            slot.is_writing = slot.is_writing or leads
+        if leads:
+            self._write_all(slot)
+        return waiting.future.result()
+
+    def _write_all(self, slot: _Slot) -> None:
+        """Writes batches until the queue is empty; one thread at a time."""
+        while True:
+            with slot.lock:
+                batch = slot.queue[:_MAX_BATCH]
+                del slot.queue[:_MAX_BATCH]
+                if not batch:
+                    slot.is_writing = False
+                    return
+            try:
+                results = self._write(slot, [w.operation for w in batch])
+            except BaseException as e:
+                for waiting in batch:
+                    waiting.future.set_exception(e)
+                continue
+            for waiting, result in zip(batch, results, strict=True):
+                waiting.future.set_result(result)
+
+    def _write(self, slot: _Slot, batch: list[Operation]) -> list[Any]:
+        for _ in range(_MAX_TRIES):
+            stored = slot.stored or self._read(slot)
+            segment = stored.value
+            results = []
+            for operation in batch:
+                applied = operation(segment)
+                segment = applied.segment
+                results.append(applied.result)
+            if segment is stored.value:
+                return results
+            try:
+                slot.stored = self._client.update(
+                    kinds.SEGMENT, stored, segment
+                )
+                self._metrics.count("journal_writes")
+                self._metrics.count("journal_operations", len(batch))
+                return results
+            except errors.ObjectConflictError:
+                slot.stored = None
+            except errors.ObjectUnavailableError:
+                # The write may have taken effect: read before going on.
+                slot.stored = None
+                self._read(slot)
+        raise errors.ObjectUnavailableError(
+            f"journal slot {slot.number} keeps changing", "try again"
+        )
+
+    def _read(self, slot: _Slot) -> client_module.Stored[journal.Segment]:
+        name = f"slot-{slot.number}"
+        stored = self._client.find(kinds.SEGMENT, name)
+        if stored is None:
+            try:
+                stored = self._client.create(
+                    kinds.SEGMENT, name, journal.Segment(slot.number)
+                )
+            except errors.ObjectConflictError:
+                stored = self._client.get(kinds.SEGMENT, name)
+        slot.stored = stored
+        return stored
+
+
+def _refuse_full() -> refusals.Refusal:
+    return refusals.Refusal(
+        refusals.Reason.STORE_UNAVAILABLE,
+        "the journal slot is full; raise journal.slots or shorten"
+        " journal.retention",
+        60.0,
+    )
--- /dev/null
+++ b/src/wayslip/entry/keyed.py
@@ -0,0 +1,439 @@
+"""Runs requests that may not be repeated, at most once for each key.
+
+A key goes to its usual owner among the entries, so that retries through
+other entries join the first call and get its whole answer. The owner is not
+what keeps the promise: a record that was conditionally written before the
+request is forwarded is (`Journal`), or, for an issued key, the memory of the
+one process that may run it.
+
+`not-run` speaks of the key and not of one call, so it is only said when the
+record proves that no call with the key ran.
+"""
+
+from collections.abc import Callable
+import concurrent.futures
+import dataclasses
+import logging
+import queue
+import threading
+import time
+from typing import Protocol
+import uuid
+
+from wayslip import errors
+from wayslip import logs
+from wayslip import metrics as metrics_module
+from wayslip import refusals
+from wayslip import settings as settings_module
+from wayslip import web
+from wayslip.decisions import issued
+from wayslip.decisions import journal
+from wayslip.decisions import membership
+from wayslip.decisions import ownership
+from wayslip.entry import answers
+from wayslip.entry import journal as journal_module
+from wayslip.entry import tokens
+from wayslip.peers import messages
+from wayslip.peers import node as node_module
+
+_LOG = logging.getLogger(__name__)
+_CALL_MARGIN = 1.0
+_LATE_FINISHES = 10_000
+_LATE_PAUSE = 1.0
+
+Execute = Callable[[messages.Forward], messages.Forwarded]
+
+
+class Guard(Protocol):
+    """Decides whether this process may run a key, and keeps what came of it."""
+
+    def start(self) -> "Permit | messages.Forwarded":
+        """Returns a permit to run, or the answer without running."""
+
+
+class Permit(Protocol):
+    """The right to run a key once."""
+
+    def finish(self, answer: messages.Forwarded) -> None:
+        """Keeps the answer."""
+
+
+@dataclasses.dataclass(frozen=True)
+class _Entry:
+    """A request with the digests that name it."""
+
+    request: messages.Forward
+    digest: str
+    fingerprint: str
+
+
+class Keyed:
+    """Serves requests with an Idempotency-Key. Safe for many threads."""
+
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        node: node_module.Node,
+        journal_writer: journal_module.Journal,
+        execute: Execute,
+        metrics: metrics_module.Metrics,
+    ) -> None:
+        self._settings = settings
+        self._node = node
+        self._journal = journal_writer
+        self._execute = execute
+        self._metrics = metrics
+        self._token_key = settings.security.resume_key.encode()
+        self._lock = threading.Lock()
+        self._running: dict[str, concurrent.futures.Future] = {}
+        limits = settings.journal
+        self._issued = issued.IssuedTable(
+            limits.issued_limit, limits.issued_seconds
+        )
+        self._late: queue.Queue[Callable[[], None]] = queue.Queue(
+            _LATE_FINISHES
+        )
+        threading.Thread(
+            target=self._finish_late, name="late-finish", daemon=True
+        ).start()
+
+    @property
+    def active(self) -> int:
+        """Keys that run now."""
+        return len(self._running)
+
+    # The door
+
+    def serve(self, request: messages.Forward) -> messages.Forwarded:
+        """Answers a caller's request, through its key's owner."""
+        caller, key = request.caller, request.key
+        token = tokens.open_key(self._token_key, caller, key)
+        if token is not None:
+            return self._serve_issued(request, token)
+        if key.startswith("issued-"):
+            raise errors.BadRequestError(
+                "the issued key is not this caller's", "ask POST /v1/keys"
+            )
+        owner = self._find_owner(request)
+        if owner is not None:
+            try:
+                return self._forward(owner, request)
+            except errors.WayslipError as e:
+                # The journal keeps this safe even if the owner runs it.
+                logs.event(
+                    _LOG, "owner_lost", owner=owner.name, reason=e.reason
+                )
+        return self.serve_here(request)
+
+    def _find_owner(
+        self, request: messages.Forward
+    ) -> membership.Member | None:
+        digest = journal.digest_key(request.caller, request.key)
+        slot = journal.choose_slot(digest, self._settings.journal.slots)
+        names = self._node.live_names(membership.Role.ENTRY)
+        owner = ownership.find_owner(f"slot-{slot}", names)
+        if owner is None or owner == self._node.identity.name:
+            return None
+        return self._node.find(owner)
+
+    def _forward(
+        self, member: membership.Member, request: messages.Forward
+    ) -> messages.Forwarded:
+        timeout = request.seconds_left + _CALL_MARGIN
+        self._metrics.count("keyed_forwarded")
+        return self._node.call(member, request, messages.Forwarded, timeout)
+
+    def serve_here(self, request: messages.Forward) -> messages.Forwarded:
+        """Answers a request in this process; retries of its key join it."""
+        digest = journal.digest_key(request.caller, request.key)
+        entry = _Entry(request, digest, _fingerprint(request))
+        token = tokens.open_key(self._token_key, request.caller, request.key)
+        if token is not None:
+            guard: Guard = _IssuedGuard(self, token.serial, entry.fingerprint)
+        else:
+            guard = _JournalGuard(self, entry)
+        return self._join(entry, guard)
+
+    def _join(self, entry: _Entry, guard: Guard) -> messages.Forwarded:
+        with self._lock:
+            future = self._running.get(entry.digest)
+            leads = future is None
+            if future is None:
+                if len(self._running) >= self._settings.limits.keyed_in_flight:
+                    return _answer_unknown("too many keyed requests at once")
+                future = concurrent.futures.Future()
+                self._running[entry.digest] = future
+        if not leads:
+            return self._wait(entry, future)
+        try:
+            answer = self._run(entry, guard)
+            future.set_result((entry.fingerprint, answer))
+            return answer
+        except BaseException as e:
+            future.set_exception(e)
+            raise
+        finally:
+            with self._lock:
+                del self._running[entry.digest]
+
+    def _wait(
+        self, entry: _Entry, future: concurrent.futures.Future
+    ) -> messages.Forwarded:
+        self._metrics.count("keyed_joined")
+        try:
+            fingerprint, answer = future.result(entry.request.seconds_left)
+        except concurrent.futures.TimeoutError:
+            return _answer_unknown("the first call with this key still runs")
+        if fingerprint != entry.fingerprint:
+            return _answer_reused()
+        return answer
+
+    def _run(self, entry: _Entry, guard: Guard) -> messages.Forwarded:
+        permit = guard.start()
+        if isinstance(permit, messages.Forwarded):
+            return permit
+        try:
+            answer = self._execute(entry.request)
+        except errors.BadRequestError as e:
+            answer = _forwarded(
+                web.Answer(400, str(e).encode(), "text/plain"), web.NOT_RUN
+            )
+        except Exception:
+            _LOG.exception("keyed_request_failed")
+            answer = _answer_unknown("the entry failed while it ran")
+        self._metrics.count("keyed", outcome=answer.outcome)
+        permit.finish(answer)
+        return answer
+
+    # Late results
+
+    def finish_later(self, task: Callable[[], None]) -> None:
+        """Has a result written once the object API is back."""
+        try:
+            self._late.put_nowait(task)
+        except queue.Full:
+            # The record stays `started`: later retries get `unknown`.
+            self._metrics.count("keyed_results_lost")
+
+    def _finish_late(self) -> None:
+        while True:
+            task = self._late.get()
+            while True:
+                try:
+                    task()
+                    break
+                except errors.ObjectUnavailableError:
+                    time.sleep(_LATE_PAUSE)
+                except errors.WayslipError:
+                    break
+
+    # Issued keys
+
+    def issue(self, caller: str, count: int) -> list[str] | refusals.Refusal:
+        """Returns new keys for a caller."""
+        now = time.monotonic()
+        with self._lock:
+            serials = self._issued.issue(count, now)
+        if isinstance(serials, refusals.Refusal):
+            return serials
+        member, _, incarnation = self._node.incarnation.rpartition("#")
+        expires = int(now + self._settings.journal.issued_seconds)
+        return [
+            tokens.seal_key(
+                self._token_key,
+                caller,
+                tokens.IssuedKey(member, int(incarnation), serial, expires),
+            )
+            for serial in serials
+        ]
+
+    def _serve_issued(
+        self, request: messages.Forward, token: tokens.IssuedKey
+    ) -> messages.Forwarded:
+        if f"{token.member}#{token.incarnation}" == self._node.incarnation:
+            return self.serve_here(request)
+        member = self._node.find(token.member)
+        gone = "the entry that issued the key is gone or cut off"
+        if member is None:
+            return _answer_unknown(gone)
+        try:
+            return self._forward(member, request)
+        except errors.WayslipError:
+            return _answer_unknown(gone)
+
+    def answer_forwarded(self, message: object) -> object:
+        """Answers a request that a peer forwarded."""
+        assert isinstance(message, messages.Forward)
+        token = tokens.open_key(self._token_key, message.caller, message.key)
+        if token is not None:
+            issuer = f"{token.member}#{token.incarnation}"
+            if issuer != self._node.incarnation:
+                return _answer_unknown("the entry that issued the key is gone")
+        return self.serve_here(message)
+
+
+@dataclasses.dataclass(frozen=True)
+class _IssuedGuard:
+    """Guards a key by this process's memory."""
+
+    keyed: Keyed
+    serial: int
+    fingerprint: str
+
+    def start(self) -> Permit | messages.Forwarded:
+        """See `Guard`."""
+        with self.keyed._lock:
+            known = self.keyed._issued.start(
+                self.serial, self.fingerprint, time.monotonic()
+            )
+        if isinstance(known, refusals.Refusal):
+            if known.reason is refusals.Reason.KEY_REUSED:
+                return _answer_reused()
+            return _answer_unknown(known.detail)
+        if known.state is issued.State.STARTED:
+            return self
+        if isinstance(known.answer, messages.Forwarded):
+            return known.answer
+        return _answer_unknown("an earlier call with this key is unclear")
+
+    def finish(self, answer: messages.Forwarded) -> None:
+        """See `Permit`."""
+        state = {
+            web.RAN: issued.State.DONE,
+            web.NOT_RUN: issued.State.NOT_RUN,
+        }.get(answer.outcome, issued.State.UNKNOWN)
+        with self.keyed._lock:
+            self.keyed._issued.finish(self.serial, state, answer)
+
+
+@dataclasses.dataclass(frozen=True)
+class _JournalGuard:
+    """Guards a key by its record in the object API."""
+
+    keyed: Keyed
+    entry: _Entry
+
+    def start(self) -> Permit | messages.Forwarded:
+        """See `Guard`."""
+        keyed = self.keyed
+        runner = f"{keyed._node.incarnation}/{uuid.uuid4().hex}"
+        digest = self.entry.digest
+        try:
+            record = keyed._journal.start(
+                digest, self.entry.fingerprint, runner
+            )
+            if _is_open(record, runner):
+                # The copy may be old; the object itself decides.
+                record = keyed._journal.look_up(digest) or record
+        except errors.ObjectUnavailableError as e:
+            # It was not run and this runner never will. If the start was
+            # written all the same, that is told to the record later.
+            permit = _JournalPermit(keyed, digest, runner)
+            keyed.finish_later(
+                lambda: permit.write(journal.State.NOT_RUN, None)
+            )
+            return _answer_unknown(
+                f"{e.reason}; an issued key (POST /v1/keys) needs no store"
+            )
+        if isinstance(record, refusals.Refusal):
+            if record.reason is refusals.Reason.KEY_REUSED:
+                return _answer_reused()
+            return _answer_unknown(record.detail)
+        if record.runner == runner:
+            return _JournalPermit(keyed, digest, runner)
+        return self._answer_known(record)
+
+    def _answer_known(self, record: journal.Record) -> messages.Forwarded:
+        if record.state is journal.State.DONE and record.answer is not None:
+            return _replay(record.answer)
+        member = self.keyed._node.find(record.runner.partition("#")[0])
+        if record.state is journal.State.STARTED and member is not None:
+            incarnation = f"{member.name}#{member.incarnation}"
+            is_other = incarnation != self.keyed._node.incarnation
+            if is_other and record.runner.startswith(f"{incarnation}/"):
+                return self._ask_runner(member)
+        return _answer_unknown("an earlier call with this key is unclear")
+
+    def _ask_runner(self, member: membership.Member) -> messages.Forwarded:
+        try:
+            return self.keyed._forward(member, self.entry.request)
+        except errors.WayslipError:
+            return _answer_unknown("the entry that runs this key is cut off")
+
+
+@dataclasses.dataclass(frozen=True)
+class _JournalPermit:
+    """The right to run a key, held by the runner of its record."""
+
+    keyed: Keyed
+    digest: str
+    runner: str
+
+    def finish(self, answer: messages.Forwarded) -> None:
+        """See `Permit`."""
+        state = {
+            web.RAN: journal.State.DONE,
+            web.NOT_RUN: journal.State.NOT_RUN,
+        }.get(answer.outcome, journal.State.UNKNOWN)
+        limit = self.keyed._settings.journal.answer_bytes
+        body = answer.body if len(answer.body) <= limit else None
+        kept = journal.Answer(answer.status, answer.content_type, body)
+        try:
+            self.write(state, kept)
+        except errors.ObjectUnavailableError:
+            self.keyed.finish_later(lambda: self.write(state, kept))
+
+    def write(
+        self, state: journal.State, answer: journal.Answer | None
+    ) -> None:
+        """Writes the result into the record.
+
+        Raises:
+            ObjectUnavailableError: Whether it was written is unknown.
+        """
+        self.keyed._journal.finish(self.digest, self.runner, state, answer)
+
+
+def _is_open(record: journal.Record | refusals.Refusal, runner: str) -> bool:
+    return (
+        isinstance(record, journal.Record)
+        and record.runner != runner
+        and record.state is not journal.State.DONE
+    )
+
+
+def _fingerprint(request: messages.Forward) -> str:
+    path = f"{request.service}\0{request.path}"
+    return journal.digest_request(request.method, path, request.body)
+
+
+def _replay(answer: journal.Answer) -> messages.Forwarded:
+    if answer.body is None:
+        text = b'{"error": {"message": "it ran; its answer is not kept"}}'
+        return messages.Forwarded(410, web.RAN, "application/json", text)
+    return messages.Forwarded(
+        answer.status, web.RAN, answer.content_type, answer.body
+    )
+
+
+def _forwarded(answer: web.Answer, outcome: str) -> messages.Forwarded:
+    return messages.Forwarded(
+        answer.status,
+        outcome,
+        answer.content_type,
+        answer.body,
+        float(answer.headers.get("Retry-After", 0)),
+    )
+
+
+def _answer_unknown(detail: str) -> messages.Forwarded:
+    text = f"{detail}; ask again with the same key to learn what came of it"
+    return _forwarded(answers.answer_unknown(text), web.UNKNOWN)
+
+
+def _answer_reused() -> messages.Forwarded:
+    refusal = refusals.Refusal(
+        refusals.Reason.KEY_REUSED,
+        "this Idempotency-Key was used for another request; use a new one",
+    )
+    return _forwarded(answers.answer_refusal(refusal), web.NOT_RUN)
--- /dev/null
+++ b/src/wayslip/entry/relay.py
@@ -0,0 +1,418 @@
+"""Relays streams of server-sent events from engines to callers.
+
+One thread serves all streams with non-blocking sockets. A thread for each
+stream was the first design; at 560 streams their wake-ups alone took more
+processor time than the work (docs/design/relay.md has both measurements).
+
+A stream ends well only after the engine's `[DONE]`. When the engine's side
+breaks off before, the stream is taken up again after the last event that was
+passed on; where that fails, the caller gets an error event and a connection
+that ends without the closing chunk, so a short answer never looks whole.
+"""
+
+import collections
+from collections.abc import Callable
+import concurrent.futures
+import dataclasses
+import enum
+import functools
+import json
+import logging
+import re
+import selectors
+import socket
+import ssl
+import threading
+import time
+from typing import Any
+
+import httptools
+
+from wayslip import errors
+from wayslip import logs
+from wayslip import metrics as metrics_module
+from wayslip.endpoints import exchange
+
+_LOG = logging.getLogger(__name__)
+_RECEIVE_BYTES = 65_536
+_RESUME_THREADS = 4
+_RESUME_TRIES = 4
+_RESUME_PAUSE = 0.25
+_EVENT_END = b"\n\n"
+_ID_LINE = re.compile(rb"^id: (?=\d)", re.MULTILINE)
+_DONE = b"data: [DONE]"
+_LAST_CHUNK = b"0\r\n\r\n"
+_WOULD_BLOCK = (BlockingIOError, ssl.SSLWantReadError, ssl.SSLWantWriteError)
+
+Resume = Callable[[int], exchange.Exchange]
+
+
+class End(enum.StrEnum):
+    """How a stream ended."""
+
+    COMPLETE = "complete"
+    BROKEN = "broken"
+    HUNG_UP = "hung_up"
+
+
+@dataclasses.dataclass(frozen=True)
+class Plan:
+    """What the relay needs to know of a stream.
+
+    Attributes:
+        token: Prefix of the event ids that the caller gets.
+        after: Number of the last event that the caller has, -1 for none.
+        resume: Asks the engine for the events after a number.
+        on_end: Called once, from the relay's thread.
+        started: When the request came in, monotonic seconds.
+    """
+
+    token: str
+    after: int
+    resume: Resume
+    on_end: Callable[[End], None]
+    started: float
+
+
+class _Body:
+    """Decodes the body of an answer whose head was read elsewhere."""
+
+    def __init__(self, headers: Any) -> None:
+        self.data: list[bytes] = []
+        self.is_complete = False
+        self._parser = httptools.HttpResponseParser(self)
+        head = b"HTTP/1.1 200 OK\r\n"
+        if "chunked" in headers.get("Transfer-Encoding", "").lower():
+            head += b"Transfer-Encoding: chunked\r\n"
+        elif "Content-Length" in headers:
+            head += b"Content-Length: %d\r\n" % int(headers["Content-Length"])
+        self._parser.feed_data(head + b"\r\n")
+
+    def on_body(self, data: bytes) -> None:
+        """Called by the parser."""
+        self.data.append(data)
+
+    def on_message_complete(self) -> None:
+        """Called by the parser."""
+        self.is_complete = True
+
+    def feed(self, data: bytes) -> bytes:
+        """Returns the body bytes among bytes from the wire."""
+        self._parser.feed_data(data)
+        taken = b"".join(self.data)
+        self.data.clear()
+        return taken
+
+
+class _Stream:
+    """One stream; touched by the relay's thread only."""
+
+    def __init__(
+        self, caller: socket.socket, caller_owner: Any, plan: Plan
+    ) -> None:
+        self.caller = caller
+        self.caller_owner = caller_owner
+        self.plan = plan
+        self.id_prefix = b"id: " + plan.token.encode("ascii") + b"."
+        self.last = plan.after
+        self.upstream: socket.socket | None = None
+        self.upstream_owner: Any = None
+        self.body: _Body | None = None
+        self.partial = b""
+        self.out = b""
+        self.is_done = False
+        self.has_sent = False
+        self.caller_mask = selectors.EVENT_READ
+        self.is_paused = False
+
+
+class Relay:
+    """Serves all streams of an entry."""
+
+    def __init__(
+        self, metrics: metrics_module.Metrics, buffer_bytes: int
+    ) -> None:
+        self._metrics = metrics
+        self._buffer_bytes = buffer_bytes
+        self._selector = selectors.DefaultSelector()
+        self._wake_in, self._wake_out = socket.socketpair()
+        self._wake_in.setblocking(False)
+        self._selector.register(self._wake_in, selectors.EVENT_READ, None)
+        self._tasks: collections.deque[Callable[[], None]] = collections.deque()
+        self._streams: set[_Stream] = set()
+        self._stopping = threading.Event()
+        self._resumers = concurrent.futures.ThreadPoolExecutor(
+            _RESUME_THREADS, thread_name_prefix="resume"
+        )
+        self._first_token = metrics.latency("first_token")
+        self._thread = threading.Thread(
+            target=self._run, name="relay", daemon=True
+        )
+
+    def start(self) -> None:
+        """Starts the relay's thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Ends the thread; streams still open are cut."""
+        self._stopping.set()
+        self._wake()
+        self._thread.join(timeout=2.0)
+        self._resumers.shutdown(wait=False, cancel_futures=True)
+
+    @property
+    def active(self) -> int:
+        """Streams under way."""
+        return len(self._streams) + len(self._tasks)
+
+    def add(
+        self,
+        caller: socket.socket,
+        caller_owner: Any,
+        upstream: exchange.Exchange,
+        plan: Plan,
+    ) -> None:
+        """Takes over a stream whose heads were read and sent.
+
+        May be called from any thread.
+        """
+        stream = _Stream(caller, caller_owner, plan)
+        self._post(lambda: self._begin(stream, upstream))
+
+    # The thread
+
+    def _post(self, task: Callable[[], None]) -> None:
+        self._tasks.append(task)
+        self._wake()
+
+    def _wake(self) -> None:
+        try:
+            self._wake_out.send(b"w")
+        except OSError:
+            # A full pipe wakes the thread as well.
+            pass
+
+    def _run(self) -> None:
+        while not self._stopping.is_set():
+            for key, mask in self._selector.select():
+                if key.data is None:
+                    self._run_tasks()
+                    continue
+                try:
+                    self._serve(key.data, key.fileobj, mask)
+                except Exception:
+                    # One stream's fault must not end the others.
+                    _LOG.exception("stream_failed")
+                    self._end(key.data, End.BROKEN)
+
+    def _run_tasks(self) -> None:
+        try:
+            self._wake_in.recv(4096)
+        except BlockingIOError:
+            pass
+        while self._tasks:
+            # The task counts as active until it is a stream.
+            try:
+                self._tasks[0]()
+            except Exception:
+                _LOG.exception("stream_task_failed")
+            self._tasks.popleft()
+
+    def _begin(self, stream: _Stream, upstream: exchange.Exchange) -> None:
+        self._streams.add(stream)
+        self._selector.register(stream.caller, stream.caller_mask, stream)
+        self._attach(stream, upstream)
+
+    def _attach(self, stream: _Stream, upstream: exchange.Exchange) -> None:
+        if stream not in self._streams:
+            upstream.close()
+            return
+        sock, early, owner = upstream.detach()
+        stream.upstream, stream.upstream_owner = sock, owner
+        stream.body = _Body(upstream.headers)
+        self._selector.register(sock, selectors.EVENT_READ, stream)
+        if early:
+            self._take(stream, early)
+
+    def _serve(self, stream: _Stream, sock: Any, mask: int) -> None:
+        if stream not in self._streams:
+            return
+        if sock is stream.upstream:
+            self._read_upstream(stream)
+            return
+        if mask & selectors.EVENT_READ:
+            self._read_caller(stream)
+        if mask & selectors.EVENT_WRITE and stream in self._streams:
+            self._write(stream)
+
+    # From the engine
+
+    def _read_upstream(self, stream: _Stream) -> None:
+        assert stream.upstream is not None
+        try:
+            data = stream.upstream.recv(_RECEIVE_BYTES)
+        except _WOULD_BLOCK:
+            return
+        except OSError:
+            data = b""
+        if not data:
+            self._break(stream)
+            return
+        self._take(stream, data)
+
+    def _take(self, stream: _Stream, data: bytes) -> None:
+        assert stream.body is not None
+        try:
+            body = stream.body.feed(data)
+        except httptools.HttpParserError:
+            self._break(stream)
+            return
+        text = stream.partial + body
+        end = text.rfind(_EVENT_END) + len(_EVENT_END)
+        if end >= len(_EVENT_END):
+            stream.partial = text[end:]
+            self._pass_on(stream, text[:end])
+        else:
+            stream.partial = text
+        if stream not in self._streams or stream.is_done:
+            return
+        if stream.body.is_complete or len(stream.partial) > self._buffer_bytes:
+            self._break(stream)
+
+    def _pass_on(self, stream: _Stream, events: bytes) -> None:
+        start = events.rfind(b"\nid: ") + 1
+        if start or events.startswith(b"id: "):
+            number = events[start + 4 : events.find(b"\n", start)]
+            stream.last = int(number) if number.isdigit() else stream.last
+        done = events.startswith(_DONE) or b"\n" + _DONE in events
+        events = _ID_LINE.sub(stream.id_prefix, events)
+        stream.out += b"%x\r\n%s\r\n" % (len(events), events)
+        if done:
+            stream.is_done = True
+            stream.out += _LAST_CHUNK
+            self._detach_upstream(stream)
+        if not stream.has_sent:
+            stream.has_sent = True
+            self._first_token.observe(time.monotonic() - stream.plan.started)
+        self._write(stream)
+
+    def _detach_upstream(self, stream: _Stream) -> None:
+        if stream.upstream is None:
+            return
+        if not stream.is_paused:
+            self._selector.unregister(stream.upstream)
+        stream.is_paused = False
+        stream.upstream_owner.close()
+        stream.upstream = stream.upstream_owner = None
+
+    # A broken engine stream
+
+    def _break(self, stream: _Stream) -> None:
+        """Takes the stream up again in another thread, since that blocks."""
+        self._detach_upstream(stream)
+        # Half an event was not passed on; the engine sends it again whole.
+        stream.partial = b""
+        self._metrics.count("streams_broken")
+        after = stream.last
+        try:
+            self._resumers.submit(self._resume, stream, after)
+        except RuntimeError:
+            self._end(stream, End.BROKEN)
+
+    def _resume(self, stream: _Stream, after: int) -> None:
+        for attempt in range(_RESUME_TRIES):
+            time.sleep(_RESUME_PAUSE * attempt)
+            try:
+                upstream = stream.plan.resume(after)
+            except errors.EndpointError as e:
+                logs.event(
+                    _LOG, "resume_failed", logging.DEBUG, reason=e.reason
+                )
+                continue
+            if upstream.status == 200 and upstream.is_stream:
+                self._metrics.count("streams_resumed")
+                self._post(functools.partial(self._attach, stream, upstream))
+                return
+            upstream.close()
+        self._post(lambda: self._give_up(stream))
+
+    def _give_up(self, stream: _Stream) -> None:
+        if stream not in self._streams:
+            return
+        text = json.dumps(
+            {
+                "error": {
+                    "message": "the engine broke off and the stream could not"
+                    " be taken up again; the answer is not whole, ask again",
+                    "type": "stream_broken",
+                }
+            }
+        )
+        event = f"event: error\ndata: {text}\n\n".encode()
+        stream.out += b"%x\r\n%s\r\n" % (len(event), event)
+        stream.is_done = True
+        self._write(stream)
+        self._end(stream, End.BROKEN)
+
+    # To the caller
+
+    def _write(self, stream: _Stream) -> None:
+        if stream.out:
+            try:
+                sent = stream.caller.send(stream.out)
+            except _WOULD_BLOCK:
+                sent = 0
+            except OSError:
+                self._end(stream, End.HUNG_UP)
+                return
+            stream.out = stream.out[sent:]
+        if not stream.out and stream.is_done:
+            self._end(stream, End.COMPLETE)
+            return
+        self._set_masks(stream)
+
+    def _set_masks(self, stream: _Stream) -> None:
+        mask = selectors.EVENT_READ
+        if stream.out:
+            mask |= selectors.EVENT_WRITE
+        if mask != stream.caller_mask:
+            stream.caller_mask = mask
+            self._selector.modify(stream.caller, mask, stream)
+        if stream.upstream is None:
+            return
+        # A caller that reads slowly stops its own engine stream only.
+        is_full = len(stream.out) > self._buffer_bytes
+        if is_full and not stream.is_paused:
+            self._selector.unregister(stream.upstream)
+        elif stream.is_paused and not is_full:
+            self._selector.register(
+                stream.upstream, selectors.EVENT_READ, stream
+            )
+        stream.is_paused = is_full
+
+    def _read_caller(self, stream: _Stream) -> None:
+        try:
+            data = stream.caller.recv(_RECEIVE_BYTES)
+        except _WOULD_BLOCK:
+            return
+        except OSError:
+            data = b""
+        # A caller has nothing to say while its answer runs: data that comes
+        # early is dropped, since the connection ends with the stream.
+        if not data:
+            self._end(stream, End.HUNG_UP)
+
+    def _end(self, stream: _Stream, end: End) -> None:
+        if stream not in self._streams:
+            return
+        self._streams.discard(stream)
+        self._detach_upstream(stream)
+        self._selector.unregister(stream.caller)
+        try:
+            stream.caller.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
+        stream.caller.close()
+        stream.caller_owner = None
+        self._metrics.count("streams", end=end)
+        stream.plan.on_end(end)
--- /dev/null
+++ b/src/wayslip/entry/services.py
@@ -0,0 +1,197 @@
+"""Calls to plain services, some of which may not be repeated."""
+
+import dataclasses
+import time
+
+from wayslip import errors
+from wayslip import metrics as metrics_module
+from wayslip import refusals
+from wayslip import settings as settings_module
+from wayslip import web
+from wayslip.decisions import admission
+from wayslip.decisions import configuration
+from wayslip.decisions import membership
+from wayslip.decisions import retry
+from wayslip.endpoints import service as service_module
+from wayslip.entry import answers
+from wayslip.entry import callers as callers_module
+from wayslip.entry import view as view_module
+from wayslip.peers import messages
+from wayslip.peers import node as node_module
+
+# Predicted delay of a service; its targets are the deadline's matter.
+_SERVICE_DELAY = 0.01
+_PROMPT = view_module.Prompt(1)
+
+
+@dataclasses.dataclass(frozen=True)
+class Job:
+    """A call to a service; deadline is monotonic seconds."""
+
+    caller: settings_module.Caller
+    service: configuration.Service
+    method: str
+    path: str
+    content_type: str
+    body: bytes
+    deadline: float
+    may_repeat: bool
+
+
+class Services:
+    """Routes calls to the endpoints of services."""
+
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        node: node_module.Node,
+        view: view_module.EndpointView,
+        in_flight: callers_module.InFlight,
+        metrics: metrics_module.Metrics,
+    ) -> None:
+        self._settings = settings
+        self._node = node
+        self._view = view
+        self._in_flight = in_flight
+        self._metrics = metrics
+        self._admit = admission.POLICIES.get(settings.admission.policy)
+
+    def find(self, name: str) -> configuration.Service | refusals.Refusal:
+        """Returns a service by name."""
+        service = self._node.holder.catalog.services.get(name)
+        if service is not None:
+            return service
+        return refusals.Refusal(
+            refusals.Reason.UNKNOWN_SERVICE,
+            f"there is no service {name!r}; ask its operator for the name",
+        )
+
+    def run(self, job: Job) -> web.Answer:
+        """Calls endpoints until one answers or the verdict is final."""
+        with self._in_flight.counted(job.caller.name):
+            return self._run(job)
+
+    def _run(self, job: Job) -> web.Answer:
+        self._in_flight.earn_retry()
+        progress = retry.Progress(job.may_repeat)
+        tried: set[str] = set()
+        while True:
+            name = self._choose(job.service, tried)
+            if name is None:
+                return self._answer_none(progress)
+            if not tried:
+                refusal = self._check_load(job, name)
+                if refusal is not None:
+                    self._metrics.count("refused", reason=refusal.reason)
+                    return answers.answer_refusal(refusal)
+            result = self._attempt(job, name)
+            if isinstance(result, web.Answer):
+                return result
+            tried.add(name)
+            progress = progress.fail(result)
+            left = job.deadline - time.monotonic()
+            verdict = progress.judge(
+                self._settings.admission.max_attempts, left, True
+            )
+            if verdict is retry.Verdict.RETRY:
+                if self._in_flight.spend_retry():
+                    self._metrics.count("retries")
+                    continue
+                verdict = progress.judge(0, left, False)
+            if verdict is retry.Verdict.UNKNOWN:
+                return self._answer_unknown()
+            return self._answer_none(progress)
+
+    def _choose(
+        self, service: configuration.Service, tried: set[str]
+    ) -> str | None:
+        usable = self._view.usable(service.endpoints)
+        left = [n for n in usable if n not in tried]
+        return min(left, key=self._view.in_flight, default=None)
+
+    def _check_load(self, job: Job, name: str) -> refusals.Refusal | None:
+        entries = self._node.live_names(membership.Role.ENTRY)
+        load = admission.Load(
+            total=self._in_flight.total - 1,
+            caller=self._in_flight.of(job.caller.name) - 1,
+            endpoint=self._view.in_flight(name),
+            entries=len(entries),
+            predicted=_SERVICE_DELAY,
+            seconds_left=job.deadline - time.monotonic(),
+        )
+        return self._admit(load, job.caller, self._settings.admission)
+
+    def _attempt(self, job: Job, name: str) -> web.Answer | retry.Failure:
+        address = self._view.address(name)
+        if address is None:
+            return retry.Failure.NOT_SENT
+        headers = {"Content-Type": job.content_type} if job.body else {}
+        timeout = max(job.deadline - time.monotonic(), 0.001)
+        limit = self._settings.limits.answer_bytes
+        self._view.begin(name, _PROMPT)
+        try:
+            response = service_module.call_service(
+                address,
+                job.method,
+                job.path,
+                headers,
+                job.body,
+                timeout,
+                limit,
+            )
+        except errors.NotSentError:
+            self._view.note_failure(name)
+            return retry.Failure.NOT_SENT
+        except errors.EndpointError:
+            return retry.Failure.UNCLEAR
+        finally:
+            self._view.end(name)
+        if response.is_not_started:
+            self._view.note_refusal(name)
+            return retry.Failure.REFUSED
+        return web.Answer(
+            response.status,
+            response.body,
+            response.content_type,
+            {web.OUTCOME: web.RAN},
+        )
+
+    def _answer_none(self, progress: retry.Progress) -> web.Answer:
+        if progress.may_have_run:
+            return self._answer_unknown()
+        return answers.answer_refusal(
+            refusals.Refusal(
+                refusals.Reason.NO_ENDPOINT,
+                "no endpoint of the service takes work;"
+                " come back after Retry-After",
+                1.0,
+            )
+        )
+
+    def _answer_unknown(self) -> web.Answer:
+        self._metrics.count("unknown")
+        return answers.answer_unknown(
+            "the endpoint broke off after the call may have run;"
+            " look whether it did before asking again"
+        )
+
+
+def to_forwarded(answer: web.Answer) -> messages.Forwarded:
+    """Returns a whole answer as a message between entries."""
+    return messages.Forwarded(
+        answer.status,
+        answer.headers.get(web.OUTCOME, web.RAN),
+        answer.content_type,
+        answer.body,
+        float(answer.headers.get("Retry-After", 0)),
+    )
+
+
+def from_forwarded(forwarded: messages.Forwarded) -> web.Answer:
+    """Returns the answer to a caller of a message between entries."""
+    headers = {web.OUTCOME: forwarded.outcome}
+    if forwarded.retry_after:
+        headers["Retry-After"] = str(int(forwarded.retry_after))
+    return web.Answer(
+        forwarded.status, forwarded.body, forwarded.content_type, headers
+    )
--- /dev/null
+++ b/src/wayslip/entry/tokens.py
@@ -0,0 +1,112 @@
+"""Signed tokens that callers carry: resume ids and issued keys.
+
+A token binds its content to one caller, so it can neither be forged nor used
+by another. The offset in a resume id is not signed: it only chooses how much
+of the caller's own stream comes again.
+"""
+
+import base64
+import dataclasses
+import hmac
+
+_MAC_BYTES = 16
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamToken:
+    """Where a stream is generated.
+
+    Attributes:
+        endpoint: The engine's name.
+        request_id: The request's id at the engine.
+        entry: Name of the member that relayed it first.
+    """
+
+    endpoint: str
+    request_id: str
+    entry: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class IssuedKey:
+    """A key that only its issuer runs.
+
+    Attributes:
+        member: Name of the issuing member.
+        incarnation: Its start; another start of it is another issuer.
+        serial: Number of the key at the issuer.
+        expires: When it ends, seconds of the issuer's monotonic clock.
+    """
+
+    member: str
+    incarnation: int
+    serial: int
+    expires: int
+
+
+def _seal(
+    key: bytes, purpose: str, caller: str, fields: tuple[str, ...]
+) -> str:
+    text = "|".join(fields)
+    mac = _sign(key, purpose, caller, text)
+    return base64.urlsafe_b64encode(mac + text.encode()).decode().rstrip("=")
+
+
+def _open(
+    key: bytes, purpose: str, caller: str, token: str
+) -> list[str] | None:
+    try:
+        raw = base64.urlsafe_b64decode(token + "=" * (-len(token) % 4))
+        text = raw[_MAC_BYTES:].decode()
+    except ValueError:
+        return None
+    expected = _sign(key, purpose, caller, text)
+    if not hmac.compare_digest(raw[:_MAC_BYTES], expected):
+        return None
+    return text.split("|")
+
+
+def _sign(key: bytes, purpose: str, caller: str, text: str) -> bytes:
+    data = f"{purpose}\0{caller}\0{text}".encode()
+    return hmac.digest(key, data, "sha256")[:_MAC_BYTES]
+
+
+def seal_stream(key: bytes, caller: str, token: StreamToken) -> str:
+    """Returns the text of a stream token."""
+    fields = (token.endpoint, token.request_id, token.entry)
+    return _seal(key, "stream", caller, fields)
+
+
+def open_event_id(
+    key: bytes, caller: str, event_id: str
+) -> tuple[StreamToken, int] | None:
+    """Returns the stream and the number of an event id, None if it is false."""
+    text, dot, offset = event_id.strip().rpartition(".")
+    if not dot or not offset.isascii() or not offset.isdecimal():
+        return None
+    fields = _open(key, "stream", caller, text)
+    if fields is None or len(fields) != 3:
+        return None
+    return StreamToken(*fields), int(offset)
+
+
+def seal_key(key: bytes, caller: str, issued: IssuedKey) -> str:
+    """Returns the text of an issued key."""
+    fields = (
+        issued.member,
+        str(issued.incarnation),
+        str(issued.serial),
+        str(issued.expires),
+    )
+    return "issued-" + _seal(key, "key", caller, fields)
+
+
+def open_key(key: bytes, caller: str, text: str) -> IssuedKey | None:
+    """Returns an issued key, None for any other key."""
+    if not text.startswith("issued-"):
+        return None
+    fields = _open(key, "key", caller, text.removeprefix("issued-"))
+    if fields is None or len(fields) != 4:
+        return None
+    member, incarnation, serial, expires = fields
+    return IssuedKey(member, int(incarnation), int(serial), int(expires))
--- /dev/null
+++ b/src/wayslip/entry/view.py
@@ -0,0 +1,369 @@
+"""What an entry knows of the endpoints, and what it has sent them.
+
+Load reports lag, so what this entry sent after asking for the last report,
+and what peers say they sent, is added. Signs that an endpoint leaves come from
+the platform's list, reports, refusals and peers; see `decisions.health`.
+"""
+
+from collections.abc import Sequence
+import concurrent.futures
+import dataclasses
+import logging
+import threading
+import time
+
+from wayslip import errors
+from wayslip import logs
+from wayslip import metrics as metrics_module
+from wayslip import settings as settings_module
+from wayslip.decisions import catalog as catalogs
+from wayslip.decisions import facts
+from wayslip.decisions import health as health_module
+from wayslip.decisions import routing
+from wayslip.endpoints import engine as engine_module
+from wayslip.endpoints import service as service_module
+from wayslip.entry import prefixes
+from wayslip.objects import client as client_module
+from wayslip.objects import informer
+from wayslip.objects import kinds
+from wayslip.peers import node as node_module
+
+_LOG = logging.getLogger(__name__)
+_POLL_THREADS = 8
+_REPORT_SECONDS = 1.0
+_LEAVING_TTL = 30.0
+
+
+@dataclasses.dataclass
+class _Tracked:
+    """The state of one endpoint; guarded by the view's lock."""
+
+    endpoint: kinds.Endpoint
+    health: health_module.Health = health_module.Health()
+    report: engine_module.Report | None = None
+    asked_at: float = 0.0
+    in_flight: int = 0
+    # Prefill sent since the last report was asked for: time and tokens.
+    sent: list[tuple[float, int]] = dataclasses.field(default_factory=list)
+    is_polling: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Prompt:
+    """What routing needs to know of a request's prompt."""
+
+    tokens: int
+    blocks: tuple[int, ...] = ()
+
+
+class EndpointView:
+    """All endpoints as one entry sees them. Safe for many threads."""
+
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        node: node_module.Node,
+        client: client_module.ObjectClient,
+        metrics: metrics_module.Metrics,
+    ) -> None:
+        self._settings = settings
+        self._node = node
+        self._metrics = metrics
+        self._dialect = engine_module.DIALECTS.get("openai")
+        self._lock = threading.Lock()
+        self._tracked: dict[str, _Tracked] = {}
+        self.prefixes = prefixes.PrefixIndex()
+        self._pool = concurrent.futures.ThreadPoolExecutor(
+            _POLL_THREADS, thread_name_prefix="poll"
+        )
+        self._stopping = threading.Event()
+        self.list = informer.Informer(client, kinds.ENDPOINT)
+        self.list.subscribe(self._take_listed)
+        node.subscribe(self._take_facts)
+        self._thread = threading.Thread(
+            target=self._poll_all, name="poll", daemon=True
+        )
+
+    def start(self) -> None:
+        """Starts to watch the list and to ask for reports."""
+        self.list.start()
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Ends the threads."""
+        self._stopping.set()
+        self.list.stop()
+        self._pool.shutdown(wait=False, cancel_futures=True)
+
+    # Looking up
+
+    def address(self, name: str) -> str | None:
+        """Returns an endpoint's address."""
+        with self._lock:
+            tracked = self._tracked.get(name)
+            return tracked.endpoint.address if tracked else None
+
+    def endpoints(self) -> tuple[kinds.Endpoint, ...]:
+        """Returns all endpoints, for peers that start in an outage."""
+        with self._lock:
+            return tuple(t.endpoint for t in self._tracked.values())
+
+    def in_flight(self, name: str) -> int:
+        """Returns this entry's requests at an endpoint."""
+        with self._lock:
+            tracked = self._tracked.get(name)
+            return tracked.in_flight if tracked else 0
+
+    def candidates(
+        self,
+        names: Sequence[str],
+        items: tuple[str, ...],
+        prompt: Prompt,
+        besides: frozenset[str],
+    ) -> list[routing.Candidate]:
+        """Returns the usable engines that hold all items."""
+        told = self._sum_told()
+        found = []
+        with self._lock:
+            for name in names:
+                tracked = self._tracked.get(name)
+                if tracked is None or name in besides:
+                    continue
+                if not tracked.health.is_usable or tracked.report is None:
+                    continue
+                if not tracked.report.resident.issuperset(items):
+                    continue
+                found.append(self._candidate(tracked, prompt, told))
+        return found
+
+    def _candidate(
+        self,
+        tracked: _Tracked,
+        prompt: Prompt,
+        told: dict[str, list[tuple[float, float]]],
+    ) -> routing.Candidate:
+        report = tracked.report
+        assert report is not None
+        name = tracked.endpoint.name
+        sent = sum(tokens for _, tokens in tracked.sent)
+        sent += int(
+            sum(v for at, v in told.get(name, ()) if at > tracked.asked_at)
+        )
+        return routing.Candidate(
+            name=name,
+            running=report.running + report.waiting,
+            slots=report.slots,
+            queued_tokens=report.waiting_tokens,
+            sent_tokens=sent,
+            sent=len(tracked.sent),
+            prefill_rate=report.prefill_rate,
+            step=report.step,
+            cached_tokens=self.prefixes.count_cached(name, prompt.blocks),
+            in_flight=tracked.in_flight,
+            is_near=tracked.endpoint.data_hall
+            == self._settings.instance.data_hall,
+        )
+
+    def _sum_told(self) -> dict[str, list[tuple[float, float]]]:
+        """Returns what peers sent to each engine, by local arrival time."""
+        told: dict[str, list[tuple[float, float]]] = {}
+        for fact, at in self._node.arrivals(facts.Topic.IN_FLIGHT):
+            if fact.origin != self._node.identity.name:
+                told.setdefault(fact.subject, []).append((at, fact.value))
+        return told
+
+    def usable(self, names: Sequence[str]) -> list[str]:
+        """Returns the endpoints among some that may get new work."""
+        with self._lock:
+            return [
+                n
+                for n in names
+                if n in self._tracked and self._tracked[n].health.is_usable
+            ]
+
+    def is_engine_holding(self, names: Sequence[str], item: str) -> bool:
+        """Whether a usable engine among some holds an item."""
+        return bool(self.candidates(names, (item,), Prompt(1), frozenset()))
+
+    def dump(self) -> dict[str, object]:
+        """Returns the state of each endpoint, for the dump."""
+        now = time.monotonic()
+        with self._lock:
+            return {
+                name: {
+                    "endpoint": t.endpoint,
+                    "health": t.health,
+                    "report": t.report,
+                    "report_age": now - t.asked_at if t.report else None,
+                    "in_flight": t.in_flight,
+                    "sent_since": len(t.sent),
+                }
+                for name, t in self._tracked.items()
+            }
+
+    # What this entry does
+
+    def begin(self, name: str, prompt: Prompt) -> None:
+        """Counts a request that is about to be sent."""
+        with self._lock:
+            tracked = self._tracked.get(name)
+            if tracked is None:
+                return
+            tracked.in_flight += 1
+            cached = self.prefixes.count_cached(name, prompt.blocks)
+            uncached = max(prompt.tokens - cached, 1)
+            tracked.sent.append((time.monotonic(), uncached))
+        self.prefixes.note_sent(name, prompt.blocks)
+
+    def end(self, name: str) -> None:
+        """Counts a request that ended, however it did."""
+        with self._lock:
+            tracked = self._tracked.get(name)
+            if tracked is not None:
+                tracked.in_flight -= 1
+
+    def note_failure(self, name: str) -> None:
+        """Notes that an endpoint took no connection or broke one off."""
+        self._change(name, lambda h: h.fail())
+
+    def note_refusal(self, name: str) -> None:
+        """Notes that an endpoint refused work because it leaves."""
+        self._leave(name, health_module.Sign.REFUSAL)
+
+    # Signs
+
+    def _change(self, name: str, step) -> None:  # type: ignore[no-untyped-def]
+        with self._lock:
+            tracked = self._tracked.get(name)
+            if tracked is not None:
+                tracked.health = step(tracked.health)
+
+    def _leave(self, name: str, sign: health_module.Sign) -> None:
+        now = time.monotonic()
+        with self._lock:
+            tracked = self._tracked.get(name)
+            if tracked is None:
+                return
+            was_leaving = tracked.health.is_leaving
+            tracked.health = tracked.health.leave(sign, now)
+        if was_leaving:
+            return
+        logs.event(_LOG, "endpoint_leaving", endpoint=name, sign=sign)
+        if sign is health_module.Sign.PEER:
+            return
+        origin = self._node.identity.name
+        fact = facts.Fact(
+            facts.Topic.LEAVING, name, origin, time.time(), 1.0, _LEAVING_TTL
+        )
+        self._node.publish(fact)
+
+    def _take_facts(self, news: tuple[facts.Fact, ...]) -> None:
+        for fact in news:
+            mine = fact.origin == self._node.identity.name
+            if fact.topic is facts.Topic.LEAVING and not mine:
+                self._leave(fact.subject, health_module.Sign.PEER)
+
+    def _take_listed(self, name: str, value: kinds.Endpoint | None) -> None:
+        if value is None:
+            with self._lock:
+                self._tracked.pop(name, None)
+            self.prefixes.forget(name)
+            return
+        self.adopt(value)
+        if value.phase is kinds.Phase.LEAVING:
+            self._leave(name, health_module.Sign.LIST)
+        else:
+            self._change(name, lambda h: h.list_live())
+
+    def adopt(self, endpoint: kinds.Endpoint) -> None:
+        """Takes in an endpoint of the list, from the platform or a peer."""
+        with self._lock:
+            tracked = self._tracked.get(endpoint.name)
+            if tracked is None:
+                self._tracked[endpoint.name] = _Tracked(endpoint)
+            else:
+                tracked.endpoint = endpoint
+
+    # Reports
+
+    def _poll_all(self) -> None:
+        while not self._stopping.wait(self._settings.routing.poll_seconds):
+            with self._lock:
+                due = [t for t in self._tracked.values() if not t.is_polling]
+                for tracked in due:
+                    tracked.is_polling = True
+            for tracked in due:
+                self._pool.submit(self._poll, tracked)
+            self._tell_sent()
+
+    def _poll(self, tracked: _Tracked) -> None:
+        try:
+            self._ask(tracked)
+        except errors.WayslipError:
+            self.note_failure(tracked.endpoint.name)
+        except Exception:
+            _LOG.exception("poll_failed")
+        finally:
+            tracked.is_polling = False
+
+    def _ask(self, tracked: _Tracked) -> None:
+        name, address = tracked.endpoint.name, tracked.endpoint.address
+        asked_at = time.monotonic()
+        if tracked.endpoint.role is kinds.EndpointRole.SERVICE:
+            serves = service_module.ask_state(address, _REPORT_SECONDS)
+        else:
+            report = self._dialect.report(address, _REPORT_SECONDS)
+            serves = report.state is engine_module.EngineState.SERVING
+            self._take_report(tracked, report, asked_at)
+        if not serves:
+            self._leave(name, health_module.Sign.REPORT)
+            return
+        self._change(name, lambda h: h.prove(asked_at))
+
+    def _take_report(
+        self, tracked: _Tracked, report: engine_module.Report, asked_at: float
+    ) -> None:
+        with self._lock:
+            old = tracked.report
+            tracked.report = report
+            tracked.asked_at = asked_at
+            tracked.sent = [s for s in tracked.sent if s[0] >= asked_at]
+        if old is not None and old.boot != report.boot:
+            self.prefixes.forget(tracked.endpoint.name)
+
+    def _tell_sent(self) -> None:
+        """Tells peers what prefill this entry sent in the last period."""
+        since = time.monotonic() - self._settings.routing.poll_seconds
+        with self._lock:
+            totals = {
+                name: sum(tokens for at, tokens in t.sent if at >= since)
+                for name, t in self._tracked.items()
+            }
+        origin = self._node.identity.name
+        ttl = 2 * self._settings.routing.poll_seconds
+        for name, tokens in totals.items():
+            if tokens:
+                fact = facts.Fact(
+                    facts.Topic.IN_FLIGHT,
+                    name,
+                    origin,
+                    time.time(),
+                    float(tokens),
+                    ttl,
+                )
+                self._node.publish(fact)
+
+
+def resolve_items(
+    view: EndpointView, target: catalogs.Target
+) -> tuple[tuple[str, ...], str]:
+    """Returns the items and the engine's model name that can answer now.
+
+    A model whose version changes is answered by the old version until the
+    new one is resident.
+    """
+    if target.fallback and not view.is_engine_holding(
+        target.engines, target.items[0]
+    ):
+        return (target.fallback,), target.fallback
+    return target.items, target.engine_model
--- /dev/null
+++ b/src/wayslip/metrics.py
@@ -0,0 +1,124 @@
+"""Metrics of a process: counters, gauges and latency histograms.
+
+Histograms are HDR histograms in microseconds; they are shown in the
+Prometheus text form as summaries. All methods may be called from any thread.
+"""
+
+from collections.abc import Iterator
+import threading
+
+from hdrh import histogram
+import prometheus_client
+from prometheus_client import core
+
+_LOWEST_US = 1
+_HIGHEST_US = 600_000_000
+_DIGITS = 2
+_QUANTILES = (0.5, 0.95, 0.99)
+_US = 1_000_000
+
+
+class Latency:
+    """A histogram of durations, given and shown in seconds."""
+
+    def __init__(self, name: str, help_text: str) -> None:
+        self.name = name
+        self.help_text = help_text
+        self._lock = threading.Lock()
+        self._histogram = histogram.HdrHistogram(
+            _LOWEST_US, _HIGHEST_US, _DIGITS
+        )
+        self._sum = 0.0
+
+    def observe(self, seconds: float) -> None:
+        """Counts one duration, clamped to the histogram's range."""
+        us = min(max(int(seconds * _US), _LOWEST_US), _HIGHEST_US)
+        with self._lock:
+            self._histogram.record_value(us)
+            self._sum += seconds
+
+    def quantile(self, fraction: float) -> float:
+        """Returns the duration in seconds below which a fraction lies."""
+        with self._lock:
+            us = self._histogram.get_value_at_percentile(fraction * 100)
+        return us / _US
+
+    @property
+    def count(self) -> int:
+        """How many durations were counted."""
+        with self._lock:
+            return int(self._histogram.get_total_count())
+
+    def collect(self) -> core.Metric:
+        """Returns the histogram as a Prometheus summary with quantiles."""
+        metric = core.Metric(self.name, self.help_text, "summary")
+        for fraction in _QUANTILES:
+            labels = {"quantile": str(fraction)}
+            metric.add_sample(self.name, labels, self.quantile(fraction))
+        metric.add_sample(f"{self.name}_count", {}, self.count)
+        metric.add_sample(f"{self.name}_sum", {}, self._sum)
+        return metric
+
+
+class Metrics:
+    """The metrics of one process, by name."""
+
+    def __init__(self) -> None:
+        self._registry = prometheus_client.CollectorRegistry()
+        self._registry.register(self)  # type: ignore[arg-type]
+        self._lock = threading.Lock()
+        self._counters: dict[str, prometheus_client.Counter] = {}
+        self._gauges: dict[str, prometheus_client.Gauge] = {}
+        self._latencies: dict[str, Latency] = {}
+
+    def count(self, name: str, amount: float = 1, **labels: str) -> None:
+        """Adds to a counter; its label names are fixed by the first call."""
+        with self._lock:
+            counter = self._counters.get(name)
+            if counter is None:
+                counter = prometheus_client.Counter(
+                    f"wayslip_{name}",
+                    name.replace("_", " "),
+                    list(labels),
+                    registry=self._registry,
+                )
+                self._counters[name] = counter
+        (counter.labels(**labels) if labels else counter).inc(amount)
+
+    def value(self, name: str, **labels: str) -> float:
+        """Returns a counter's value, 0 where nothing was counted."""
+        full = f"wayslip_{name}_total"
+        return self._registry.get_sample_value(full, labels) or 0.0
+
+    def set(self, name: str, value: float) -> None:
+        """Sets a gauge."""
+        with self._lock:
+            gauge = self._gauges.get(name)
+            if gauge is None:
+                gauge = prometheus_client.Gauge(
+                    f"wayslip_{name}",
+                    name.replace("_", " "),
+                    registry=self._registry,
+                )
+                self._gauges[name] = gauge
+        gauge.set(value)
+
+    def latency(self, name: str) -> Latency:
+        """Returns the histogram of a name, made on first use."""
+        with self._lock:
+            if name not in self._latencies:
+                self._latencies[name] = Latency(
+                    f"wayslip_{name}_seconds", name.replace("_", " ")
+                )
+            return self._latencies[name]
+
+    def collect(self) -> Iterator[core.Metric]:
+        """Yields the histograms; called by the Prometheus registry."""
+        with self._lock:
+            latencies = list(self._latencies.values())
+        for latency in latencies:
+            yield latency.collect()
+
+    def render(self) -> bytes:
+        """Returns all metrics in the Prometheus text form."""
+        return prometheus_client.generate_latest(self._registry)
--- /dev/null
+++ b/src/wayslip/objects/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's object API: kinds of objects, client and watch."""
--- /dev/null
+++ b/src/wayslip/objects/client.py
@@ -0,0 +1,323 @@
+"""Client of the object API.
+
+It follows the public conventions of Kubernetes-style APIs: objects carry a
+`resourceVersion`, an update names the version it replaces and meets 409 when
+that is no longer the newest, and a watch begins after a listed version and
+meets 410 when that is too old.
+
+The HTTP client's own retries are off: a write whose answer was lost may have
+taken effect, and only the caller knows how to find that out.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import dataclasses
+import json
+from typing import Any
+from typing import Generic
+from typing import TypeVar
+
+import urllib3
+
+from wayslip import errors
+from wayslip import metrics as metrics_module
+from wayslip import refusals
+from wayslip import settings
+from wayslip.objects import kinds
+
+T = TypeVar("T")
+
+_PREFIX = "/apis/wayslip.io/v1"
+_MAX_TRIES = 32
+_POOL_SIZE = 16
+
+
+@dataclasses.dataclass(frozen=True)
+class Stored(Generic[T]):
+    """Content with the version it was read at."""
+
+    name: str
+    version: str
+    value: T
+
+
+@dataclasses.dataclass(frozen=True)
+class Listing(Generic[T]):
+    """Objects of a kind and the version to watch from."""
+
+    items: tuple[Stored[T], ...]
+    version: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Event(Generic[T]):
+    """A change seen by a watch; `stored` is None for a bookmark.
+
+    Attributes:
+        version: The version to go on from after a break.
+    """
+
+    version: str
+    stored: Stored[T] | None
+    is_deleted: bool = False
+
+
+class ObjectClient:
+    """Reads and conditionally writes objects. Safe for many threads."""
+
+    def __init__(
+        self,
+        options: settings.Objects,
+        metrics: metrics_module.Metrics | None = None,
+    ) -> None:
+        self._options = options
+        self._metrics = metrics or metrics_module.Metrics()
+        self._http = urllib3.PoolManager(
+            maxsize=_POOL_SIZE,
+            retries=False,
+            timeout=urllib3.Timeout(total=options.timeout),
+        )
+
+    # Reading
+
+    def get(self, kind: kinds.Kind[T], name: str) -> Stored[T]:
+        """Returns an object.
+
+        Raises:
+            ObjectMissingError: There is none of that name.
+            ObjectUnavailableError: The object API did not answer.
+        """
+        return self._parse(kind, self._call("GET", _path(kind, name)))
+
+    def find(self, kind: kinds.Kind[T], name: str) -> Stored[T] | None:
+        """Returns an object, None if there is none of that name."""
+        try:
+            return self.get(kind, name)
+        except errors.ObjectMissingError:
+            return None
+
+    def list(self, kind: kinds.Kind[T]) -> Listing[T]:
+        """Returns all objects of a kind, leaving out malformed ones."""
+        body = self._call("GET", _path(kind))
+        items = []
+        for raw in body["items"]:
+            try:
+                items.append(self._parse(kind, raw))
+            except errors.ObjectError:
+                self._metrics.count("objects_malformed", kind=kind.plural)
+        return Listing(tuple(items), body["metadata"]["resourceVersion"])
+
+    def watch(self, kind: kinds.Kind[T], version: str) -> Iterator[Event[T]]:
+        """Yields changes after a version until the watch's time is up.
+
+        Raises:
+            WatchExpiredError: The version is too old; list again.
+            ObjectUnavailableError: The watch broke off.
+        """
+        seconds = self._options.watch_seconds
+        url = (
+            f"{self._options.url}{_path(kind)}?watch=true"
+            f"&resourceVersion={version}&timeoutSeconds={seconds:g}"
+        )
+        timeout = urllib3.Timeout(
+            connect=self._options.timeout, read=seconds + self._options.timeout
+        )
+        try:
+            response = self._http.request(
+                "GET",
+                url,
+                headers=self._headers(),
+                preload_content=False,
+                timeout=timeout,
+            )
+            _raise_for_status(response.status, "watch")
+            for line in _iterate_lines(response):
+                yield self._parse_event(kind, json.loads(line))
+        except (urllib3.exceptions.HTTPError, OSError, ValueError) as e:
+            raise _unavailable("watch", e) from e
+
+    # Writing
+
+    def create(self, kind: kinds.Kind[T], name: str, value: T) -> Stored[T]:
+        """Creates an object.
+
+        Raises:
+            ObjectConflictError: There is one of that name.
+            ObjectUnavailableError: It may have been created.
+        """
+        raw = _envelope(kind, name, value, None)
+        return self._parse(kind, self._call("POST", _path(kind), raw))
+
+    def update(
+        self, kind: kinds.Kind[T], stored: Stored[Any], value: T
+    ) -> Stored[T]:
+        """Replaces an object if it still has the version that was read.
+
+        Raises:
+            ObjectConflictError: It has changed since; nothing was written.
+            ObjectUnavailableError: It may have been replaced.
+        """
+        raw = _envelope(kind, stored.name, value, stored.version)
+        path = _path(kind, stored.name)
+        return self._parse(kind, self._call("PUT", path, raw))
+
+    def delete(self, kind: kinds.Kind[Any], name: str) -> None:
+        """Deletes an object; one that is gone already is no error."""
+        try:
+            self._call("DELETE", _path(kind, name))
+        except errors.ObjectMissingError:
+            return
+
+    def change(
+        self,
+        kind: kinds.Kind[T],
+        name: str,
+        step: Callable[[T | None], T | refusals.Refusal],
+    ) -> Stored[T] | refusals.Refusal:
+        """Reads, computes and conditionally writes until it is settled.
+
+        The step sees the present content and returns the wanted one; it must
+        return its argument unchanged when its own earlier write is already in
+        it. That is how a write whose answer was lost is found again: a stale
+        read only leads to a conflict and a further read.
+
+        Returns:
+            What is stored now, or the step's refusal.
+
+        Raises:
+            ObjectUnavailableError: The object API did not answer; the change
+                may or may not have been made.
+        """
+        for _ in range(_MAX_TRIES):
+            stored = self.find(kind, name)
+            wanted = step(stored.value if stored else None)
+            if isinstance(wanted, refusals.Refusal):
+                return wanted
+            if stored is not None and wanted == stored.value:
+                return stored
+            try:
+                if stored is None:
+                    return self.create(kind, name, wanted)
+                return self.update(kind, stored, wanted)
+            except errors.ObjectConflictError:
+                self._metrics.count("object_conflicts", kind=kind.plural)
+        raise errors.ObjectUnavailableError(
+            f"{kind.plural}/{name} changed {_MAX_TRIES} times under the update",
+            "try again; if it goes on, look for two writers in a loop",
+        )
+
+    # Calls
+
+    def _call(self, method: str, path: str, body: Any = None) -> Any:
+        self._metrics.count("object_calls", method=method)
+        data = None if body is None else json.dumps(body).encode()
+        try:
+            response = self._http.request(
+                method,
+                self._options.url + path,
+                body=data,
+                headers=self._headers(),
+            )
+            _raise_for_status(response.status, f"{method} {path}")
+            return json.loads(response.data)
+        except (urllib3.exceptions.HTTPError, OSError, ValueError) as e:
+            self._metrics.count("object_failures", method=method)
+            raise _unavailable(f"{method} {path}", e) from e
+
+    def _headers(self) -> dict[str, str]:
+        return {
+            "Authorization": f"Bearer {self._options.token}",
+            "Content-Type": "application/json",
+        }
+
+    def _parse(self, kind: kinds.Kind[T], raw: Any) -> Stored[T]:
+        try:
+            metadata = raw["metadata"]
+            name = metadata["name"]
+            version = metadata["resourceVersion"]
+            spec = raw["spec"]
+        except (KeyError, TypeError) as e:
+            raise errors.ObjectError(
+                f"a {kind.name} object lacks its envelope",
+                "restore the object or delete it",
+            ) from e
+        return Stored(name, version, kind.parse(spec))
+
+    def _parse_event(self, kind: kinds.Kind[T], raw: Any) -> Event[T]:
+        raw_object = raw["object"]
+        if raw["type"] == "ERROR":
+            _raise_for_status(raw_object.get("code", 500), "watch")
+        version = raw_object["metadata"]["resourceVersion"]
+        if raw["type"] == "BOOKMARK":
+            return Event(version, None)
+        try:
+            stored = self._parse(kind, raw_object)
+        except errors.ObjectError:
+            self._metrics.count("objects_malformed", kind=kind.plural)
+            return Event(version, None)
+        return Event(version, stored, raw["type"] == "DELETED")
+
+
+def _path(kind: kinds.Kind[Any], name: str = "") -> str:
+    path = f"{_PREFIX}/{kind.plural}"
+    return f"{path}/{name}" if name else path
+
+
+def _envelope(
+    kind: kinds.Kind[T], name: str, value: T, version: str | None
+) -> Any:
+    metadata = {"name": name}
+    if version is not None:
+        metadata["resourceVersion"] = version
+    return {
+        "apiVersion": "wayslip.io/v1",
+        "kind": kind.name,
+        "metadata": metadata,
+        "spec": kind.dump(value),
+    }
+
+
+def _iterate_lines(response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
+    rest = b""
+    for chunk in response.stream(None):
+        *lines, rest = (rest + chunk).split(b"\n")
+        yield from (line for line in lines if line)
+
+
+def _raise_for_status(status: int, what: str) -> None:
+    if status < 400:
+        return
+    match status:
+        case 404:
+            raise errors.ObjectMissingError(
+                f"{what}: there is no such object", "create it first"
+            )
+        case 409:
+            raise errors.ObjectConflictError(
+                f"{what}: the object has changed", "read it again"
+            )
+        case 410:
+            raise errors.WatchExpiredError(
+                f"{what}: the version is too old", "list again"
+            )
+        case 401 | 403:
+            raise errors.ObjectError(
+                f"{what}: the object API refused the token",
+                "check objects.token in the settings",
+            )
+        case 400 | 413 | 422:
+            raise errors.ObjectError(
+                f"{what}: the object API called the object invalid ({status})",
+                "see the object API's log",
+            )
+    raise errors.ObjectUnavailableError(
+        f"{what}: the object API answered {status}", "try again later"
+    )
+
+
+def _unavailable(what: str, cause: Exception) -> errors.ObjectUnavailableError:
+    kind = type(cause).__name__
+    return errors.ObjectUnavailableError(
+        f"{what}: the object API did not answer ({kind})",
+        "check the platform's object API; requests go on without it",
+    )
--- /dev/null
+++ b/src/wayslip/objects/informer.py
@@ -0,0 +1,141 @@
+"""A local copy of all objects of a kind, kept by list and watch.
+
+The copy is soft state: it lags, and during an outage it stays as it was. Its
+age can be read. Decisions that must be right read the object itself.
+"""
+
+from collections.abc import Callable
+import logging
+import threading
+import time
+from typing import Generic
+from typing import TypeVar
+
+from wayslip import errors
+from wayslip import logs
+from wayslip.objects import client as client_module
+from wayslip.objects import kinds
+
+T = TypeVar("T")
+
+_LOG = logging.getLogger(__name__)
+_RETRY_SECONDS = 0.5
+# A watch may skip events, so the whole list is read again now and then.
+_RELIST_SECONDS = 30.0
+
+Listener = Callable[[str, T | None], None]
+
+
+class Informer(Generic[T]):
+    """Lists, then watches, in a thread of its own."""
+
+    def __init__(
+        self,
+        client: client_module.ObjectClient,
+        kind: kinds.Kind[T],
+        is_wanted: Callable[[], bool] = lambda: True,
+    ) -> None:
+        """Prepares an informer.
+
+        Args:
+            client: The object API.
+            kind: The kind of objects.
+            is_wanted: Whether this process watches now; asked again each time.
+        """
+        self._client = client
+        self._kind = kind
+        self._is_wanted = is_wanted
+        self._listeners: list[Listener[T]] = []
+        self._objects: dict[str, T] = {}
+        self._stopping = threading.Event()
+        self.synced_at = 0.0
+        self._thread = threading.Thread(
+            target=self._run, name=f"watch-{kind.plural}", daemon=True
+        )
+
+    def subscribe(self, listener: Listener[T]) -> None:
+        """Has a function called with the name and content of each change.
+
+        The content is None where the object was deleted. Subscribe before
+        `start`; calls come from the informer's thread.
+        """
+        self._listeners.append(listener)
+
+    def start(self) -> None:
+        """Starts to list and watch."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Ends after the call that is under way."""
+        self._stopping.set()
+
+    @property
+    def objects(self) -> dict[str, T]:
+        """The copy, by name; replaced whole, so it may be iterated."""
+        return self._objects
+
+    @property
+    def age(self) -> float:
+        """Seconds since the object API was last heard."""
+        return time.monotonic() - self.synced_at
+
+    def _run(self) -> None:
+        while not self._stopping.is_set():
+            if not self._is_wanted():
+                self._stopping.wait(_RETRY_SECONDS)
+                continue
+            try:
+                self._follow()
+            except errors.WatchExpiredError:
+                continue
+            except errors.WayslipError as e:
+                logs.event(
+                    _LOG,
+                    "watch_broken",
+                    logging.DEBUG,
+                    kind=self._kind.plural,
+                    reason=e.reason,
+                )
+                self._stopping.wait(_RETRY_SECONDS)
+            except Exception:
+                _LOG.exception("watch_failed")
+                self._stopping.wait(_RETRY_SECONDS)
+
+    def _follow(self) -> None:
+        listing = self._client.list(self._kind)
+        self._replace({s.name: s.value for s in listing.items})
+        version = listing.version
+        relist_at = time.monotonic() + _RELIST_SECONDS
+        while time.monotonic() < relist_at and self._is_wanted():
+            for event in self._client.watch(self._kind, version):
+                version = event.version
+                self._apply(event)
+                if self._stopping.is_set():
+                    return
+            self.synced_at = time.monotonic()
+
+    def _replace(self, objects: dict[str, T]) -> None:
+        old, self._objects = self._objects, objects
+        self.synced_at = time.monotonic()
+        for name in old.keys() - objects.keys():
+            self._notify(name, None)
+        for name, value in objects.items():
+            if old.get(name) != value:
+                self._notify(name, value)
+
+    def _apply(self, event: client_module.Event[T]) -> None:
+        self.synced_at = time.monotonic()
+        if event.stored is None:
+            return
+        name = event.stored.name
+        objects = dict(self._objects)
+        if event.is_deleted:
+            objects.pop(name, None)
+        else:
+            objects[name] = event.stored.value
+        self._objects = objects
+        self._notify(name, None if event.is_deleted else event.stored.value)
+
+    def _notify(self, name: str, value: T | None) -> None:
+        for listener in self._listeners:
+            listener(name, value)
