--- /dev/null
+++ b/src/wayslip/objects/kinds.py
@@ -0,0 +1,112 @@
+"""The kinds of objects, each with its plural and the type of its content.
+
+Object content is validated when it is read: a bad object in the store is
+reported as an `ObjectError` and never reaches a decision.
+"""
+
+from collections.abc import Callable
+import dataclasses
+import enum
+from typing import Any
+from typing import Generic
+from typing import TypeVar
+
+import pydantic
+
+from wayslip import errors
+from wayslip import registry
+from wayslip.decisions import configuration
+from wayslip.decisions import journal
+from wayslip.decisions import ledger
+from wayslip.decisions import plan
+from wayslip.decisions import replicas
+
+T = TypeVar("T")
+
+CURRENT = "current"
+
+
+class EndpointRole(enum.StrEnum):
+    """What an endpoint is."""
+
+    ENGINE = "engine"
+    SERVICE = "service"
+
+
+class Phase(enum.StrEnum):
+    """What the platform's list says of an endpoint or instance."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+@dataclasses.dataclass(frozen=True)
+class Endpoint:
+    """An endpoint in the platform's list, which lags.
+
+    Attributes:
+        address: "IP:PORT".
+        capacity: Bytes for weights and adapters; 0 for a service.
+        checks_fence: Whether it refuses orders with an old fence.
+    """
+
+    name: str
+    role: EndpointRole
+    address: str
+    data_hall: str
+    phase: Phase = Phase.LIVE
+    capacity: int = 0
+    checks_fence: bool = True
+
+
+@dataclasses.dataclass(frozen=True)
+class Kind(Generic[T]):
+    """A kind of object.
+
+    Attributes:
+        name: Its singular, as in the object's `kind`.
+        plural: Its path in the object API.
+        adapter: Validates and prints content.
+    """
+
+    name: str
+    plural: str
+    adapter: pydantic.TypeAdapter[T]
+
+    def parse(self, value: Any) -> T:
+        """Returns the content of an object.
+
+        Raises:
+            ObjectError: The content is not of this kind.
+        """
+        try:
+            return self.adapter.validate_python(value, strict=False)
+        except pydantic.ValidationError as e:
+            first = e.errors()[0]
+            where = ".".join(str(part) for part in first["loc"])
+            raise errors.ObjectError(
+                f"a {self.name} object is malformed at {where}: {first['msg']}",
+                "restore the object or delete it",
+            ) from e
+
+    def dump(self, value: T) -> Any:
+        """Returns content as plain JSON values."""
+        return self.adapter.dump_python(value, mode="json")
+
+
+KINDS: registry.Registry[Kind[Any]] = registry.Registry("object kind")
+
+
+def _declare(name: str, plural: str, content: type[T]) -> Kind[T]:
+    config: Callable[..., Any] = pydantic.TypeAdapter
+    return KINDS.register(plural)(Kind(name, plural, config(content)))
+
+
+CONFIGURATION = _declare(
+    "Configuration", "configurations", configuration.Configuration
+)
+LEDGER = _declare("Ledger", "ledgers", ledger.Ledger)
+REPLICA_SET = _declare("ReplicaSet", "replicasets", replicas.ReplicaSet)
+PLAN = _declare("Plan", "plans", plan.Plan)
+SEGMENT = _declare("JournalSegment", "journalsegments", journal.Segment)
+ENDPOINT = _declare("Endpoint", "endpoints", Endpoint)
--- /dev/null
+++ b/src/wayslip/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Links between daemons: frames, calls, membership and gossip."""
--- /dev/null
+++ b/src/wayslip/settings.py
@@ -0,0 +1,382 @@
+"""Settings of an instance, read from one TOML file and validated whole.
+
+Both daemons of an instance read the same file. Times are in seconds and sizes
+in bytes unless a name says otherwise.
+"""
+
+import dataclasses
+import ipaddress
+import pathlib
+import tomllib
+from typing import Annotated
+from typing import Any
+
+import pydantic
+
+from wayslip import errors
+
+Positive = Annotated[float, pydantic.Field(gt=0)]
+Count = Annotated[int, pydantic.Field(ge=1)]
+Fraction = Annotated[float, pydantic.Field(ge=0, le=1)]
+Secret = Annotated[str, pydantic.Field(min_length=16)]
+Name = Annotated[
+    str, pydantic.Field(pattern=r"^[a-z0-9]([a-z0-9.-]*[a-z0-9])?$")
+]
+
+
+def _check_address(text: str) -> str:
+    host, _, port = text.rpartition(":")
+    ipaddress.ip_address(host.strip("[]"))
+    if not 0 <= int(port) <= 65535:
+        raise ValueError("the port must be from 0 to 65535")
+    return text
+
+
+Address = Annotated[str, pydantic.AfterValidator(_check_address)]
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Returns the IP number and the port of "IP:PORT"."""
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+_STRICT = pydantic.ConfigDict(extra="forbid")
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Instance:
+    """Who this instance is; told by the platform's provisioning."""
+
+    __pydantic_config__ = _STRICT
+    name: Name
+    data_hall: Name
+    region: Name
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Listen:
+    """The addresses one daemon listens on.
+
+    Attributes:
+        operators: Health, metrics, state and, at a control, operators' calls.
+        peers: Calls from peers (TCP) and membership (UDP), the same port.
+        callers: Callers' HTTP; used by an entry only.
+    """
+
+    __pydantic_config__ = _STRICT
+    operators: Address
+    peers: Address
+    callers: Address = "127.0.0.1:0"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Objects:
+    """The platform's object API."""
+
+    __pydantic_config__ = _STRICT
+    url: str
+    token: Secret
+    timeout: Positive = 2.0
+    watch_seconds: Positive = 20.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Security:
+    """Keys shared by all instances, and TLS for the callers' port.
+
+    Attributes:
+        peer_key: Authenticates frames between peers.
+        resume_key: Signs resume ids of streams.
+        certificate: Path of the PEM chain; empty for plain HTTP.
+        private_key: Path of the PEM key; empty for plain HTTP.
+    """
+
+    __pydantic_config__ = _STRICT
+    peer_key: Secret
+    resume_key: Secret
+    certificate: str = ""
+    private_key: str = ""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Caller:
+    """A caller and what it may use.
+
+    Attributes:
+        priority: The class of its requests, a key of `Admission.classes`.
+        max_in_flight: Requests at once over all entries.
+    """
+
+    __pydantic_config__ = _STRICT
+    name: Name
+    key: Secret
+    priority: Name = "standard"
+    max_in_flight: Count = 64
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Operator:
+    """An operator and the key that operator's commands carry."""
+
+    __pydantic_config__ = _STRICT
+    name: Name
+    key: Secret
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RequestClass:
+    """A class of requests.
+
+    Attributes:
+        rank: Lower ranks are admitted first.
+        target: Seconds to the first token that count as attained.
+        deadline: Seconds after which nobody waits for the answer.
+        share: Fraction of an endpoint's slots the class may fill.
+    """
+
+    __pydantic_config__ = _STRICT
+    rank: int
+    target: Positive
+    deadline: Positive
+    share: Annotated[float, pydantic.Field(gt=0, le=1)] = 1.0
+
+
+def _default_classes() -> dict[str, RequestClass]:
+    return {
+        "dispatch": RequestClass(rank=0, target=0.35, deadline=30.0),
+        "standard": RequestClass(rank=1, target=1.0, deadline=60.0, share=0.85),
+        "batch": RequestClass(rank=2, target=10.0, deadline=300.0, share=0.6),
+    }
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Admission:
+    """Which requests start and which are refused.
+
+    Attributes:
+        policy: A registered admission policy.
+        retry_fraction: Retries allowed for each first attempt.
+    """
+
+    __pydantic_config__ = _STRICT
+    policy: str = "deadline"
+    endpoint_in_flight: Count = 64
+    total_in_flight: Count = 1024
+    retry_fraction: Fraction = 0.1
+    max_attempts: Count = 3
+    classes: dict[str, RequestClass] = dataclasses.field(
+        default_factory=_default_classes
+    )
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Routing:
+    """How an endpoint is chosen.
+
+    Attributes:
+        policy: A registered routing policy.
+        report_age: Seconds after which a load report no longer counts.
+        poll_seconds: Seconds between load reports from one endpoint.
+    """
+
+    __pydantic_config__ = _STRICT
+    policy: str = "predicted"
+    report_age: Positive = 10.0
+    poll_seconds: Positive = 0.5
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Limits:
+    """Bounds on what one caller or peer can make a process hold.
+
+    Attributes:
+        resume_seconds: Wait after a caller hung up before its stream is
+            cancelled at the engine, so that it can be resumed elsewhere.
+        keyed_in_flight: Requests at once that carry an Idempotency-Key.
+    """
+
+    __pydantic_config__ = _STRICT
+    header_bytes: Count = 32_768
+    body_bytes: Count = 4_194_304
+    frame_bytes: Count = 4_194_304
+    answer_bytes: Count = 16_777_216
+    worker_threads: Count = 128
+    connections: Count = 2_048
+    idle_seconds: Count = 10
+    stream_buffer_bytes: Count = 262_144
+    streams: Count = 2_048
+    resume_seconds: Positive = 5.0
+    keyed_in_flight: Count = 256
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Journal:
+    """The journal of requests that may not be repeated.
+
+    Attributes:
+        slots: Journal objects the keys are spread over; the same everywhere.
+        retention: Seconds for which a key's result is kept.
+        answer_bytes: Largest answer that is kept for a retry.
+        segment_bytes: Size at which kept answers are dropped, oldest first.
+        issued_seconds: Time for which an issued key can be used.
+        issued_limit: Issued keys that are out at once.
+    """
+
+    __pydantic_config__ = _STRICT
+    slots: Count = 256
+    retention: Positive = 86_400.0
+    answer_bytes: Count = 4_096
+    segment_bytes: Annotated[int, pydantic.Field(ge=4096, le=900_000)] = 600_000
+    issued_seconds: Positive = 3_600.0
+    issued_limit: Count = 100_000
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Peers:
+    """Membership and gossip between daemons.
+
+    Attributes:
+        seeds: Peer addresses to join through.
+        period: Seconds between probes of one random peer.
+        suspicion: Seconds a suspect has to refute before it is dead.
+        fanout: Peers that hear a fresh fact from each that holds it.
+    """
+
+    __pydantic_config__ = _STRICT
+    seeds: tuple[Address, ...] = ()
+    period: Positive = 0.5
+    suspicion: Positive = 2.0
+    fanout: Count = 4
+    watchers: Count = 3
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Placement:
+    """How models are placed.
+
+    Attributes:
+        automatic: Whether replicas follow demand by themselves.
+        move_weight: Price of a move against attainment; higher moves less.
+        load_rate: Loads a second that the weight store allows.
+        load_slots: Loads at once at full speed.
+        quarantine: Seconds for which a dead sender's order may still arrive
+            at an endpoint without a fence check.
+    """
+
+    __pydantic_config__ = _STRICT
+    automatic: bool = False
+    move_weight: Annotated[float, pydantic.Field(ge=0)] = 1.0
+    load_rate: Positive = 1.4
+    load_slots: Count = 15
+    quarantine: Positive = 120.0
+    period: Positive = 0.5
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Drain:
+    """The planned stop.
+
+    Attributes:
+        balancer_seconds: Wait between failing readiness and refusing work.
+        finish_seconds: Longest wait for requests in progress.
+    """
+
+    __pydantic_config__ = _STRICT
+    balancer_seconds: Annotated[float, pydantic.Field(ge=0)] = 5.0
+    finish_seconds: Positive = 600.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Settings:
+    """All settings of an instance."""
+
+    __pydantic_config__ = _STRICT
+    instance: Instance
+    entry: Listen
+    control: Listen
+    objects: Objects
+    security: Security
+    callers: tuple[Caller, ...]
+    operators: tuple[Operator, ...]
+    admission: Admission = Admission()
+    routing: Routing = Routing()
+    limits: Limits = Limits()
+    journal: Journal = Journal()
+    peers: Peers = Peers()
+    placement: Placement = Placement()
+    drain: Drain = Drain()
+    log_level: Annotated[
+        str, pydantic.Field(pattern="^(debug|info|warning|error)$")
+    ] = "info"
+
+
+_ADAPTER = pydantic.TypeAdapter(Settings)
+
+
+def parse_settings(values: dict[str, Any], source: str) -> Settings:
+    """Returns validated settings.
+
+    Args:
+        values: The parsed TOML document.
+        source: The file's name, for messages.
+
+    Raises:
+        SettingsError: A key is unknown or missing or a value is impossible.
+    """
+    try:
+        parsed = _ADAPTER.validate_python(values)
+    except pydantic.ValidationError as e:
+        first = e.errors()[0]
+        key = ".".join(str(part) for part in first["loc"]) or "(top level)"
+        raise errors.SettingsError(
+            f"{source}: {key}: {first['msg']}", _remedy(first["type"], key)
+        ) from e
+    _check_references(parsed, source)
+    return parsed
+
+
+def _remedy(kind: str, key: str) -> str:
+    match kind:
+        case "unexpected_keyword_argument" | "extra_forbidden":
+            return f"remove {key} or correct its spelling"
+        case "missing" | "missing_argument" | "missing_keyword_only_argument":
+            return f"add {key}"
+    return f"correct {key}, see examples/instance.toml"
+
+
+def _check_references(settings: Settings, source: str) -> None:
+    for caller in settings.callers:
+        if caller.priority not in settings.admission.classes:
+            raise errors.SettingsError(
+                f"{source}: callers.{caller.name}.priority:"
+                f" there is no class {caller.priority!r}",
+                f"add [admission.classes.{caller.priority}] or name another",
+            )
+    security = settings.security
+    if bool(security.certificate) != bool(security.private_key):
+        raise errors.SettingsError(
+            f"{source}: security: certificate and private_key go together",
+            "set both or neither",
+        )
+
+
+def load_settings(path: str) -> Settings:
+    """Reads and validates a settings file.
+
+    Raises:
+        SettingsError: The file can not be read, parsed or used.
+    """
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+    except OSError as e:
+        raise errors.SettingsError(
+            f"{path}: {e.strerror}", "name a readable settings file"
+        ) from e
+    try:
+        values = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as e:
+        raise errors.SettingsError(
+            f"{path}: {e}", "correct the TOML at that place"
+        ) from e
+    return parse_settings(values, path)
--- /dev/null
+++ b/src/wayslip/web.py
@@ -0,0 +1,328 @@
+"""HTTP serving on cheroot: requests in, answers out, with bounds.
+
+A program gives a function from `Request` to `Answer`. The function may also
+take the connection over for a stream, see `Request.detach`.
+"""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+import dataclasses
+import http
+import json
+import logging
+import socket
+import threading
+import time
+from typing import Any
+import urllib.parse
+
+from cheroot import server as cheroot_server
+from cheroot.ssl import builtin as cheroot_ssl
+
+from wayslip import errors
+from wayslip import settings as settings_module
+
+_LOG = logging.getLogger(__name__)
+_READ_BYTES = 65_536
+_SWEEP_SECONDS = 1.0
+_ACCEPT_QUEUE = 512
+
+OUTCOME = "Wayslip-Outcome"
+NOT_RUN = "not-run"
+RAN = "ran"
+UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(frozen=True)
+class Answer:
+    """A whole answer."""
+
+    status: int
+    body: bytes
+    content_type: str = "application/json"
+    headers: Mapping[str, str] = dataclasses.field(default_factory=dict)
+
+
+def answer_json(status: int, value: Any, **headers: str) -> Answer:
+    """Returns an answer with a JSON body."""
+    names = {name.replace("_", "-"): text for name, text in headers.items()}
+    data = json.dumps(value, default=str).encode() + b"\n"
+    return Answer(status, data, headers=names)
+
+
+class Request:
+    """A request whose head has been read."""
+
+    def __init__(self, raw: Any, body_limit: int) -> None:
+        self._raw = raw
+        self._limit = body_limit
+        self.method = raw.method.decode("ascii")
+        uri = urllib.parse.urlsplit(raw.uri.decode("latin-1"))
+        self.path = urllib.parse.unquote(uri.path)
+        self.raw_path = uri.path + (f"?{uri.query}" if uri.query else "")
+        self.query = dict(urllib.parse.parse_qsl(uri.query))
+        self.is_detached = False
+
+    def header(self, name: str, default: str = "") -> str:
+        """Returns a header's value."""
+        value = self._raw.inheaders.get(name.title().encode("ascii"))
+        return default if value is None else value.decode("latin-1")
+
+    def read(self) -> bytes:
+        """Returns the body.
+
+        Raises:
+            BadRequestError: It is longer than the limit, or was cut.
+        """
+        length = self.header("Content-Length", "0")
+        if not length.isdecimal() or int(length) > self._limit:
+            raise errors.BadRequestError(
+                f"the body is longer than {self._limit} bytes",
+                "send less, or have limits.body_bytes raised",
+            )
+        data = b""
+        while chunk := self._raw.rfile.read(_READ_BYTES):
+            data += chunk
+            if len(data) > self._limit:
+                raise errors.BadRequestError(
+                    f"the body is longer than {self._limit} bytes",
+                    "send less, or have limits.body_bytes raised",
+                )
+        if len(data) < int(length):
+            raise errors.BadRequestError(
+                "the body ended early", "send Content-Length bytes"
+            )
+        return data
+
+    def read_json(self) -> Any:
+        """Returns the body as a JSON object.
+
+        Raises:
+            BadRequestError: It is none.
+        """
+        try:
+            value = json.loads(self.read())
+        except ValueError as e:
+            raise errors.BadRequestError(
+                f"the body is no JSON: {e}", "send a JSON object"
+            ) from e
+        if not isinstance(value, dict):
+            raise errors.BadRequestError(
+                "the body is no JSON object", "send a JSON object"
+            )
+        return value
+
+    def send(self, answer: Answer) -> None:
+        """Sends a whole answer."""
+        raw = self._raw
+        raw.status = _status_line(answer.status)
+        raw.outheaders = [
+            (b"Content-Type", answer.content_type.encode("latin-1")),
+            (b"Content-Length", str(len(answer.body)).encode()),
+            *_encode_headers(answer.headers),
+        ]
+        raw.ensure_headers_sent()
+        if self.method != "HEAD":
+            raw.write(answer.body)
+
+    def detach(self, headers: Mapping[str, str]) -> tuple[socket.socket, Any]:
+        """Sends the head of a chunked answer and gives the connection away.
+
+        The server's worker is free for the next request at once. Whoever
+        takes the socket writes the chunks and closes it.
+
+        Returns:
+            The socket, non-blocking, and an object that keeps it open.
+        """
+        raw = self._raw
+        raw.status = _status_line(200)
+        raw.outheaders = _encode_headers(headers)
+        # The connection ends with the stream, and the server must not close
+        # the socket when its worker returns: cheroot lingers then.
+        raw.close_connection = True
+        raw.conn.linger = True
+        raw.ensure_headers_sent()
+        raw.conn.wfile.flush()
+        # Else cheroot would write the closing chunk when we return.
+        raw.chunked_write = False
+        self.is_detached = True
+        raw.conn.socket.setblocking(False)
+        return raw.conn.socket, raw.conn
+
+
+def _status_line(status: int) -> bytes:
+    try:
+        phrase = http.HTTPStatus(status).phrase
+    except ValueError:
+        phrase = "Status"
+    return f"{status} {phrase}".encode("ascii")
+
+
+def _encode_headers(headers: Mapping[str, str]) -> list[tuple[bytes, bytes]]:
+    return [
+        (name.encode("ascii"), value.encode("latin-1"))
+        for name, value in headers.items()
+    ]
+
+
+Application = Callable[[Request], Answer | None]
+
+
+class _ReadClock:
+    """Closes connections whose request takes too long to arrive.
+
+    A socket time-out starts anew with every byte, so a caller that sends a
+    byte now and then could hold a worker for ever.
+    """
+
+    def __init__(self, seconds: float) -> None:
+        self._seconds = seconds
+        self._lock = threading.Lock()
+        self._reading: dict[int, tuple[float, socket.socket]] = {}
+        threading.Thread(target=self._sweep, daemon=True).start()
+
+    def begin(self, sock: socket.socket) -> None:
+        with self._lock:
+            self._reading[id(sock)] = (time.monotonic(), sock)
+
+    def end(self, sock: socket.socket) -> None:
+        with self._lock:
+            self._reading.pop(id(sock), None)
+
+    def _sweep(self) -> None:
+        while True:
+            time.sleep(_SWEEP_SECONDS)
+            limit = time.monotonic() - self._seconds
+            with self._lock:
+                late = [s for at, s in self._reading.values() if at < limit]
+            for sock in late:
+                try:
+                    sock.shutdown(socket.SHUT_RD)
+                except OSError:
+                    continue
+
+
+class _Request(cheroot_server.HTTPRequest):
+    """Adds the outcome to the answers that cheroot makes by itself."""
+
+    def parse_request(self) -> None:
+        clock: _ReadClock = self.server.read_clock
+        clock.begin(self.conn.socket)
+        super().parse_request()
+        if not self.ready:
+            clock.end(self.conn.socket)
+
+    def simple_response(self, status: str, msg: str = "") -> None:
+        text = json.dumps(
+            {"error": {"message": msg or status, "type": "invalid_request"}}
+        ).encode()
+        # After a fault of ours nobody knows how far the request came.
+        outcome = UNKNOWN if str(status).startswith("5") else NOT_RUN
+        proto = self.server.protocol.encode("ascii")
+        lines = [
+            proto + b" " + str(status).encode("latin-1"),
+            b"Content-Length: " + str(len(text)).encode(),
+            b"Content-Type: application/json",
+            f"{OUTCOME}: {outcome}".encode("ascii"),
+            b"Connection: close",
+        ]
+        self.close_connection = True
+        self.conn.wfile.write(b"\r\n".join(lines) + b"\r\n\r\n" + text)
+
+
+class _Connection(cheroot_server.HTTPConnection):
+    RequestHandlerClass = _Request
+
+
+class _Server(cheroot_server.HTTPServer):
+    ConnectionClass = _Connection
+    read_clock: _ReadClock
+
+    def error_log(
+        self, msg: str = "", level: int = 20, traceback: bool = False
+    ) -> None:
+        if level >= logging.ERROR:
+            _LOG.error("http_fault", extra={"fields": {"reason": msg}})
+
+
+class Server:
+    """An HTTP server on one address."""
+
+    def __init__(
+        self,
+        address: str,
+        application: Application,
+        limits: settings_module.Limits,
+        threads: int,
+        security: settings_module.Security | None = None,
+    ) -> None:
+        class Gateway(cheroot_server.Gateway):
+            """Hands cheroot's requests to the application."""
+
+            def respond(self) -> None:
+                _respond(self.req, application, limits)
+
+        self._server = _Server(
+            settings_module.split_address(address),
+            gateway=Gateway,
+            minthreads=threads,
+            maxthreads=threads,
+            server_name="wayslip",
+        )
+        self._server.max_request_header_size = limits.header_bytes
+        self._server.max_request_body_size = limits.body_bytes
+        self._server.request_queue_size = _ACCEPT_QUEUE
+        self._server.timeout = limits.idle_seconds
+        self._server.keep_alive_conn_limit = limits.connections
+        self._server.read_clock = _ReadClock(limits.idle_seconds)
+        self._server.shutdown_timeout = 1
+        if security is not None and security.certificate:
+            self._server.ssl_adapter = cheroot_ssl.BuiltinSSLAdapter(
+                security.certificate, security.private_key
+            )
+        self._thread = threading.Thread(
+            target=self._server.serve, name="http", daemon=True
+        )
+
+    @property
+    def address(self) -> str:
+        """The address it listens on, "IP:PORT"."""
+        host, port = self._server.bind_addr
+        return f"{host}:{port}"
+
+    def start(self) -> None:
+        """Listens, and serves in threads.
+
+        Raises:
+            OSError: The address can not be used.
+        """
+        self._server.prepare()
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stops listening."""
+        self._server.stop()
+
+
+def _respond(
+    raw: Any, application: Application, limits: settings_module.Limits
+) -> None:
+    request = Request(raw, limits.body_bytes)
+    clock: _ReadClock = raw.server.read_clock
+    try:
+        answer = application(request)
+    except errors.BadRequestError as e:
+        answer = _answer_error(400, e)
+        raw.close_connection = True
+    except errors.WayslipError as e:
+        answer = _answer_error(503, e)
+    finally:
+        clock.end(raw.conn.socket)
+    if answer is not None:
+        request.send(answer)
+
+
+def _answer_error(status: int, error: errors.WayslipError) -> Answer:
+    value = {"error": {"message": str(error), "type": type(error).__name__}}
+    headers = {OUTCOME: NOT_RUN}
+    return dataclasses.replace(answer_json(status, value), headers=headers)
--- /dev/null
+++ b/standins/web.py
@@ -0,0 +1,106 @@
+"""A small threaded HTTP server for the stand-ins, on the standard library."""
+
+import http.server
+import json
+import threading
+from typing import Any
+import urllib.parse
+
+
+class Handler(http.server.BaseHTTPRequestHandler):
+    """Routes every request to the server's `dispatch`."""
+
+    protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
+    server: "Server"
+
+    def log_message(self, *args: Any) -> None:
+        """Keeps quiet."""
+
+    def _handle(self) -> None:
+        url = urllib.parse.urlsplit(self.path)
+        self.query = dict(urllib.parse.parse_qsl(url.query))
+        length = int(self.headers.get("Content-Length") or 0)
+        self.body = self.rfile.read(length)
+        try:
+            self.server.dispatch(self, url.path)
+        except (BrokenPipeError, ConnectionResetError):
+            self.close_connection = True
+
+    do_GET = do_POST = do_PUT = do_DELETE = do_HEAD = do_PATCH = _handle  # noqa: N815
+
+    def json(self) -> Any:
+        """Returns the request's body as JSON."""
+        return json.loads(self.body or b"null")
+
+    def reply(self, status: int, value: Any, **headers: str) -> None:
+        """Sends a whole JSON answer."""
+        self.reply_bytes(status, json.dumps(value).encode(), **headers)
+
+    def reply_bytes(
+        self,
+        status: int,
+        data: bytes,
+        content_type: str = "application/json",
+        **headers: str,
+    ) -> None:
+        """Sends a whole answer."""
+        self.send_response(status)
+        self.send_header("Content-Type", content_type)
+        self.send_header("Content-Length", str(len(data)))
+        for name, value in headers.items():
+            self.send_header(name.replace("_", "-"), value)
+        self.end_headers()
+        if self.command != "HEAD":
+            self.wfile.write(data)
+
+    def begin_chunks(self, content_type: str, **headers: str) -> None:
+        """Sends the head of a chunked answer."""
+        self.send_response(200)
+        self.send_header("Content-Type", content_type)
+        self.send_header("Transfer-Encoding", "chunked")
+        for name, value in headers.items():
+            self.send_header(name.replace("_", "-"), value)
+        self.end_headers()
+
+    def write_chunk(self, data: bytes) -> None:
+        """Sends one chunk; an empty one ends the answer."""
+        self.wfile.write(b"%x\r\n%s\r\n" % (len(data), data))
+
+    def cut(self) -> None:
+        """Breaks the connection off without an answer."""
+        self.close_connection = True
+        self.connection.close()
+
+
+class Server(http.server.ThreadingHTTPServer):
+    """A stand-in; subclasses override `dispatch`."""
+
+    daemon_threads = True
+    request_queue_size = 1024
+
+    def __init__(self, host: str = "127.0.0.1", port: int = 0) -> None:
+        super().__init__((host, port), Handler)
+
+    def handle_error(self, request: Any, client_address: Any) -> None:
+        """Keeps quiet about callers that hung up."""
+
+    def dispatch(self, handler: Handler, path: str) -> None:
+        """Answers one request."""
+        raise NotImplementedError
+
+    @property
+    def address(self) -> str:
+        """The address it listens on, "IP:PORT"."""
+        host, port = self.server_address[:2]
+        return f"{host!s}:{port}"
+
+    def start(self) -> "Server":
+        """Serves in a thread and returns itself."""
+        threading.Thread(target=self.serve_forever, daemon=True).start()
+        return self
+
+    def stop(self) -> None:
+        """Stops serving."""
+        self.shutdown()
+        self.server_close()
