--- a/src/wayslip/decisions/ledger.py
+++ b/src/wayslip/decisions/ledger.py
@@ -50,7 +50,8 @@
     """Memory that an item takes, or may take.
 
     Attributes:
-        fence: The fence of the order that brought it in, 0 if none did.
+        fence: The fence of the last order to load it.
+        ordered_boot: The engine's boot that this order was for.
         boot: The engine's boot in which it was last seen, 0 if never.
     """
 
@@ -58,6 +59,7 @@
     size: int
     phase: Phase
     fence: int = 0
+    ordered_boot: int = 0
     boot: int = 0
 
 
@@ -181,9 +183,10 @@
             )
         fence = self.fence + 1
         if charge is None:
-            charge = Charge(item, size, Phase.RESERVED, fence)
-        else:
-            charge = dataclasses.replace(charge, fence=fence)
+            charge = Charge(item, size, Phase.RESERVED)
+        charge = dataclasses.replace(
+            charge, fence=fence, ordered_boot=self.boot
+        )
         attempt = Attempt(
             attempt_id, Action.LOAD, item, fence, self.boot, sender
         )
@@ -295,8 +298,8 @@
         Args:
             residency: What the engine held at some time in the past.
             now: Seconds of the wall clock.
-            quarantine: Seconds after which an order whose sender gave up can
-                not arrive any more.
+            quarantine: Seconds after which an order whose sender gave up has
+                arrived or never will, and every report shows it.
         """
         if residency.boot < self.boot:
             return self
@@ -332,13 +335,16 @@
 
     def _settle_item(self, item: str, residency: Residency) -> "Ledger":
         charge = self.get(item)
-        if charge is None or any(a.item == item for a in self.attempts):
+        if charge is None or residency.boot < self.boot:
             return self
-        if residency.boot < self.boot:
+        if item in residency.held:
+            return self._with(_seen(charge, residency))
+        if any(a.item == item for a in self.attempts):
             return self
-        if item not in residency.held:
-            return self._without(item)
-        return self._with(_seen(charge, residency))
+        # The report may be older than a later order for the same item.
+        if self.checks_fence and not _is_past_order(charge, residency):
+            return self
+        return self._without(item)
 
     def _confirm(self, residency: Residency) -> "Ledger":
         """Brings charges with no attempt under way in line with a report."""
@@ -354,14 +360,10 @@
         return ledger
 
     def _is_gone(self, charge: Charge, residency: Residency) -> bool:
-        if charge.boot and residency.boot > charge.boot:
-            return True
+        if self.checks_fence:
+            return _is_past_order(charge, residency)
         # Without fences an old report looks like a new one.
-        return (
-            self.checks_fence
-            and residency.boot == charge.boot
-            and residency.fence >= charge.fence > 0
-        )
+        return bool(charge.boot) and residency.boot > charge.boot
 
     # Small new ledgers
 
@@ -391,6 +393,12 @@
     return dataclasses.replace(charge, phase=phase, boot=residency.boot)
 
 
+def _is_past_order(charge: Charge, residency: Residency) -> bool:
+    """Whether a report was made after the item's last load was decided."""
+    reported = (residency.boot, residency.fence)
+    return reported >= (charge.ordered_boot, charge.fence)
+
+
 def _pending(item: str) -> refusals.Refusal:
     return refusals.Refusal(
         refusals.Reason.ORDER_PENDING,
--- a/src/wayslip/peers/calls.py
+++ b/src/wayslip/peers/calls.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+import contextlib
 import logging
 import threading
 from typing import TypeVar
@@ -120,13 +121,15 @@
     """An open connection to a peer."""
 
     def __init__(self, address: str, key: bytes, max_size: int) -> None:
-        self.conn = ws_client.connect(
+        connecting = ws_client.connect(
             f"ws://{address}",
             open_timeout=_CONNECT_SECONDS,
             max_size=max_size,
             compression=None,
             proxy=None,
         )
+        # The link outlives this block; whoever drops it closes `conn`.
+        self.conn = contextlib.ExitStack().enter_context(connecting)
         server_nonce = _receive_nonce(self.conn)
         nonce = frames.make_nonce()
         self.conn.send(nonce)
