--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; each script prints a table."""
--- a/src/wayslip/entry/view.py
+++ b/src/wayslip/entry/view.py
@@ -292,8 +292,12 @@
                 due = [t for t in self._tracked.values() if not t.is_polling]
                 for tracked in due:
                     tracked.is_polling = True
-            for tracked in due:
-                self._pool.submit(self._poll, tracked)
+            try:
+                for tracked in due:
+                    self._pool.submit(self._poll, tracked)
+            except RuntimeError:
+                # The pool was shut down: this process is stopping.
+                return
             self._tell_sent()
 
     def _poll(self, tracked: _Tracked) -> None:
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -15,6 +15,7 @@
 from typing import Any
 import uuid
 
+from standins import ticker
 from standins import web
 
 _KEEP_SECONDS = 120.0
@@ -92,6 +93,7 @@
         self._slots = threading.Semaphore(options.slots)
         self._waiting: dict[str, int] = {}
         self._running: set[str] = set()
+        self._ticker = ticker.Ticker()
 
     def dispatch(self, handler: web.Handler, path: str) -> None:
         """Answers one request."""
@@ -213,10 +215,8 @@
             del self._waiting[request_id]
             self._running.add(request_id)
             self._generations[request_id] = generation
-        length = begins + count * self.options.step - time.monotonic()
-        timer = threading.Timer(max(length, 0), self._finish, [request_id])
-        timer.daemon = True
-        timer.start()
+        ends = begins + count * self.options.step
+        self._ticker.add(ends, lambda: self._finish(request_id))
         return generation
 
     def _finish(self, request_id: str) -> None:
@@ -239,16 +239,39 @@
     def _send_events(
         self, handler: web.Handler, generation: Generation, first: int
     ) -> None:
-        for index in range(first, len(generation.words)):
-            self._sleep_until(generation, index)
-            if generation.cancelled:
-                return handler.cut()
-            if self.cut_streams_after and index >= self.cut_streams_after:
-                self.cut_streams_after = 0
-                return handler.cut()
-            handler.write_chunk(_event(generation, index))
-        handler.write_chunk(b"data: [DONE]\n\n")
-        return handler.write_chunk(b"")
+        """Sends events from a number on, each at its time."""
+        writer = ticker.ChunkWriter(handler.detach())
+        index = first
+
+        def step() -> float | None:
+            nonlocal index
+            try:
+                if not writer.flush():
+                    return time.monotonic() + ticker.RETRY_SECONDS
+                if self._is_cut(generation, index):
+                    writer.close()
+                    return None
+                if index >= len(generation.words):
+                    writer.write(b"data: [DONE]\n\n")
+                    writer.write(b"")
+                    writer.close()
+                    return None
+                writer.write(_event(generation, index))
+            except OSError:
+                writer.close()
+                return None
+            index += 1
+            return generation.ready_at(index, self.options.step)
+
+        self._ticker.add(generation.ready_at(index, self.options.step), step)
+
+    def _is_cut(self, generation: Generation, index: int) -> bool:
+        if generation.cancelled:
+            return True
+        if self.cut_streams_after and index >= self.cut_streams_after:
+            self.cut_streams_after = 0
+            return True
+        return False
 
     def _stream_call(self, handler: web.Handler, request_id: str) -> None:
         generation = self._generations.get(request_id)
--- a/standins/web.py
+++ b/standins/web.py
@@ -2,6 +2,7 @@
 
 import http.server
 import json
+import socket
 import threading
 from typing import Any
 import urllib.parse
@@ -13,6 +14,7 @@
     protocol_version = "HTTP/1.1"
     disable_nagle_algorithm = True
     server: "Server"
+    is_detached = False
 
     def log_message(self, *args: Any) -> None:
         """Keeps quiet."""
@@ -67,6 +69,14 @@
         """Sends one chunk; an empty one ends the answer."""
         self.wfile.write(b"%x\r\n%s\r\n" % (len(data), data))
 
+    def detach(self) -> socket.socket:
+        """Gives the connection away; the taker closes it."""
+        self.close_connection = True
+        self.is_detached = True
+        sock: socket.socket = self.connection
+        self.server.detached.add(sock)
+        return sock
+
     def cut(self) -> None:
         """Breaks the connection off without an answer."""
         self.close_connection = True
@@ -81,6 +91,14 @@
 
     def __init__(self, host: str = "127.0.0.1", port: int = 0) -> None:
         super().__init__((host, port), Handler)
+        self.detached: set[Any] = set()
+
+    def shutdown_request(self, request: Any) -> None:
+        """Closes a connection, unless it was given away."""
+        if request in self.detached:
+            self.detached.discard(request)
+            return
+        super().shutdown_request(request)
 
     def handle_error(self, request: Any, client_address: Any) -> None:
         """Keeps quiet about callers that hung up."""
