Name processes by their boot; let a load follow a refused eviction

Cause: tests that bring about failures found two faults. (2) A version change on one engine never ended: the eviction of the old version was chosen first each time, refused as the last replica, and the load of the new one never had its turn. Change: members carry a boot that never changes; the executor goes on to the next step when an eviction is refused.

--- a/src/wayslip/control/daemon.py
+++ b/src/wayslip/control/daemon.py
@@ -87,7 +87,7 @@
         """Returns the state of the process, with ages in seconds."""
         world = self.world
         return {
-            "member": self.node.incarnation,
+            "member": self.node.process,
             "time": time.time(),
             "generation": self.node.holder.generation,
             "configuration_age": time.time() - self.node.holder.changed_at,
--- a/src/wayslip/control/executor.py
+++ b/src/wayslip/control/executor.py
@@ -64,7 +64,7 @@
         self._client = client
         self._metrics = metrics
         self._dialect = engine_module.DIALECTS.get("openai")
-        self._sender = world.node.incarnation
+        self._sender = world.node.process
         self._stopping = threading.Event()
         share = settings.placement.load_rate
         self._bucket = rate.Bucket(share, 2.0, 1.0, time.monotonic())
@@ -125,10 +125,20 @@
         self._keep_replica_sets(subject)
         if endpoint.phase is kinds.Phase.LEAVING:
             return False
-        step = self._choose(subject)
-        if step is None:
-            return False
-        return self._carry_out(subject, step)
+        return self._work(subject)
+
+    def _work(self, subject: _Subject) -> bool:
+        kept: frozenset[str] = frozenset()
+        while True:
+            step = self._choose(subject, kept)
+            if step is None:
+                return False
+            is_unload = step.action is ledger_module.Action.UNLOAD
+            if is_unload and not self._release(subject, step.item):
+                # Its replacement may be what this engine is to load next.
+                kept |= {step.item}
+                continue
+            return self._carry_out(subject, step)
 
     # Observing
 
@@ -159,7 +169,7 @@
         self, ledger: ledger_module.Ledger, now: float
     ) -> ledger_module.Ledger:
         """Gives up attempts whose sender is gone or no longer waits."""
-        live = {f"{m.name}#{m.incarnation}" for m in self._world.node.members()}
+        live = {m.process for m in self._world.node.members()}
         open_ids = {a.id for a in ledger.attempts}
         for attempt in ledger.attempts:
             if attempt.given_up:
@@ -205,7 +215,9 @@
 
     # Choosing
 
-    def _choose(self, subject: _Subject) -> reconcile.Step | None:
+    def _choose(
+        self, subject: _Subject, kept: frozenset[str]
+    ) -> reconcile.Step | None:
         catalog = self._world.catalog
         items = catalog.placements.get(subject.endpoint.name, ())
         sets = self._world.replica_sets()
@@ -214,6 +226,7 @@
             catalog.sizes,
             _find_bases(catalog),
             {i for i in items if i not in sets or not sets[i].engines},
+            kept,
         )
         return reconcile.choose_step(subject.ledger, wanted, may_load=True)
 
@@ -234,8 +247,6 @@
         if is_load and not self._take_load_permit():
             return False
         is_unload = step.action is ledger_module.Action.UNLOAD
-        if is_unload and not self._release(subject, step.item):
-            return False
         attempt_id = uuid.uuid4().hex
         written = self._write_attempt(subject, step, attempt_id)
         if isinstance(written, refusals.Refusal):
--- a/src/wayslip/decisions/issued.py
+++ b/src/wayslip/decisions/issued.py
@@ -1,4 +1,4 @@
-"""Keys that an entry issues and that only this incarnation of it runs.
+"""Keys that an entry issues and that only this process of it runs.
 
 They need no store at all: the issuer's memory is the only place that could
 start such a key, so a pause or a partition does no harm, and neither does an
--- a/src/wayslip/decisions/ledger.py
+++ b/src/wayslip/decisions/ledger.py
@@ -68,7 +68,7 @@
     """One send of an order whose effect is not yet known.
 
     Attributes:
-        sender: The incarnation that may send it.
+        sender: The process that may send it, see `membership.Member`.
         given_up: When the sender stopped waiting for the answer, or was
             found gone, in seconds of the wall clock; 0 before that.
     """
--- a/src/wayslip/decisions/membership.py
+++ b/src/wayslip/decisions/membership.py
@@ -47,16 +47,23 @@
 
     Attributes:
         name: Role and instance, "entry/kolkata-1".
-        incarnation: Start time in milliseconds; raised to refute.
+        boot: Start of the process, milliseconds; never changes in its life.
+        incarnation: Begins at `boot` and is raised to refute a suspicion.
     """
 
     name: str
     role: Role
     address: str
     data_hall: str
+    boot: int
     incarnation: int
     status: Status = Status.ALIVE
 
+    @property
+    def process(self) -> str:
+        """Names this very process; another start has another name."""
+        return f"{self.name}#{self.boot}"
+
     def beats(self, other: "Member") -> bool:
         """Whether this word on a member replaces another."""
         if self.incarnation != other.incarnation:
--- a/src/wayslip/decisions/reconcile.py
+++ b/src/wayslip/decisions/reconcile.py
@@ -30,12 +30,14 @@
         sizes: Bytes of each item.
         base_of: The version of each adapter.
         nowhere: Items that no engine is known to hold.
+        kept: Items whose eviction was refused just now, as the last replica.
     """
 
     items: tuple[str, ...]
     sizes: Mapping[str, int]
     base_of: Mapping[str, str]
     nowhere: Set[str] = frozenset()
+    kept: Set[str] = frozenset()
 
 
 def choose_step(
@@ -69,7 +71,7 @@
     for charge in ledger.charges:
         if charge.item in wanted.items or _is_busy(ledger, charge.item):
             continue
-        if charge.item in bases:
+        if charge.item in bases or charge.item in wanted.kept:
             continue
         return Step(ledger_module.Action.UNLOAD, charge.item, charge.size)
     return None
--- a/src/wayslip/entry/daemon.py
+++ b/src/wayslip/entry/daemon.py
@@ -174,7 +174,7 @@
     def dump(self) -> Any:
         """Returns the state of the process, with ages in seconds."""
         return {
-            "member": self.node.incarnation,
+            "member": self.node.process,
             "time": time.time(),
             "generation": self.node.holder.generation,
             "configuration_age": time.time() - self.node.holder.changed_at,
--- a/src/wayslip/entry/keyed.py
+++ b/src/wayslip/entry/keyed.py
@@ -236,13 +236,13 @@
             serials = self._issued.issue(count, now)
         if isinstance(serials, refusals.Refusal):
             return serials
-        member, _, incarnation = self._node.incarnation.rpartition("#")
+        member, _, boot = self._node.process.rpartition("#")
         expires = int(now + self._settings.journal.issued_seconds)
         return [
             tokens.seal_key(
                 self._token_key,
                 caller,
-                tokens.IssuedKey(member, int(incarnation), serial, expires),
+                tokens.IssuedKey(member, int(boot), serial, expires),
             )
             for serial in serials
         ]
@@ -250,7 +250,7 @@
     def _serve_issued(
         self, request: messages.Forward, token: tokens.IssuedKey
     ) -> messages.Forwarded:
-        if f"{token.member}#{token.incarnation}" == self._node.incarnation:
+        if f"{token.member}#{token.boot}" == self._node.process:
             return self.serve_here(request)
         member = self._node.find(token.member)
         gone = "the entry that issued the key is gone or cut off"
@@ -266,8 +266,8 @@
         assert isinstance(message, messages.Forward)
         token = tokens.open_key(self._token_key, message.caller, message.key)
         if token is not None:
-            issuer = f"{token.member}#{token.incarnation}"
-            if issuer != self._node.incarnation:
+            issuer = f"{token.member}#{token.boot}"
+            if issuer != self._node.process:
                 return _answer_unknown("the entry that issued the key is gone")
         return self.serve_here(message)
 
@@ -316,7 +316,7 @@
     def start(self) -> Permit | messages.Forwarded:
         """See `Guard`."""
         keyed = self.keyed
-        runner = f"{keyed._node.incarnation}/{uuid.uuid4().hex}"
+        runner = f"{keyed._node.process}/{uuid.uuid4().hex}"
         digest = self.entry.digest
         try:
             record = keyed._journal.start(
@@ -348,9 +348,8 @@
             return _replay(record.answer)
         member = self.keyed._node.find(record.runner.partition("#")[0])
         if record.state is journal.State.STARTED and member is not None:
-            incarnation = f"{member.name}#{member.incarnation}"
-            is_other = incarnation != self.keyed._node.incarnation
-            if is_other and record.runner.startswith(f"{incarnation}/"):
+            is_other = member.process != self.keyed._node.process
+            if is_other and record.runner.startswith(f"{member.process}/"):
                 return self._ask_runner(member)
         return _answer_unknown("an earlier call with this key is unclear")
 
--- a/src/wayslip/entry/tokens.py
+++ b/src/wayslip/entry/tokens.py
@@ -33,13 +33,13 @@
 
     Attributes:
         member: Name of the issuing member.
-        incarnation: Its start; another start of it is another issuer.
+        boot: Its start; another start of it is another issuer.
         serial: Number of the key at the issuer.
         expires: When it ends, seconds of the issuer's monotonic clock.
     """
 
     member: str
-    incarnation: int
+    boot: int
     serial: int
     expires: int
 
@@ -94,7 +94,7 @@
     """Returns the text of an issued key."""
     fields = (
         issued.member,
-        str(issued.incarnation),
+        str(issued.boot),
         str(issued.serial),
         str(issued.expires),
     )
@@ -108,5 +108,5 @@
     fields = _open(key, "key", caller, text.removeprefix("issued-"))
     if fields is None or len(fields) != 4:
         return None
-    member, incarnation, serial, expires = fields
-    return IssuedKey(member, int(incarnation), int(serial), int(expires))
+    member, boot, serial, expires = fields
+    return IssuedKey(member, int(boot), int(serial), int(expires))
--- a/src/wayslip/peers/node.py
+++ b/src/wayslip/peers/node.py
@@ -79,6 +79,7 @@
             identity.address,
             identity.instance.data_hall,
             seed // 1_000_000,
+            seed // 1_000_000,
         )
         self._membership = membership_module.Membership(
             me,
@@ -87,7 +88,7 @@
             settings.peers.suspicion,
             self._rng,
         )
-        self.incarnation = f"{identity.name}#{me.incarnation}"
+        self.process = me.process
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind(settings_module.split_address(identity.address))
         self._socket.settimeout(settings.peers.period / _TICKS_PER_PERIOD)
--- /dev/null
+++ b/tests/faults/test_endpoints.py
@@ -0,0 +1,116 @@
+"""Endpoints that leave, die or lie, through real daemons."""
+
+import pytest
+
+from tests import system as system_module
+
+
+@pytest.fixture
+def fleet():
+    with system_module.System() as running:
+        running.apply()
+        yield running
+
+
+def _served(fleet):
+    return {name: e.served for name, e in fleet.engines.items()}
+
+
+def _is_unused(fleet, name):
+    return all(name not in entry.view.usable([name]) for entry in fleet.entries)
+
+
+def test_listed_leaving_endpoint_gets_no_new_work(fleet):
+    fleet.list_leaving("e0")
+    system_module.wait_until(lambda: _is_unused(fleet, "e0"), "e0 unused")
+    before = _served(fleet)["e0"]
+    for n in range(10):
+        assert fleet.complete(n % 2).status == 200
+    assert _served(fleet)["e0"] == before
+
+
+def test_refusal_at_one_entry_is_told_to_the_other_with_the_list_down(fleet):
+    fleet.objects.faults.down = True
+    fleet.engines["e1"].state = "draining"
+    system_module.wait_until(lambda: _is_unused(fleet, "e1"), "e1 unused")
+    for n in range(6):
+        assert fleet.complete(n % 2).status == 200
+    fleet.engines["e1"].state = "serving"
+    system_module.wait_until(
+        lambda: all(e.view.usable(["e1"]) for e in fleet.entries),
+        "e1 is back on proof",
+    )
+
+
+def test_models_of_a_dead_engine_come_back_on_others(fleet):
+    holders = fleet.operate("GET", "/v1/models").json["models"]
+    sole = next(m for m in holders if m["name"] == "n")["ready_on"]
+    assert len(sole) == 1
+    fleet.engines[sole[0]].stop()
+    system_module.wait_until(
+        lambda: fleet.complete(model="n").status == 200, "n answers again"
+    )
+
+
+def test_engine_that_restarts_empty_is_loaded_again(fleet):
+    for engine in fleet.engines.values():
+        with engine._lock:
+            engine._items.clear()
+            engine.boot += 1000
+            engine.fence = 0
+    system_module.wait_until(
+        lambda: all(
+            fleet.complete(model=m).status == 200 for m in ("m", "n", "m-a")
+        ),
+        "all models answer again",
+    )
+    assert all(not e.overcommitted for e in fleet.engines.values())
+
+
+def test_lost_order_answers_leave_memory_whole(fleet):
+    for engine in fleet.engines.values():
+        engine.lose_answers = 2
+    intent = """
+[[models]]
+name = "k"
+pool = "p"
+version = "v1"
+replicas = 3
+[[versions]]
+model = "k"
+name = "v1"
+size = 20
+"""
+    fleet.apply(intent)
+    assert fleet.complete(model="k").status == 200
+    assert all(not e.overcommitted for e in fleet.engines.values())
+
+
+def test_version_change_keeps_the_model_reachable(fleet):
+    intent = """
+[[models]]
+name = "n"
+pool = "p"
+version = "v2"
+[[versions]]
+model = "n"
+name = "v2"
+size = 30
+[[delete]]
+kind = "version"
+name = "n@v1"
+"""
+    proposed = fleet.operate("POST", "/v1/plans", intent.encode())
+    assert proposed.status == 200, proposed.body
+    plan = proposed.json["id"]
+    assert fleet.operate("POST", f"/v1/plans/{plan}/confirm").status == 200
+    statuses = set()
+
+    def is_new():
+        reply = fleet.complete(model="n")
+        statuses.add(reply.status)
+        return reply.status == 200 and reply.json["model"] == "n@v2"
+
+    system_module.wait_until(is_new, "v2 answers")
+    assert statuses == {200}
+    fleet.wait_done(plan)
