--- /dev/null
+++ b/tests/control/test_operators.py
@@ -0,0 +1,160 @@
+"""Operators' calls: plans, races, keys, and what stays secret."""
+
+import json
+import threading
+
+import pytest
+
+from tests import system as system_module
+
+SECOND = system_module.OPERATOR + "-2"
+GROW = """
+[[models]]
+name = "{name}"
+pool = "p"
+version = "v1"
+[[versions]]
+model = "{name}"
+name = "v1"
+size = {size}
+"""
+
+
+def propose(system, name, size=5, n=0):
+    intent = GROW.format(name=name, size=size)
+    reply = system.operate("POST", "/v1/plans", intent.encode(), n)
+    assert reply.status == 200, reply.body
+    return reply.json
+
+
+def test_plan_shows_steps_and_cost_and_changes_nothing(system):
+    generation = system.operate("GET", "/v1/status").json["generation"]
+    plan = propose(system, "shown")
+    assert plan["state"] == "proposed"
+    assert [s["action"] for s in plan["steps"]] == ["load"]
+    assert plan["cost"]["moves"] == 1
+    assert plan["cost"]["moved"] == 5
+    status = system.operate("GET", "/v1/status").json
+    assert status["generation"] == generation
+
+
+def test_two_operators_at_once_exactly_one_wins(system):
+    plan = propose(system, "raced")["id"]
+    replies = {}
+
+    def confirm(n, key):
+        path = f"/v1/plans/{plan}/confirm"
+        replies[n] = system.operate("POST", path, n=n, key=key)
+
+    threads = [
+        threading.Thread(target=confirm, args=(0, system_module.OPERATOR)),
+        threading.Thread(target=confirm, args=(1, SECOND)),
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    assert sorted(r.status for r in replies.values()) == [200, 409]
+    loser = next(r for r in replies.values() if r.status == 409)
+    assert "confirmed by" in loser.json["reason"]
+
+
+def test_plan_against_a_changed_world_is_refused_and_says_what(system):
+    first = propose(system, "twice", 5)
+    second = propose(system, "twice", 6)
+    path = "/v1/plans/{}/confirm"
+    assert system.operate("POST", path.format(first["id"])).status == 200
+    refused = system.operate("POST", path.format(second["id"]))
+    assert refused.status == 409
+    assert "model twice" in refused.json["reason"]
+
+
+def test_confirm_again_after_a_lost_answer_is_no_second_change(system):
+    plan = propose(system, "again")["id"]
+    path = f"/v1/plans/{plan}/confirm"
+    first = system.operate("POST", path)
+    second = system.operate("POST", path)
+    assert first.json["generation"] == second.json["generation"] > 0
+
+
+def test_store_that_loses_answers_applies_a_plan_once(system):
+    system.objects.faults.lose = 0.6
+    try:
+        generation = system.operate("GET", "/v1/status").json["generation"]
+        plan = None
+        while plan is None:
+            intent = GROW.format(name="lossy", size=3).encode()
+            reply = system.operate("POST", "/v1/plans", intent)
+            plan = reply.json.get("id")
+        path = f"/v1/plans/{plan}/confirm"
+        while system.operate("POST", path).status != 200:
+            pass
+    finally:
+        system.objects.faults.lose = 0.0
+    status = system.operate("GET", "/v1/status").json
+    assert status["generation"] == generation + 1
+
+
+def test_cancelled_plan_can_not_be_confirmed(system):
+    plan = propose(system, "dropped")["id"]
+    assert system.operate("POST", f"/v1/plans/{plan}/cancel").status == 200
+    refused = system.operate("POST", f"/v1/plans/{plan}/confirm")
+    assert refused.status == 409
+    assert "cancelled" in refused.json["reason"]
+
+
+@pytest.mark.parametrize(
+    ("text", "word"),
+    [
+        ("x = ", "TOML"),
+        ("", "nothing"),
+        ("[[nothing]]", "no table"),
+        ('[[models]]\nname = "m"', "models[0]"),
+        ('[[services]]\nname = "q"\nendpoints = []\nx = 1', "unknown key"),
+        ('[[models]]\nname="z"\npool="none"\nversion="v1"', "no pool"),
+        ('[[delete]]\nkind = "placement"\nname = "e0"', "can not be deleted"),
+        (GROW.format(name="huge", size=10**9), "room"),
+        (GROW.format(name="neg", size=-1), "greater"),
+    ],
+)
+def test_bad_intents_get_a_clear_error(system, text, word):
+    reply = system.operate("POST", "/v1/plans", text.encode())
+    assert reply.status == 400
+    assert word in reply.json["reason"]
+
+
+def test_operators_port_needs_a_key(system):
+    for path in ("/v1/status", "/state", "/metrics", "/v1/plans"):
+        assert system.operate("GET", path, key="wrong").status == 401
+    assert system.operate("GET", "/healthz", key="").status == 200
+
+
+def test_dump_has_both_daemons_and_no_secret(system):
+    reply = system.operate("GET", "/v1/instances/i1/dump")
+    assert set(reply.json) == {"entry", "control"}
+    assert reply.json["entry"]["generation"] >= 1
+    text = json.dumps(reply.json)
+    for secret in (
+        system_module.ALICE,
+        system_module.OPERATOR,
+        system_module.TOKEN,
+        "peer-key-of-the-tests",
+        "resume-key-of-the-tests",
+    ):
+        assert secret not in text
+
+
+def test_dump_of_an_unknown_instance_says_so(system):
+    reply = system.operate("GET", "/v1/instances/none/dump")
+    assert reply.status == 404
+
+
+def test_metrics_show_histograms(system):
+    system.complete()
+    address = system.entries[0]._settings.entry.operators
+    reply = system_module.call(
+        address, "GET", "/metrics", key=system_module.OPERATOR
+    )
+    text = reply.body.decode()
+    assert 'wayslip_answer_seconds{quantile="0.95"}' in text
+    assert "wayslip_answers_total" in text
