Replay an engine's queue instead of adding up what was sent

Ruled out: the prefix index. Change: estimate_backlog replays sends against the engine's rate and leaves out lower ranks; the class's rank goes to the engine as its priority. bench/decisions compares policies on a fake of engines with ranks and chunked prefill.

--- /dev/null
+++ b/bench/fake.py
@@ -0,0 +1,298 @@
+"""A small fake of engines for measuring decisions; it models no network.
+
+Each engine has a running batch, a queue, a bounded prefix cache, reports that
+lag, and loads at the weight store's rate. Time is event driven. What it leaves
+out is listed in docs/design/measuring-decisions.md.
+"""
+
+import collections
+import dataclasses
+import heapq
+import itertools
+import random
+from typing import Any
+
+
+@dataclasses.dataclass(frozen=True)
+class Job:
+    """A request.
+
+    Attributes:
+        prompt: Block hashes of its prompt.
+        tokens: Prompt length.
+        output: Tokens it generates.
+        target: Seconds to the first token that count as attained.
+    """
+
+    id: int
+    at: float
+    model: str
+    priority: str
+    prompt: tuple[int, ...]
+    tokens: int
+    output: int
+    target: float
+
+    @property
+    def rank(self) -> int:
+        """The class's rank, as in the default settings."""
+        return 0 if self.priority == "dispatch" else 1
+
+
+BLOCK_TOKENS = 64
+CACHE_BLOCKS = 3000
+PREFILL_RATE = 8000.0
+CHUNK = 512
+STEP = 0.025
+# Each running request makes a step this much longer.
+STEP_PER_RUNNING = 0.0006
+SLOTS = 32
+REPORT_LAG = 0.5
+
+
+@dataclasses.dataclass
+class _Waiting:
+    """A job in an engine's queue; left is prefill still to do."""
+
+    job: Job
+    on_end: Any
+    left: int
+    has_begun: bool = False
+
+
+class Engine:
+    """An engine: one prefill at a time, lower ranks first, then a batch."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.is_dead = False
+        self.running = 0
+        self.is_prefilling = False
+        # Rank, number, job and what to call at its end.
+        self.queue: list[Any] = []
+        self.cache: collections.OrderedDict[int, None] = (
+            collections.OrderedDict()
+        )
+        self.resident: set[str] = set()
+
+    @property
+    def waiting_tokens(self) -> int:
+        """Prefill of the requests in the queue."""
+        return sum(entry.left for _, _, entry in self.queue)
+
+    def cached(self, job: Job) -> int:
+        """Tokens of a prompt that the cache holds."""
+        length = 0
+        for block in job.prompt:
+            if block not in self.cache:
+                break
+            length += 1
+        return length * BLOCK_TOKENS
+
+    def remember(self, job: Job) -> None:
+        """Puts a prompt into the cache; the oldest blocks go."""
+        for block in job.prompt:
+            self.cache[block] = None
+            self.cache.move_to_end(block)
+        while len(self.cache) > CACHE_BLOCKS:
+            self.cache.popitem(last=False)
+
+
+@dataclasses.dataclass
+class Result:
+    """What came of a run."""
+
+    first: dict[str, list[float]] = dataclasses.field(default_factory=dict)
+    gaps: list[float] = dataclasses.field(default_factory=list)
+    attained: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    asked: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    refused: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    moves: int = 0
+
+
+class Clock:
+    """Events in order of time."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self._events: list[Any] = []
+        self._numbers = itertools.count()
+
+    def add(self, at: float, action: Any) -> None:
+        """Has an action run at a time."""
+        heapq.heappush(self._events, (at, next(self._numbers), action))
+
+    def run(self, until: float) -> None:
+        """Runs all events up to a time."""
+        while self._events and self._events[0][0] <= until:
+            self.now, _, action = heapq.heappop(self._events)
+            action()
+        self.now = until
+
+
+class Pool:
+    """Engines that serve jobs, and what their entries were told of them."""
+
+    def __init__(self, names: list[str], clock: Clock) -> None:
+        self.clock = clock
+        self.engines = {n: Engine(n) for n in names}
+        self.reports: dict[str, tuple[float, int, int]] = {}
+        self.result = Result()
+        self._report()
+
+    def _report(self) -> None:
+        taken = {
+            n: (self.clock.now, e.running + len(e.queue), e.waiting_tokens)
+            for n, e in self.engines.items()
+        }
+
+        def publish() -> None:
+            self.reports = taken
+
+        self.clock.add(self.clock.now + REPORT_LAG / 2, publish)
+        self.clock.add(self.clock.now + REPORT_LAG, self._report)
+
+    def submit(self, engine: Engine, job: Job, on_end: Any) -> None:
+        """Hands a job to an engine."""
+        uncached = max(job.tokens - engine.cached(job), 1)
+        entry = _Waiting(job, on_end, uncached)
+        heapq.heappush(engine.queue, (job.rank, job.id, entry))
+        self._start(engine)
+
+    def _start(self, engine: Engine) -> None:
+        if engine.is_dead or engine.is_prefilling or not engine.queue:
+            return
+        rank, number, entry = engine.queue[0]
+        if not entry.has_begun:
+            if engine.running >= SLOTS:
+                return
+            entry.has_begun = True
+            entry.left = max(entry.job.tokens - engine.cached(entry.job), 1)
+            engine.running += 1
+        heapq.heappop(engine.queue)
+        engine.is_prefilling = True
+        chunk = min(entry.left, CHUNK)
+        entry.left -= chunk
+        done = self.clock.now + chunk / PREFILL_RATE
+        self.clock.add(done, lambda: self._prefilled(engine, entry))
+
+    def _prefilled(self, engine: Engine, entry: "_Waiting") -> None:
+        engine.is_prefilling = False
+        if entry.left:
+            # Another request of a lower rank may go first now.
+            job = entry.job
+            heapq.heappush(engine.queue, (job.rank, job.id, entry))
+        else:
+            engine.remember(entry.job)
+            self._decode(engine, entry.job, entry.on_end)
+        self._start(engine)
+
+    def _decode(self, engine: Engine, job: Job, on_end: Any) -> None:
+        now = self.clock.now
+        step = STEP + STEP_PER_RUNNING * engine.running
+        self._note(job, now + step - job.at, step)
+        ends = now + step * job.output
+        self.clock.add(ends, lambda: self._end(engine, on_end))
+
+    def _end(self, engine: Engine, on_end: Any) -> None:
+        engine.running -= 1
+        on_end()
+        self._start(engine)
+
+    def _note(self, job: Job, first: float, step: float) -> None:
+        result = self.result
+        result.first.setdefault(job.priority, []).append(first)
+        result.gaps.append(step)
+        if first <= job.target:
+            result.attained[job.priority] += 1
+
+    def kill(self, name: str) -> list[Any]:
+        """Ends an engine; returns the jobs that waited there."""
+        engine = self.engines[name]
+        engine.is_dead = True
+        lost = [(entry.job, entry.on_end) for _, _, entry in engine.queue]
+        engine.queue.clear()
+        engine.cache.clear()
+        engine.resident.clear()
+        return lost
+
+
+@dataclasses.dataclass(frozen=True)
+class Mix:
+    """Arrivals of a stretch.
+
+    Attributes:
+        rate: Requests a second at the start.
+        models: Number of models; low numbers are asked for most.
+        burst: At this time some models' demand is ten times as high.
+    """
+
+    rate: float
+    models: int
+    seconds: float
+    burst: float = 0.0
+    burst_factor: float = 10.0
+    dispatch_share: float = 0.2
+    turns: float = 0.5
+    shared_prefixes: int = 20
+
+
+def make_jobs(mix: Mix, seed: int) -> list[Job]:
+    """Returns the arrivals of a stretch, by seed."""
+    rng = random.Random(seed)
+    jobs = []
+    at = 0.0
+    history: collections.deque[Job] = collections.deque(maxlen=200)
+    weights = [1 / (n + 1) for n in range(mix.models)]
+    hot = rng.sample(range(mix.models), max(mix.models // 10, 1))
+    for number in itertools.count():
+        is_burst = mix.burst <= at < mix.burst + mix.seconds / 4
+        in_burst = mix.burst > 0 and is_burst
+        rate = mix.rate * (1.6 if in_burst else 1.0)
+        at += rng.expovariate(rate)
+        if at >= mix.seconds:
+            return jobs
+        now = list(weights)
+        if in_burst:
+            for n in hot:
+                now[n] *= mix.burst_factor
+        model = f"m{rng.choices(range(mix.models), now)[0]}"
+        prompt = _make_prompt(rng, mix, model, history)
+        dispatch = rng.random() < mix.dispatch_share
+        job = Job(
+            number,
+            at,
+            model,
+            "dispatch" if dispatch else "standard",
+            prompt,
+            len(prompt) * BLOCK_TOKENS,
+            int(min(rng.lognormvariate(4.2, 0.6), 400)) + 1,
+            0.35 if dispatch else 1.0,
+        )
+        jobs.append(job)
+        history.append(job)
+    return jobs
+
+
+def _make_prompt(
+    rng: random.Random,
+    mix: Mix,
+    model: str,
+    history: collections.deque[Job],
+) -> tuple[int, ...]:
+    fresh = tuple(
+        rng.getrandbits(60) for _ in range(1 + int(rng.expovariate(1 / 5)))
+    )
+    earlier = [j for j in history if j.model == model]
+    if earlier and rng.random() < mix.turns:
+        # The next turn of a conversation carries the whole of the last.
+        return rng.choice(earlier).prompt[:60] + fresh
+    shared = random.Random(f"{model}-{rng.randrange(mix.shared_prefixes)}")
+    system = tuple(shared.getrandbits(60) for _ in range(12))
+    return system + fresh
--- a/src/wayslip/decisions/routing.py
+++ b/src/wayslip/decisions/routing.py
@@ -36,8 +36,8 @@
     Attributes:
         running: Requests in its batch at its last report.
         slots: Requests its batch can hold.
-        queued_tokens: Prefill waiting at its last report.
-        sent_tokens: Prefill sent since, by this entry and by its peers.
+        backlog: Prefill thought to be ahead of the request now, tokens; see
+            `estimate_backlog`.
         sent: Requests sent since that are not in the report.
         prefill_rate: Prefill tokens a second.
         step: Seconds a decoding step takes.
@@ -49,8 +49,7 @@
     name: str
     running: int = 0
     slots: int = 32
-    queued_tokens: int = 0
-    sent_tokens: int = 0
+    backlog: float = 0.0
     sent: int = 0
     prefill_rate: float = 8000.0
     step: float = 0.03
@@ -67,6 +66,49 @@
     predicted: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sent:
+    """Prefill sent to an engine; rank is the class, lower goes first."""
+
+    at: float
+    tokens: int
+    rank: int
+
+
+def estimate_backlog(
+    waiting: int,
+    reported: float,
+    sent: Sequence[Sent],
+    rank: int,
+    rate: float,
+    now: float,
+) -> float:
+    """Returns the prefill ahead of a request of some rank now, tokens.
+
+    Reports lag by many times what a prefill takes, so adding up all that was
+    sent since the last one overrates an engine's work. The queue is replayed
+    instead: each send adds to it, and it drains at the engine's rate.
+
+    Args:
+        waiting: Prefill waiting at the last report; of all ranks.
+        reported: When that was.
+        sent: What was sent since, oldest first.
+        rank: Class of the request; engines do lower ranks first.
+        rate: Prefill tokens a second.
+        now: The time.
+    """
+    # What waits in a report is of the lowest ranks, if the engine honours
+    # priorities, so the first rank does not stand behind it.
+    backlog = float(waiting) if rank > 0 else 0.0
+    at = reported
+    for one in sent:
+        if one.rank > rank:
+            continue
+        backlog = max(backlog - rate * (one.at - at), 0.0) + one.tokens
+        at = one.at
+    return max(backlog - rate * (now - at), 0.0)
+
+
 class Policy(Protocol):
     """Picks one of at least one candidates."""
 
@@ -84,8 +126,8 @@
 def predict_first_token(candidate: Candidate, tokens: int) -> float:
     """Returns the predicted seconds until a request's first token."""
     uncached = max(tokens - candidate.cached_tokens, 1)
-    ahead = candidate.queued_tokens + candidate.sent_tokens
-    delay = (ahead + uncached) / candidate.prefill_rate + candidate.step
+    ahead = candidate.backlog + uncached
+    delay = ahead / candidate.prefill_rate + candidate.step
     over = candidate.running + candidate.sent - candidate.slots
     if over >= 0:
         # The batch is full: a slot frees up about every step * 100 / slots
--- a/src/wayslip/entry/completions.py
+++ b/src/wayslip/entry/completions.py
@@ -235,7 +235,10 @@
     ) -> "_Chosen | refusals.Refusal":
         items, engine_model = view_module.resolve_items(self._view, job.target)
         blocks = routing.hash_blocks(engine_model, job.text)
-        prompt = view_module.Prompt(routing.count_tokens(job.text), blocks)
+        rank = self._settings.admission.classes[job.caller.priority].rank
+        prompt = view_module.Prompt(
+            routing.count_tokens(job.text), blocks, rank
+        )
         found = self._view.candidates(job.target.engines, items, prompt, tried)
         if not found:
             return refusals.Refusal(
@@ -279,7 +282,9 @@
         if address is None:
             return retry.Failure.NOT_SENT
         request_id = uuid.uuid4().hex
-        body = json.dumps({**job.body, "model": chosen.engine_model}).encode()
+        # Engines do lower priorities first.
+        changes = {"model": chosen.engine_model, "priority": chosen.prompt.rank}
+        body = json.dumps({**job.body, **changes}).encode()
         timeout = max(job.deadline - time.monotonic(), 0.001)
         self._view.begin(name, chosen.prompt)
         result = self._begin(name, address, job, body, request_id, timeout)
--- a/src/wayslip/entry/view.py
+++ b/src/wayslip/entry/view.py
@@ -32,6 +32,8 @@
 _POLL_THREADS = 8
 _REPORT_SECONDS = 1.0
 _LEAVING_TTL = 30.0
+# Peers tell what they sent in one sum; it counts as of this rank.
+_TOLD_RANK = 1
 
 
 @dataclasses.dataclass
@@ -43,17 +45,22 @@
     report: engine_module.Report | None = None
     asked_at: float = 0.0
     in_flight: int = 0
-    # Prefill sent since the last report was asked for: time and tokens.
-    sent: list[tuple[float, int]] = dataclasses.field(default_factory=list)
+    # Prefill sent since the last report was asked for, oldest first.
+    sent: list[routing.Sent] = dataclasses.field(default_factory=list)
     is_polling: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
 class Prompt:
-    """What routing needs to know of a request's prompt."""
+    """What routing needs to know of a request.
+
+    Attributes:
+        rank: The rank of its class; lower ranks go first at an engine.
+    """
 
     tokens: int
     blocks: tuple[int, ...] = ()
+    rank: int = _TOLD_RANK
 
 
 class EndpointView:
@@ -122,7 +129,7 @@
         besides: frozenset[str],
     ) -> list[routing.Candidate]:
         """Returns the usable engines that hold all items."""
-        told = self._sum_told()
+        told = self._find_told()
         found = []
         with self._lock:
             for name in names:
@@ -140,21 +147,27 @@
         self,
         tracked: _Tracked,
         prompt: Prompt,
-        told: dict[str, list[tuple[float, float]]],
+        told: dict[str, list[routing.Sent]],
     ) -> routing.Candidate:
         report = tracked.report
         assert report is not None
         name = tracked.endpoint.name
-        sent = sum(tokens for _, tokens in tracked.sent)
-        sent += int(
-            sum(v for at, v in told.get(name, ()) if at > tracked.asked_at)
-        )
+        known = tracked.sent
+        if name in told:
+            fresh = [s for s in told[name] if s.at > tracked.asked_at]
+            known = sorted((*known, *fresh), key=lambda s: s.at)
         return routing.Candidate(
             name=name,
             running=report.running + report.waiting,
             slots=report.slots,
-            queued_tokens=report.waiting_tokens,
-            sent_tokens=sent,
+            backlog=routing.estimate_backlog(
+                report.waiting_tokens,
+                tracked.asked_at,
+                known,
+                prompt.rank,
+                report.prefill_rate,
+                time.monotonic(),
+            ),
             sent=len(tracked.sent),
             prefill_rate=report.prefill_rate,
             step=report.step,
@@ -164,12 +177,13 @@
             == self._settings.instance.data_hall,
         )
 
-    def _sum_told(self) -> dict[str, list[tuple[float, float]]]:
+    def _find_told(self) -> dict[str, list[routing.Sent]]:
         """Returns what peers sent to each engine, by local arrival time."""
-        told: dict[str, list[tuple[float, float]]] = {}
+        told: dict[str, list[routing.Sent]] = {}
         for fact, at in self._node.arrivals(facts.Topic.IN_FLIGHT):
             if fact.origin != self._node.identity.name:
-                told.setdefault(fact.subject, []).append((at, fact.value))
+                sent = routing.Sent(at, int(fact.value), _TOLD_RANK)
+                told.setdefault(fact.subject, []).append(sent)
         return told
 
     def usable(self, names: Sequence[str]) -> list[str]:
@@ -212,7 +226,8 @@
             tracked.in_flight += 1
             cached = self.prefixes.count_cached(name, prompt.blocks)
             uncached = max(prompt.tokens - cached, 1)
-            tracked.sent.append((time.monotonic(), uncached))
+            sent = routing.Sent(time.monotonic(), uncached, prompt.rank)
+            tracked.sent.append(sent)
         self.prefixes.note_sent(name, prompt.blocks)
 
     def end(self, name: str) -> None:
@@ -331,7 +346,7 @@
             old = tracked.report
             tracked.report = report
             tracked.asked_at = asked_at
-            tracked.sent = [s for s in tracked.sent if s[0] >= asked_at]
+            tracked.sent = [s for s in tracked.sent if s.at >= asked_at]
         if old is not None and old.boot != report.boot:
             self.prefixes.forget(tracked.endpoint.name)
 
@@ -340,7 +355,7 @@
         since = time.monotonic() - self._settings.routing.poll_seconds
         with self._lock:
             totals = {
-                name: sum(tokens for at, tokens in t.sent if at >= since)
+                name: sum(s.tokens for s in t.sent if s.at >= since)
                 for name, t in self._tracked.items()
             }
         origin = self._node.identity.name
