--- a/standins/engine.py
+++ b/standins/engine.py
@@ -249,6 +249,9 @@
                 if not writer.flush():
                     return time.monotonic() + ticker.RETRY_SECONDS
                 if self._is_cut(generation, index):
+                    # In the middle of an event, as a real cut would be.
+                    if index < len(generation.words):
+                        writer.write(_event(generation, index)[:20])
                     writer.close()
                     return None
                 if index >= len(generation.words):
