Say which address is taken in one line; keep benches off outgoing ports

Cause: the propagation bench at 80 daemons missed one: its port had been taken by an outgoing connection between choice and use, and the control died with a traceback. Ruled out: gossip; all that started had joined. Change: a taken address is reported in one line with exit code 2 also when it is met at the start of a part; benches and tests choose ports below the range for outgoing connections.

--- a/bench/processes.py
+++ b/bench/processes.py
@@ -1,6 +1,7 @@
 """Starts stand-ins and daemons as processes for a measurement or a soak."""
 
 import contextlib
+import itertools
 import json
 import os
 import pathlib
@@ -23,18 +24,28 @@
 _HTTP = urllib3.PoolManager(retries=False, timeout=20.0)
 
 
+# Below the range from which the system gives ports to outgoing connections, so
+# that none of those takes a port between its choice and its use.
+_PORTS = itertools.count(20_000 + os.getpid() % 50 * 200)
+
+
 def free_port() -> int:
     """Returns a port that is free for TCP and UDP."""
     while True:
-        with (
-            socket.socket() as tcp,
-            socket.socket(type=socket.SOCK_DGRAM) as udp,
-        ):
-            tcp.bind(("127.0.0.1", 0))
-            port = int(tcp.getsockname()[1])
-            with contextlib.suppress(OSError):
-                udp.bind(("127.0.0.1", port))
-                return port
+        port = 20_000 + (next(_PORTS) - 20_000) % 12_000
+        if _is_free(port):
+            return port
+
+
+def _is_free(port: int) -> bool:
+    kinds = (socket.SOCK_STREAM, socket.SOCK_DGRAM)
+    for kind in kinds:
+        with socket.socket(type=kind) as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                return False
+    return True
 
 
 def fetch(
--- a/src/wayslip/cli/daemon.py
+++ b/src/wayslip/cli/daemon.py
@@ -1,6 +1,7 @@
 """What the two daemons' programs share: settings, logs and signals."""
 
 from collections.abc import Callable
+import os
 import signal
 import sys
 import threading
@@ -41,6 +42,7 @@
     logs.configure_logging(settings.log_level)
     try:
         daemon = make(settings)
+        _start(daemon)
     except errors.SettingsError as e:
         print(e, file=sys.stderr)
         return EXIT_SETTINGS
@@ -48,13 +50,16 @@
         print(
             f"an address can not be used: {e}; free it or change the settings",
             file=sys.stderr,
+            flush=True,
         )
-        return EXIT_SETTINGS
-    _serve(daemon)
+        # Threads of the parts that did start would keep the process alive.
+        os._exit(EXIT_SETTINGS)
+    _wait(daemon)
+    daemon.stop()
     return 0
 
 
-def _serve(daemon: Daemon) -> None:
+def _start(daemon: Daemon) -> None:
     def on_signal(number: int, frame: object) -> None:
         # Only a flag: the stop itself runs in the main thread, and a second
         # signal changes nothing.
@@ -63,7 +68,9 @@
     signal.signal(signal.SIGTERM, on_signal)
     signal.signal(signal.SIGINT, on_signal)
     daemon.start()
+
+
+def _wait(daemon: Daemon) -> None:
     # A wait with a time-out lets Python run the signal handlers.
     while not daemon.stopping.wait(0.5):
         pass
-    daemon.stop()
--- a/tests/system.py
+++ b/tests/system.py
@@ -1,11 +1,10 @@
 """A whole system in one process: stand-ins and daemons on loopback."""
 
-import contextlib
 import http.client
 import json
-import socket
 import time
 
+from bench import processes
 from standins import engine as engine_standin
 from standins import objects as objects_standin
 from standins import service as service_standin
@@ -54,20 +53,6 @@
 """
 
 
-def free_port():
-    """Returns a port that is free for TCP and UDP."""
-    while True:
-        with (
-            socket.socket() as tcp,
-            socket.socket(type=socket.SOCK_DGRAM) as udp,
-        ):
-            tcp.bind(("127.0.0.1", 0))
-            port = tcp.getsockname()[1]
-            with contextlib.suppress(OSError):
-                udp.bind(("127.0.0.1", port))
-                return port
-
-
 def wait_until(condition, what="the condition"):
     """Waits until a condition holds; fails loudly if it never does."""
     limit = time.monotonic() + WAIT_SECONDS
@@ -177,7 +162,7 @@
             name = f"s{n}"
             self.services[name] = service_standin.Service().start()
             self._list(name, "service", self.services[name].address, 0)
-        self._ports = [free_port() for _ in range(2 * instances)]
+        self._ports = [processes.free_port() for _ in range(2 * instances)]
         self.entries = []
         self.controls = []
         for n in range(instances):
@@ -220,12 +205,12 @@
                 "region": "kolkata-east",
             },
             "entry": {
-                "callers": f"127.0.0.1:{free_port()}",
-                "operators": f"127.0.0.1:{free_port()}",
+                "callers": f"127.0.0.1:{processes.free_port()}",
+                "operators": f"127.0.0.1:{processes.free_port()}",
                 "peers": f"127.0.0.1:{self._ports[2 * n]}",
             },
             "control": {
-                "operators": f"127.0.0.1:{free_port()}",
+                "operators": f"127.0.0.1:{processes.free_port()}",
                 "peers": f"127.0.0.1:{self._ports[2 * n + 1]}",
             },
             "objects": {
