--- /dev/null
+++ b/tests/control/test_examples.py
@@ -0,0 +1,38 @@
+"""The examples of both first users can be planned at the brief's sizes."""
+
+import pathlib
+
+import pytest
+
+from wayslip.control import intents
+from wayslip.decisions import configuration
+from wayslip.decisions import placement
+from wayslip.decisions import plan
+
+ENGINE_BYTES = 80 * 10**9
+
+
+@pytest.mark.parametrize(
+    ("path", "engines", "models", "adapters"),
+    [
+        ("examples/models.toml", 3, 4, 2),
+        ("examples/models-authority.toml", 6, 26, 64),
+        ("examples/models-association.toml", 9, 39, 95),
+    ],
+)
+def test_example_can_be_planned(path, engines, models, adapters):
+    change = intents.parse_intent(pathlib.Path(path).read_text())
+    kinds = [v.kind for v in change.put]
+    assert kinds.count(configuration.Kind.MODEL) == models
+    assert kinds.count(configuration.Kind.ADAPTER) == adapters
+    pool = next(v for v in change.put if isinstance(v, configuration.Pool))
+    assert len(pool.engines) == engines
+    states = {
+        name: placement.EngineState(name, ENGINE_BYTES, {})
+        for name in pool.engines
+    }
+    world = plan.World(configuration.Configuration(), states)
+    store = plan.WeightStore(1.4, 15)
+    drawn = plan.build_plan(world, change, store, plan.Draft("p", "o", 0.0))
+    assert isinstance(drawn, plan.Plan), drawn
+    assert drawn.cost.moves >= models + adapters
