Find parted halves again through the seeds; measure leaving endpoints

Cause: after a parting longer than the dead are remembered (60 s) the halves of a fleet never met again: seeds were only tried by a member with no peers. Change: one probe in ten goes to a dead member or a seed that is not a member.

--- /dev/null
+++ b/bench/leaving.py
@@ -0,0 +1,85 @@
+"""Time from an engine's first sign of leaving until no entry uses it.
+
+    python -m bench.leaving [--instances 5] [--times 10]
+
+Real processes with the default poll of half a second, once with the object
+API up and once down. The engine drains; the time is until every entry's dump
+calls it leaving.
+"""
+
+import argparse
+import statistics
+import time
+
+from bench import processes
+
+_INTENT = """
+[[pools]]
+name = "p"
+engines = ["e0", "e1"]
+[[models]]
+name = "m"
+pool = "p"
+version = "v1"
+replicas = 2
+[[versions]]
+model = "m"
+name = "v1"
+size = 10
+"""
+
+
+def main() -> None:
+    """Prints the table."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--instances", type=int, default=5)
+    parser.add_argument("--times", type=int, default=10)
+    args = parser.parse_args()
+    with processes.Fleet({"placement": {"load_rate": 50.0}}) as fleet:
+        for n in range(2):
+            fleet.start_engine(f"e{n}", 100)
+        for n in range(args.instances):
+            fleet.add_instance(f"i{n}", ("control", "entry"))
+        fleet.apply("i0", _INTENT)
+        names = [f"i{n}" for n in range(args.instances)]
+        for name in names:
+            fleet.wait_ready(name, 2)
+        print(f"{'object API':>10} {'median_s':>8} {'max_s':>6}")
+        for is_down in (False, True):
+            faults = {"down": is_down}
+            url = f"{fleet.objects_url}/standin/faults"
+            processes.fetch("POST", url, faults, processes.TOKEN)
+            taken = [_measure(fleet, names) for _ in range(args.times)]
+            word = "down" if is_down else "up"
+            middle = statistics.median(taken)
+            print(f"{word:>10} {middle:>8.3f} {max(taken):>6.3f}", flush=True)
+
+
+def _measure(fleet: processes.Fleet, names: list[str]) -> float:
+    _set_state(fleet, "draining")
+    began = time.monotonic()
+    waiting = list(names)
+    while waiting:
+        waiting = [n for n in waiting if not _is_leaving(fleet, n)]
+    taken = time.monotonic() - began
+    _set_state(fleet, "serving")
+    processes.wait_until(
+        lambda: not any(_is_leaving(fleet, n) for n in names), "e0 is back"
+    )
+    return taken
+
+
+def _set_state(fleet: processes.Fleet, state: str) -> None:
+    url = f"http://{fleet.addresses['e0']}/standin"
+    processes.fetch("POST", url, {"state": state})
+
+
+def _is_leaving(fleet: processes.Fleet, name: str) -> bool:
+    address = fleet.addresses[f"entry/{name}/operators"]
+    state = processes.fetch("GET", f"http://{address}/state")
+    health = state["endpoints"]["is"]["e0"]["health"]
+    return health["left_at"] is not None
+
+
+if __name__ == "__main__":
+    main()
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -51,7 +51,9 @@
 class Fleet:
     """Memberships whose messages arrive at once; time is given."""
 
-    def __init__(self, size: int, seed: int = 1) -> None:
+    def __init__(self, size: int, seed: int = 1, seeds: int = 0) -> None:
+        # Addresses whose messages to other groups are lost.
+        self.parted: set[str] = set()
         self.nodes: dict[str, membership.Membership] = {}
         self.now = 0.0
         self.sent = 0
@@ -63,8 +65,10 @@
                 f"entry/i{n}", membership.Role.ENTRY, address, "hall", 1, 1
             )
             first.append(member)
+            known = tuple(m.address for m in first[:seeds])
+            rng = random.Random(seed * 10_000 + n)
             self.nodes[address] = membership.Membership(
-                member, (), 0.5, 2.0, random.Random(seed * 10_000 + n)
+                member, known, 0.5, 2.0, rng
             )
         for node in self.nodes.values():
             # All know all, and there is no news left to spread.
@@ -83,7 +87,8 @@
             sender, out = todo.popleft()
             self.sent += 1
             node = self.nodes.get(out.address)
-            if node is None:
+            is_cut = (sender in self.parted) != (out.address in self.parted)
+            if node is None or is_cut:
                 continue
             answers = node.receive(out.message, sender, self.now)
             todo.extend((out.address, a) for a in answers)
--- a/src/wayslip/decisions/membership.py
+++ b/src/wayslip/decisions/membership.py
@@ -234,18 +234,30 @@
     # Probing
 
     def _probe_next(self, now: float) -> list[Out]:
+        if self._rng.random() < _REJOIN_ODDS:
+            lost = self._find_lost()
+            if lost:
+                return [self._send(self._rng.choice(lost), _Pending("", now))]
         target = self._next_target()
         if target is not None:
             return [self._send(target.address, _Pending(target.name, now))]
         return [self._send(s, _Pending("", now)) for s in self._seeds]
 
+    def _find_lost(self) -> list[str]:
+        """Returns addresses to try again, so that parted halves meet again.
+
+        The dead are forgotten after a while; the seeds never are.
+        """
+        dead = [
+            self._members[n].address
+            for n in sorted(self._doubtful)
+            if self._members[n].status is Status.DEAD
+        ]
+        known = {m.address for m in self._members.values()}
+        return [*dead, *(s for s in self._seeds if s not in known)]
+
     def _next_target(self) -> Member | None:
         # Round robin over a shuffled list bounds the time to find a death.
-        if self._rng.random() < _REJOIN_ODDS:
-            doubtful = (self._members[n] for n in sorted(self._doubtful))
-            lost = [m for m in doubtful if m.status is Status.DEAD]
-            if lost:
-                return self._rng.choice(lost)
         while self._order:
             member = self._members.get(self._order.pop())
             if member and member.status is not Status.DEAD:
