Leave out of a plan what is in force already; split off cancellations

Cause: reading as a newcomer: applying the same file again proposed "changes" for every entry and would have raised the generation; it would also have cleared a model's fallback while its new version was not resident. Change: unchanged values are dropped from a change and a fallback is kept; unknown deletions are refused; delayed cancellations have a module.

--- a/src/wayslip/decisions/plan.py
+++ b/src/wayslip/decisions/plan.py
@@ -122,8 +122,9 @@
         replicas: Replicas wanted of each model, in place of the models' own.
     """
     change = _add_fallbacks(world.config, change)
+    change = _drop_unchanged(world.config, change)
     wanted = world.config.apply(change, "", "")
-    fault = catalogs.find_fault(wanted)
+    fault = _find_missing(world.config, change) or catalogs.find_fault(wanted)
     if fault is not None:
         return refusals.Refusal(
             refusals.Reason.BAD_REQUEST, f"{fault}; correct the file"
@@ -201,15 +202,38 @@
         if isinstance(value, configuration.Model):
             entry = config.get(configuration.Kind.MODEL, value.name)
             old = entry.value if entry else None
-            if (
-                isinstance(old, configuration.Model)
-                and old.version != value.version
-            ):
-                value = dataclasses.replace(value, fallback=old.version)
+            if isinstance(old, configuration.Model):
+                same = old.version == value.version
+                fallback = old.fallback if same else old.version
+                value = dataclasses.replace(value, fallback=fallback)
         put.append(value)
     return dataclasses.replace(change, put=tuple(put))
 
 
+def _drop_unchanged(
+    config: configuration.Configuration, change: configuration.Change
+) -> configuration.Change:
+    """Leaves out what is in force already."""
+    put = []
+    for value in change.put:
+        name = configuration.get_name(value)
+        entry = config.get(configuration.Kind(value.kind), name)
+        if entry is None or entry.value != value:
+            put.append(value)
+    return dataclasses.replace(change, put=tuple(put))
+
+
+def _find_missing(
+    config: configuration.Configuration, change: configuration.Change
+) -> str | None:
+    """Returns what a change deletes that is not there."""
+    for kind, name in change.delete:
+        entry = config.get(kind, name)
+        if entry is None or entry.value is None:
+            return f"there is no {kind} {name} to delete"
+    return None
+
+
 def _add_placements(
     config: configuration.Configuration,
     change: configuration.Change,
--- a/src/wayslip/entry/completions.py
+++ b/src/wayslip/entry/completions.py
@@ -5,7 +5,6 @@
 import json
 import logging
 import random
-import threading
 import time
 from typing import Any
 import uuid
@@ -26,6 +25,7 @@
 from wayslip.entry import answers
 from wayslip.entry import attempts
 from wayslip.entry import callers as callers_module
+from wayslip.entry import cancellations
 from wayslip.entry import relay as relay_module
 from wayslip.entry import tokens
 from wayslip.entry import view as view_module
@@ -34,7 +34,7 @@
 
 _LOG = logging.getLogger(__name__)
 _COLD_RETRY_SECONDS = 2.0
-_CANCEL_SECONDS = 1.0
+_TELL_SECONDS = 1.0
 _RESUME_SECONDS = 5.0
 _STREAM_HEADERS = {
     "Content-Type": "text/event-stream",
@@ -119,8 +119,9 @@
         self._admit = admission.POLICIES.get(settings.admission.policy)
         self._resume_key = settings.security.resume_key.encode()
         self._rng = random.Random()
-        self._lock = threading.Lock()
-        self._cancels: dict[str, threading.Timer] = {}
+        self.cancellations = cancellations.Cancellations(
+            view, metrics, settings.limits.resume_seconds
+        )
 
     # Checking
 
@@ -377,7 +378,7 @@
             self._view.end(name)
             self._in_flight.end(caller.name)
             if end is relay_module.End.HUNG_UP:
-                self._cancel_later(token)
+                self.cancellations.add(token)
 
         plan = relay_module.Plan(
             tokens.seal_stream(self._resume_key, caller.name, token),
@@ -389,7 +390,7 @@
         sock, owner = request.detach(_STREAM_HEADERS)
         self._relay.add(sock, owner, upstream, plan)
 
-    # Resuming and cancelling
+    # Resuming
 
     def resume(
         self,
@@ -405,7 +406,7 @@
                 "send the last id of the stream as it came",
             )
         token, after = opened
-        self.keep(token.request_id)
+        self.cancellations.drop(token.request_id)
         self._tell_first_entry(token)
         address = self._view.address(token.endpoint)
         if address is None:
@@ -445,41 +446,12 @@
                 member,
                 messages_module.Resumed(token.request_id),
                 messages_module.Noted,
-                _CANCEL_SECONDS,
+                _TELL_SECONDS,
             )
         except errors.WayslipError:
             # A dead entry cancels nothing.
             return
 
-    def keep(self, request_id: str) -> None:
-        """Calls off the cancellation of a stream that is resumed."""
-        with self._lock:
-            timer = self._cancels.pop(request_id, None)
-        if timer is not None:
-            timer.cancel()
-
-    def _cancel_later(self, token: tokens.StreamToken) -> None:
-        timer = threading.Timer(
-            self._settings.limits.resume_seconds, self._cancel, [token]
-        )
-        timer.daemon = True
-        with self._lock:
-            self._cancels[token.request_id] = timer
-        timer.start()
-
-    def _cancel(self, token: tokens.StreamToken) -> None:
-        with self._lock:
-            self._cancels.pop(token.request_id, None)
-        address = self._view.address(token.endpoint)
-        if address is None:
-            return
-        try:
-            self._dialect.cancel(address, token.request_id, _CANCEL_SECONDS)
-            self._metrics.count("streams_cancelled")
-        except errors.WayslipError:
-            # The engine ends it by itself at the token limit.
-            return
-
 
 @dataclasses.dataclass(frozen=True)
 class _Chosen:
--- a/src/wayslip/entry/daemon.py
+++ b/src/wayslip/entry/daemon.py
@@ -199,7 +199,7 @@
 
     def _answer_resumed(self, message: object) -> object:
         assert isinstance(message, messages.Resumed)
-        self.completions.keep(message.request_id)
+        self.completions.cancellations.drop(message.request_id)
         return messages.Noted()
 
     def _answer_list(self, message: object) -> object:
--- a/tests/control/test_operators.py
+++ b/tests/control/test_operators.py
@@ -50,6 +50,12 @@
     assert status["generation"] == generation
 
 
+def test_file_that_is_in_force_already_changes_nothing(system):
+    reply = system.operate("POST", "/v1/plans", system_module.INTENT.encode())
+    assert reply.json["effects"] == []
+    assert reply.json["steps"] == []
+
+
 def test_two_operators_at_once_exactly_one_wins(system):
     plan = propose(system, "raced")["id"]
     replies = {}
@@ -127,6 +133,7 @@
         ('[[delete]]\nkind = "placement"\nname = "e0"', "can not be deleted"),
         (GROW.format(name="huge", size=10**9), "room"),
         (GROW.format(name="neg", size=-1), "greater"),
+        ('[[delete]]\nkind = "model"\nname = "none"', "no model none"),
     ],
 )
 def test_bad_intents_get_a_clear_error(system, text, word):
