Let the tests' reader notice two events run into one

Cause: a relay that kept half an event across a cut was broken on purpose and passed: the tests' reader took the last of two data lines. Change: the reader refuses it, in tests and soak.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -318,7 +318,8 @@
             while line := response.readline():
                 if line != b"\n":
                     name, _, value = line.decode().rstrip("\n").partition(": ")
-                    fields[name] = value
+                    # Two data lines are two events run into one.
+                    fields[name] = fields.get(name, "") + value
                     continue
                 self._take(fields)
                 fields = {}
--- a/tests/system.py
+++ b/tests/system.py
@@ -124,6 +124,8 @@
 
     def _take(self, lines):
         fields = dict(line.split(": ", 1) for line in lines)
+        # Two data lines would be two events run into one.
+        assert len(fields) == len(lines), lines
         self.last_id = fields.get("id", self.last_id)
         if fields["data"] == "[DONE]":
             self.is_done = True
