--- /dev/null
+++ b/src/wayslip/control/evictions.py
@@ -0,0 +1,118 @@
+"""The guard of the last ready replica of an item.
+
+An engine leaves the item's replica set before its copy is evicted, and only
+while another engine surely holds the item and will keep it. The reasons for
+each read are in docs/design/memory.md.
+"""
+
+import logging
+
+from wayslip import errors
+from wayslip import logs
+from wayslip import refusals
+from wayslip.control import world as world_module
+from wayslip.decisions import replicas
+from wayslip.endpoints import engine as engine_module
+from wayslip.objects import client as client_module
+from wayslip.objects import kinds
+
+_LOG = logging.getLogger(__name__)
+_REPORT_SECONDS = 1.0
+
+
+class Evictions:
+    """Decides whether an engine may evict an item."""
+
+    def __init__(
+        self,
+        world: world_module.WorldView,
+        client: client_module.ObjectClient,
+    ) -> None:
+        self._world = world
+        self._client = client
+        self._dialect = engine_module.DIALECTS.get("openai")
+
+    def release(self, name: str, item: str) -> bool:
+        """Takes the engine out of the item's set, if another one is ready."""
+        needed = self._is_needed(item)
+
+        def step(
+            known: replicas.ReplicaSet | None,
+        ) -> replicas.ReplicaSet | refusals.Refusal:
+            known = known or replicas.ReplicaSet(item)
+            alive = self._find_alive(known, name) if needed else frozenset()
+            return known.release(name, alive, needed)
+
+        result = self._client.change(kinds.REPLICA_SET, object_name(item), step)
+        if not isinstance(result, refusals.Refusal):
+            return True
+        logs.event(
+            _LOG,
+            "eviction_waits",
+            logging.DEBUG,
+            engine=name,
+            item=item,
+            reason=result.reason,
+        )
+        return False
+
+    def _is_needed(self, item: str) -> bool:
+        catalog = self._world.catalog
+        if item in catalog.required:
+            return True
+        successor = catalog.successors.get(item)
+        if successor is None:
+            return False
+        ready = self._world.replica_sets().get(successor)
+        return not (ready and ready.engines)
+
+    def _find_alive(
+        self, known: replicas.ReplicaSet, besides: str
+    ) -> frozenset[str]:
+        """Returns the engines that surely hold an item and will keep it.
+
+        Called between the read and the write of the replica set. The ledger
+        is read for certain: see `confirm_read`.
+        """
+        alive = set()
+        for name in known.engines - {besides}:
+            endpoint = self._world.endpoint(name)
+            if endpoint is None or endpoint.phase is kinds.Phase.LEAVING:
+                continue
+            try:
+                ledger = confirm_read(self._client, kinds.LEDGER, name)
+                report = self._dialect.report(endpoint.address, _REPORT_SECONDS)
+            except errors.WayslipError:
+                continue
+            charge = ledger.get(known.item)
+            is_free = all(a.item != known.item for a in ledger.attempts)
+            if charge and is_free and known.item in report.resident:
+                alive.add(name)
+        return frozenset(alive)
+
+    def is_released(self, name: str, item: str) -> bool:
+        """Whether nobody put an engine back into an item's set meanwhile."""
+        known = confirm_read(self._client, kinds.REPLICA_SET, object_name(item))
+        return name not in known.engines
+
+
+def object_name(item: str) -> str:
+    """Returns an item's name in the form that object names take."""
+    return item.replace("@", "--")
+
+
+def confirm_read(client: client_module.ObjectClient, kind, name: str):  # type: ignore[no-untyped-def]  # noqa: ANN001, ANN201
+    """Returns an object's content that was the newest during the call.
+
+    A plain read may be stale. Writing the same content back conditionally
+    succeeds only if it was not.
+    """
+    for _ in range(8):
+        stored = client.get(kind, name)
+        try:
+            return client.update(kind, stored, stored.value).value
+        except errors.ObjectConflictError:
+            continue
+    raise errors.ObjectUnavailableError(
+        f"{kind.plural}/{name} keeps changing", "try again"
+    )
--- a/src/wayslip/control/executor.py
+++ b/src/wayslip/control/executor.py
@@ -23,6 +23,7 @@
 from wayslip import metrics as metrics_module
 from wayslip import refusals
 from wayslip import settings as settings_module
+from wayslip.control import evictions
 from wayslip.control import world as world_module
 from wayslip.decisions import catalog as catalogs
 from wayslip.decisions import ledger as ledger_module
@@ -67,6 +68,7 @@
         self._metrics = metrics
         self._dialect = engine_module.DIALECTS.get("openai")
         self._sender = world.node.process
+        self._evictions = evictions.Evictions(world, client)
         self._stopping = threading.Event()
         share = settings.placement.load_rate
         self._bucket = rate.Bucket(share, 2.0, 1.0, time.monotonic())
@@ -133,13 +135,14 @@
         return self._work(subject)
 
     def _work(self, subject: _Subject) -> bool:
+        name = subject.endpoint.name
         kept: frozenset[str] = frozenset()
         while True:
             step = self._choose(subject, kept)
             if step is None:
                 return False
             is_unload = step.action is ledger_module.Action.UNLOAD
-            if is_unload and not self._release(subject, step.item):
+            if is_unload and not self._evictions.release(name, step.item):
                 # Its replacement may be what this engine is to load next.
                 kept |= {step.item}
                 continue
@@ -219,7 +222,7 @@
     def _change_set(self, item: str, step) -> None:  # type: ignore[no-untyped-def]
         self._client.change(
             kinds.REPLICA_SET,
-            object_name(item),
+            evictions.object_name(item),
             lambda known: step(known or replicas.ReplicaSet(item)),
         )
 
@@ -273,7 +276,9 @@
                 reason=written.reason,
             )
             return False
-        if is_unload and not self._is_still_released(subject, step.item):
+        if is_unload and not self._evictions.is_released(
+            subject.endpoint.name, step.item
+        ):
             self._tell(
                 subject, attempt_id, lambda old: old.withdraw(attempt_id)
             )
@@ -384,71 +389,6 @@
         owed = self._owed.setdefault(subject.endpoint.name, {})
         owed[attempt_id] = step
 
-    # The last replica
-
-    def _release(self, subject: _Subject, item: str) -> bool:
-        """Takes the engine out of the item's set, if another one is ready."""
-        name = subject.endpoint.name
-        needed = self._is_needed(item)
-
-        def step(
-            known: replicas.ReplicaSet | None,
-        ) -> replicas.ReplicaSet | refusals.Refusal:
-            known = known or replicas.ReplicaSet(item)
-            alive = self._find_alive(known, name) if needed else frozenset()
-            return known.release(name, alive, needed)
-
-        result = self._client.change(kinds.REPLICA_SET, object_name(item), step)
-        if not isinstance(result, refusals.Refusal):
-            return True
-        logs.event(
-            _LOG,
-            "eviction_waits",
-            logging.DEBUG,
-            engine=name,
-            item=item,
-            reason=result.reason,
-        )
-        return False
-
-    def _is_needed(self, item: str) -> bool:
-        catalog = self._world.catalog
-        if item in catalog.required:
-            return True
-        successor = catalog.successors.get(item)
-        if successor is None:
-            return False
-        ready = self._world.replica_sets().get(successor)
-        return not (ready and ready.engines)
-
-    def _find_alive(
-        self, known: replicas.ReplicaSet, besides: str
-    ) -> frozenset[str]:
-        """Returns the engines that surely hold an item and will keep it.
-
-        Called between the read and the write of the replica set. The ledger
-        is read for certain: see `confirm_read`.
-        """
-        alive = set()
-        for name in known.engines - {besides}:
-            endpoint = self._world.endpoint(name)
-            if endpoint is None or endpoint.phase is kinds.Phase.LEAVING:
-                continue
-            try:
-                ledger = confirm_read(self._client, kinds.LEDGER, name)
-                report = self._dialect.report(endpoint.address, _REPORT_SECONDS)
-            except errors.WayslipError:
-                continue
-            charge = ledger.get(known.item)
-            is_free = all(a.item != known.item for a in ledger.attempts)
-            if charge and is_free and known.item in report.resident:
-                alive.add(name)
-        return frozenset(alive)
-
-    def _is_still_released(self, subject: _Subject, item: str) -> bool:
-        known = confirm_read(self._client, kinds.REPLICA_SET, object_name(item))
-        return subject.endpoint.name not in known.engines
-
 
 def _begin(
     ledger: ledger_module.Ledger,
@@ -464,28 +404,6 @@
     return ledger.begin_fence(attempt_id, sender)
 
 
-def object_name(item: str) -> str:
-    """Returns an item's name in the form that object names take."""
-    return item.replace("@", "--")
-
-
-def confirm_read(client: client_module.ObjectClient, kind, name: str):  # type: ignore[no-untyped-def]  # noqa: ANN001, ANN201
-    """Returns an object's content that was the newest during the call.
-
-    A plain read may be stale. Writing the same content back conditionally
-    succeeds only if it was not.
-    """
-    for _ in range(8):
-        stored = client.get(kind, name)
-        try:
-            return client.update(kind, stored, stored.value).value
-        except errors.ObjectConflictError:
-            continue
-    raise errors.ObjectUnavailableError(
-        f"{kind.plural}/{name} keeps changing", "try again"
-    )
-
-
 def _find_bases(catalog: catalogs.Catalog) -> dict[str, str]:
     return {
         target.items[1]: target.items[0]
