Write the tests' growing intent once

Cause: the same intent of one model stood in four test files. Change: tests/system.py has grow_intent; no check was changed.

--- a/tests/control/test_ctl.py
+++ b/tests/control/test_ctl.py
@@ -5,17 +5,6 @@
 from tests import system as system_module
 from tests import test_cli
 
-GROW = """
-[[models]]
-name = "ctl"
-pool = "p"
-version = "v1"
-[[versions]]
-model = "ctl"
-name = "v1"
-size = 5
-"""
-
 
 def ctl(system, *args, n=0, code=0):
     url = f"http://{system.controls[n]._settings.control.operators}"
@@ -27,7 +16,7 @@
 
 def test_an_operators_session(system, tmp_path):
     path = tmp_path / "grow.toml"
-    path.write_text(GROW)
+    path.write_text(system_module.grow_intent("ctl"))
     plan = json.loads(ctl(system, "--json", "apply", str(path)))["id"]
     shown = ctl(system, "plan", plan)
     assert "load ctl@v1" in shown
--- a/tests/control/test_executor.py
+++ b/tests/control/test_executor.py
@@ -12,17 +12,7 @@
         instances=1, checks_fence=checks_fence, sections=sections
     ) as fleet:
         fleet.apply()
-        intent = """
-[[models]]
-name = "k"
-pool = "p"
-version = "v1"
-replicas = 3
-[[versions]]
-model = "k"
-name = "v1"
-size = 5
-"""
+        intent = system_module.grow_intent("k", 5, 3)
         plan = fleet.operate("POST", "/v1/plans", intent.encode()).json["id"]
         # Every write takes effect and no answer comes.
         fleet.objects.faults.lose = 1.0
--- a/tests/control/test_operators.py
+++ b/tests/control/test_operators.py
@@ -8,16 +8,6 @@
 from tests import system as system_module
 
 SECOND = system_module.OPERATOR + "-2"
-GROW = """
-[[models]]
-name = "{name}"
-pool = "p"
-version = "v1"
-[[versions]]
-model = "{name}"
-name = "v1"
-size = {size}
-"""
 
 
 def is_quiet(system):
@@ -33,7 +23,7 @@
 def propose(system, name, size=5, n=0):
     # A load under way changes an engine, and with it the plan's world.
     system_module.wait_until(lambda: is_quiet(system), "no plan runs")
-    intent = GROW.format(name=name, size=size)
+    intent = system_module.grow_intent(name=name, size=size)
     reply = system.operate("POST", "/v1/plans", intent.encode(), n)
     assert reply.status == 200, reply.body
     return reply.json
@@ -101,7 +91,7 @@
         generation = system.operate("GET", "/v1/status").json["generation"]
         plan = None
         while plan is None:
-            intent = GROW.format(name="lossy", size=3).encode()
+            intent = system_module.grow_intent(name="lossy", size=3).encode()
             reply = system.operate("POST", "/v1/plans", intent)
             plan = reply.json.get("id")
         path = f"/v1/plans/{plan}/confirm"
@@ -131,8 +121,8 @@
         ('[[services]]\nname = "q"\nendpoints = []\nx = 1', "unknown key"),
         ('[[models]]\nname="z"\npool="none"\nversion="v1"', "no pool"),
         ('[[delete]]\nkind = "placement"\nname = "e0"', "can not be deleted"),
-        (GROW.format(name="huge", size=10**9), "room"),
-        (GROW.format(name="neg", size=-1), "greater"),
+        (system_module.grow_intent(name="huge", size=10**9), "room"),
+        (system_module.grow_intent(name="neg", size=-1), "greater"),
         ('[[delete]]\nkind = "model"\nname = "none"', "no model none"),
     ],
 )
--- a/tests/faults/test_endpoints.py
+++ b/tests/faults/test_endpoints.py
@@ -70,17 +70,7 @@
 def test_lost_order_answers_leave_memory_whole(fleet):
     for engine in fleet.engines.values():
         engine.lose_answers = 2
-    intent = """
-[[models]]
-name = "k"
-pool = "p"
-version = "v1"
-replicas = 3
-[[versions]]
-model = "k"
-name = "v1"
-size = 20
-"""
+    intent = system_module.grow_intent("k", 20, 3)
     fleet.apply(intent)
     assert fleet.complete(model="k").status == 200
     assert all(not e.overcommitted for e in fleet.engines.values())
--- a/tests/system.py
+++ b/tests/system.py
@@ -53,6 +53,21 @@
 """
 
 
+def grow_intent(name, size=5, replicas=1):
+    """Returns an intent for one more model with one version."""
+    return f"""
+[[models]]
+name = "{name}"
+pool = "p"
+version = "v1"
+replicas = {replicas}
+[[versions]]
+model = "{name}"
+name = "v1"
+size = {size}
+"""
+
+
 def wait_until(condition, what="the condition"):
     """Waits until a condition holds; fails loudly if it never does."""
     limit = time.monotonic() + WAIT_SECONDS
