--- /dev/null
+++ b/src/wayslip/addresses.py
@@ -0,0 +1,7 @@
+"""Addresses as text, "IP:PORT"."""
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Returns the IP number and the port of "IP:PORT"."""
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
--- /dev/null
+++ b/src/wayslip/cli/gateway.py
@@ -0,0 +1,84 @@
+"""The gateway on the users' platform.
+
+Usage:
+  wayslip-gateway [--check]
+  wayslip-gateway --help
+
+The platform names its settings file in an environment variable.
+
+Options:
+  --check  Check the settings and exit.
+  --help   Show this text.
+
+Exit codes: 0 after a planned stop, 2 for settings that can not be used.
+"""
+
+import asyncio
+import sys
+
+import docopt
+
+from wayslip import addresses
+from wayslip import errors
+from wayslip import logs
+from wayslip.gateway import daemon
+from wayslip.gateway import options as options_module
+from wayslip.platform import dialect
+from wayslip.platform import engines
+from wayslip.platform import kinds
+from wayslip.platform import settings
+from wayslip.platform import store
+
+EXIT_SETTINGS = 2
+
+
+def make_platform(options: options_module.Options) -> daemon.Platform:
+    """Returns the adapter's parts for an instance."""
+    address = addresses.split_address(options.store)
+    return daemon.Platform(
+        store=store.PlatformStore(address),
+        dialect=dialect.PlatformDialect(),
+        engines=engines.PlatformEngines(),
+        configuration=kinds.CONFIGURATION,
+        configuration_name=kinds.CONFIGURATION_NAME,
+        endpoints=kinds.ENDPOINTS,
+        lease=kinds.LEASE,
+    )
+
+
+async def _run(options: options_module.Options) -> None:
+    await daemon.Gateway(options, make_platform(options)).run()
+
+
+def run() -> int:
+    """Runs the gateway; returns the exit code."""
+    assert __doc__ is not None
+    arguments = docopt.docopt(__doc__)
+    path = settings.find_path()
+    try:
+        options = settings.load(path)
+    except errors.SettingsError as e:
+        print(e, file=sys.stderr)
+        return EXIT_SETTINGS
+    if arguments["--check"]:
+        print(f"{path}: the settings are valid")
+        return 0
+    logs.configure_logging("info", sys.stdout)
+    try:
+        asyncio.run(_run(options))
+    except OSError as e:
+        print(
+            f"an address can not be used: {e}; free it or change the settings",
+            file=sys.stderr,
+        )
+        return EXIT_SETTINGS
+    return 0
+
+
+def main() -> None:
+    """Runs the program."""
+    sys.exit(run())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/wayslip/decisions/demand.py
@@ -0,0 +1,40 @@
+"""How often items are asked for, with older requests fading out."""
+
+from collections.abc import Hashable
+import math
+from typing import Generic
+from typing import TypeVar
+
+K = TypeVar("K", bound=Hashable)
+
+# Below this a rate is forgotten, requests a second.
+_LEAST = 0.01
+
+
+class Rates(Generic[K]):
+    """Rates by key, requests a second.
+
+    Args:
+        fading: Seconds after which a request counts for a third.
+    """
+
+    def __init__(self, fading: float) -> None:
+        self._fading = fading
+        self._rates: dict[K, tuple[float, float]] = {}
+
+    def add(self, key: K, count: int, now: float) -> None:
+        """Counts requests."""
+        self._rates[key] = (self.get(key, now) + count / self._fading, now)
+
+    def get(self, key: K, now: float) -> float:
+        """Returns a key's rate."""
+        rate, at = self._rates.get(key, (0.0, now))
+        return rate * math.exp(-(now - at) / self._fading)
+
+    def all(self, now: float) -> dict[K, float]:
+        """Returns all rates, forgetting the faded ones."""
+        rates = {key: self.get(key, now) for key in self._rates}
+        for key, rate in rates.items():
+            if rate < _LEAST:
+                del self._rates[key]
+        return {k: r for k, r in rates.items() if r >= _LEAST}
--- /dev/null
+++ b/src/wayslip/decisions/fleet.py
@@ -0,0 +1,59 @@
+"""Endpoints as the platform lists them."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Endpoint:
+    """One start of an endpoint; a restart is another endpoint.
+
+    Attributes:
+        name: Its id, new at every start.
+        address: "IP:PORT"; may belong to another endpoint later.
+        data_hall: Where it runs.
+        slots: Requests that it works on at once.
+        is_leaving: Whether it takes no new work.
+        models: The adapters that it holds, by model.
+        in_memory: Models whose weights lie in its host memory.
+        on_disk: Models whose weights lie on its disk.
+    """
+
+    name: str
+    service: str
+    address: str
+    data_hall: str
+    slots: int = 1
+    is_leaving: bool = False
+    models: dict[str, frozenset[str]] = dataclasses.field(default_factory=dict)
+    in_memory: frozenset[str] = frozenset()
+    on_disk: frozenset[str] = frozenset()
+
+    def holds(self, model: str, adapter: str) -> bool:
+        """Whether a model, and an adapter if one is named, is loaded."""
+        held = self.models.get(model)
+        if held is None:
+            return False
+        return not adapter or adapter in held
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Load:
+    """What an endpoint said of its load with an answer."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineState:
+    """What an engine says of itself when asked.
+
+    Attributes:
+        orders: How many orders it has taken since its start.
+        is_busy: Whether it is loading or unloading a model.
+    """
+
+    orders: int
+    is_busy: bool
+    models: dict[str, frozenset[str]]
--- /dev/null
+++ b/src/wayslip/decisions/selection.py
@@ -0,0 +1,103 @@
+"""Which endpoint gets a request.
+
+Every candidate is given the time that the request is expected to wait there
+for its first byte; the smallest wins. Times are seconds, lengths tokens.
+"""
+
+from collections.abc import Sequence
+import dataclasses
+
+# Prompt tokens that an engine reads a second when nothing else runs. The
+# operators' sheet of both sites says 19.1 a millisecond; larger models and
+# full batches are slower, so somewhat less is assumed.
+PREFILL_RATE = 14_000.0
+# What every request that runs already adds to the first token of a new one:
+# its share of the decoding steps that a prompt's pieces are read between.
+RUNNING_COST = 0.0035
+# A plain request ahead in an endpoint that has all slots taken.
+QUEUE_COST = 0.03
+# A request in another data hall takes this much longer, and its bytes are
+# priced; half a millisecond each way.
+DISTANCE_COST = 0.004
+# An endpoint that fails all of its requests looks this much slower than one
+# that fails none, so it is used only when nothing else is there.
+FAILURE_COST = 3.0
+# Beyond this share of its memory for prompts an engine starts to preempt.
+MEMORY_SHARE = 0.9
+MEMORY_COST = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Candidate:
+    """An endpoint that can answer.
+
+    Attributes:
+        in_flight: Requests there, over all instances.
+        slots: Requests that it works on at once.
+        unread: Prompt tokens there that are not read yet.
+        uncached: Prompt tokens of this request that it has to read.
+        memory: Share of its memory that is taken with this request.
+        failures: Share of requests that failed lately beyond the service's
+            own rate.
+        is_near: Whether it is in our data hall.
+        is_suspended: Whether it failed just now and should rest.
+    """
+
+    name: str
+    in_flight: int = 0
+    slots: int = 1
+    unread: int = 0
+    uncached: int = 0
+    memory: float = 0.0
+    failures: float = 0.0
+    is_near: bool = True
+    is_suspended: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Choice:
+    """A chosen endpoint.
+
+    Attributes:
+        wait: Expected seconds to the first byte, penalties left out.
+        occupancy: Share of its slots that is taken, above 1 with a queue.
+    """
+
+    name: str
+    wait: float
+    occupancy: float
+
+
+def predict_wait(candidate: Candidate) -> float:
+    """Returns the seconds to the first byte that are expected."""
+    queued = max(candidate.in_flight + 1 - candidate.slots, 0)
+    reading = (candidate.unread + candidate.uncached) / PREFILL_RATE
+    running = min(candidate.in_flight, candidate.slots)
+    wait = reading + running * RUNNING_COST + queued * QUEUE_COST
+    over = max(candidate.memory - MEMORY_SHARE, 0.0)
+    return wait + over * MEMORY_COST
+
+
+def choose(candidates: Sequence[Candidate], draw: float) -> Choice | None:
+    """Returns the best candidate, None if there is none.
+
+    Args:
+        candidates: Endpoints that can answer.
+        draw: From [0, 1); breaks ties differently on each instance, so that
+            instances with the same knowledge do not all pick one endpoint.
+    """
+    rested = [c for c in candidates if not c.is_suspended] or candidates
+    if not rested:
+        return None
+    first = int(draw * len(rested))
+    turned = [*rested[first:], *rested[:first]]
+    best = min(turned, key=_rate)
+    return Choice(
+        best.name, predict_wait(best), best.in_flight / max(best.slots, 1)
+    )
+
+
+def _rate(candidate: Candidate) -> float:
+    distance = 0.0 if candidate.is_near else DISTANCE_COST
+    failing = candidate.failures * FAILURE_COST
+    return predict_wait(candidate) + distance + failing
--- a/src/wayslip/endpoints/exchange.py
+++ b/src/wayslip/endpoints/exchange.py
@@ -15,8 +15,8 @@
 import urllib3
 from urllib3 import connection
 
+from wayslip import addresses
 from wayslip import errors
-from wayslip import settings
 
 _CONNECT_SECONDS = 1.0
 
@@ -118,7 +118,7 @@
         NotSentError: No connection was made, so nothing was sent.
         EndpointUnclearError: Some of it may have been read.
     """
-    host, port = settings.split_address(call.address)
+    host, port = addresses.split_address(call.address)
     conn = connection.HTTPConnection(
         host, port, timeout=min(call.timeout, _CONNECT_SECONDS)
     )
--- /dev/null
+++ b/src/wayslip/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The gateway daemon: one process an instance, for callers and placement."""
--- /dev/null
+++ b/src/wayslip/gateway/configuration.py
@@ -0,0 +1,37 @@
+"""The configuration in force on this instance; it never goes back."""
+
+import logging
+
+from wayslip import logs
+from wayslip.decisions import manifest as manifest_module
+
+_LOG = logging.getLogger(__name__)
+
+
+class Holder:
+    """Holds the newest configuration that was heard of."""
+
+    def __init__(self) -> None:
+        self.manifest: manifest_module.Manifest | None = None
+
+    @property
+    def limits(self) -> manifest_module.Limits:
+        """Limits on clients, the defaults before a configuration is known."""
+        if self.manifest is None:
+            return manifest_module.Limits()
+        return self.manifest.limits
+
+    def offer(self, manifest: manifest_module.Manifest) -> bool:
+        """Takes a configuration in if it is newer; returns whether it was."""
+        known = self.manifest
+        if known is not None and manifest.version <= known.version:
+            return False
+        self.manifest = manifest
+        logs.event(
+            _LOG,
+            "configuration_in_force",
+            version=manifest.version,
+            before=known.version if known else None,
+            routes=len(manifest.routes),
+        )
+        return True
--- /dev/null
+++ b/src/wayslip/gateway/daemon.py
@@ -0,0 +1,270 @@
+"""The gateway put together, with its planned stop."""
+
+import asyncio
+from collections.abc import Coroutine
+import dataclasses
+import json
+import logging
+import signal
+import time
+from typing import Any
+
+from wayslip import addresses
+from wayslip import logs
+from wayslip import metrics as metrics_module
+from wayslip.decisions import fleet
+from wayslip.decisions import lease
+from wayslip.decisions import manifest
+from wayslip.gateway import configuration
+from wayslip.gateway import dialect as dialect_module
+from wayslip.gateway import engines as engines_module
+from wayslip.gateway import facts
+from wayslip.gateway import following
+from wayslip.gateway import hub as hub_module
+from wayslip.gateway import leadership as leadership_module
+from wayslip.gateway import options as options_module
+from wayslip.gateway import ordering as ordering_module
+from wayslip.gateway import placement as placement_module
+from wayslip.gateway import planner as planner_module
+from wayslip.gateway import requests as requests_module
+from wayslip.gateway import store as store_module
+from wayslip.gateway import view as view_module
+from wayslip.gateway import watching
+from wayslip.http1 import server
+
+_LOG = logging.getLogger(__name__)
+# The balancer asks every second and takes an instance out after two misses;
+# until then new connections still come, seconds.
+_BALANCER_SECONDS = 3.0
+# Left of the grace time for breaking off what did not end, seconds.
+_LAST_SECONDS = 0.4
+_STOP_STEP = 0.1
+_TEXT = ((b"content-type", b"text/plain; charset=utf-8"),)
+_JSON = ((b"content-type", b"application/json"),)
+
+
+@dataclasses.dataclass(frozen=True)
+class Platform:
+    """What an adapter supplies: clients, kinds of objects and a dialect."""
+
+    store: store_module.Store
+    dialect: dialect_module.Dialect
+    engines: engines_module.EngineClient
+    configuration: store_module.Kind[manifest.Manifest]
+    configuration_name: str
+    endpoints: store_module.Kind[fleet.Endpoint]
+    lease: store_module.Kind[lease.Record]
+
+
+class Gateway:
+    """One instance: callers' requests, and placement while it has the lease."""
+
+    def __init__(
+        self, options: options_module.Options, platform: Platform
+    ) -> None:
+        self._options = options
+        self._platform = platform
+        self.metrics = metrics_module.Metrics()
+        self.holder = configuration.Holder()
+        self.view = view_module.EndpointView(options.data_hall)
+        self._hub = hub_module.Hub(self._take_message)
+        self.leadership = leadership_module.Leadership(
+            options,
+            platform.store,
+            platform.lease,
+            self._begin_holding,
+            self._end_holding,
+        )
+        self._ordering = ordering_module.Ordering(
+            options, platform.engines, self.leadership, self.metrics
+        )
+        self.leadership.pending = self._ordering.list_pending
+        self._planner = planner_module.Planner(
+            self.holder, self.view, self.leadership, self._ordering, self._hub
+        )
+        self._placement = placement_module.Placement(
+            options, self.view, self._hub, self.leadership
+        )
+        self._requests = requests_module.Requests(
+            options,
+            platform.dialect,
+            self.holder,
+            self.view,
+            self._placement,
+            self.metrics,
+        )
+        self._configurations = watching.Watcher(
+            platform.store,
+            platform.configuration,
+            self._take_configurations,
+            self._take_configuration,
+        )
+        self._endpoints = following.EndpointFollower(
+            platform.store,
+            platform.endpoints,
+            self.view,
+            self._placement.notify,
+            self._requests.drop_endpoint,
+        )
+        self._callers = server.Server(
+            addresses.split_address(options.callers),
+            self._requests.serve,
+            lambda: self.holder.limits,
+        )
+        self._readiness = server.Server(
+            addresses.split_address(options.readiness),
+            self._answer_readiness,
+            manifest.Limits,
+        )
+        self._operators = server.Server(
+            (options.ip, options.metrics_port),
+            self._answer_operators,
+            manifest.Limits,
+        )
+        self._stopping = asyncio.Event()
+        self._tasks: list[asyncio.Task[None]] = []
+
+    # Running
+
+    async def run(self) -> None:
+        """Runs until SIGTERM or SIGINT, then stops as planned."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
+        loop.add_signal_handler(signal.SIGINT, self._stopping.set)
+        # Everything that may change at run time comes from the store.
+        loop.add_signal_handler(signal.SIGHUP, self._note_reload)
+        await self._hub.start(addresses.split_address(self._options.peers))
+        await self._readiness.start()
+        await self._operators.start()
+        await self._callers.start()
+        for work in (
+            self._configurations.run(),
+            self._endpoints.watcher.run(),
+            self.leadership.run(),
+            self._placement.run(),
+            self._planner.run(),
+        ):
+            self._start_task(work)
+        logs.event(
+            _LOG,
+            "started",
+            instance=self._options.name,
+            callers=self._options.callers,
+        )
+        await self._stopping.wait()
+        await self._stop()
+
+    def _start_task(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        task.add_done_callback(self._check_task)
+        self._tasks.append(task)
+
+    def _check_task(self, task: asyncio.Task[None]) -> None:
+        """Stops the process if a loop ended that must not end.
+
+        Without it the process would go on as if nothing had happened; the
+        platform starts it again.
+        """
+        if task.cancelled() or self._stopping.is_set():
+            return
+        _LOG.error("loop_ended", exc_info=task.exception())
+        self._stopping.set()
+
+    def _note_reload(self) -> None:
+        logs.event(_LOG, "reload_noted", instance=self._options.name)
+
+    async def _stop(self) -> None:
+        began = time.monotonic()
+        self._callers.is_draining = True
+        logs.event(_LOG, "stopping", active=self._callers.active)
+        await self.leadership.release()
+        limit = began + self._options.bounds.grace - _LAST_SECONDS
+        while time.monotonic() < limit:
+            if time.monotonic() - began >= _BALANCER_SECONDS:
+                self._callers.stop_listening()
+                self._callers.close_idle()
+                if not self._callers.active:
+                    break
+            await asyncio.sleep(_STOP_STEP)
+        logs.event(
+            _LOG,
+            "stopped",
+            cut=self._callers.active,
+            seconds=f"{time.monotonic() - began:.1f}",
+        )
+        self._callers.abort_all()
+        self._requests.close()
+        self._hub.close()
+        for task in self._tasks:
+            task.cancel()
+
+    # Configuration, lease and peers
+
+    def _take_configurations(
+        self, items: tuple[store_module.Stored[manifest.Manifest], ...]
+    ) -> None:
+        for item in items:
+            if item.name == self._platform.configuration_name:
+                self.holder.offer(item.value)
+
+    def _take_configuration(
+        self, change: store_module.Change[manifest.Manifest]
+    ) -> None:
+        is_ours = change.name == self._platform.configuration_name
+        if is_ours and change.value is not None:
+            self.holder.offer(change.value)
+
+    def _begin_holding(self, record: lease.Record) -> None:
+        self._planner.begin(record)
+
+    def _end_holding(self) -> None:
+        self._planner.end()
+
+    def _take_message(
+        self, message: facts.Message, source: hub_module.Address
+    ) -> None:
+        if isinstance(message, facts.State):
+            self._placement.take(message)
+        else:
+            self._planner.take(message, source)
+
+    # Answers to the balancer and to operators
+
+    def is_ready(self) -> bool:
+        """Whether the balancer should send clients here."""
+        return (
+            not self._stopping.is_set()
+            and self.holder.manifest is not None
+            and self._endpoints.watcher.is_synced
+        )
+
+    async def _answer_readiness(self, exchange: server.Exchange) -> None:
+        status = 200 if self.is_ready() else 503
+        exchange.answer(status, _TEXT, b"")
+
+    async def _answer_operators(self, exchange: server.Exchange) -> None:
+        path = exchange.request.target.partition(b"?")[0]
+        if path == b"/metrics":
+            exchange.answer(200, _TEXT, self.metrics.render())
+        elif path == b"/state":
+            data = json.dumps(self.dump(), default=str).encode()
+            exchange.answer(200, _JSON, data)
+        else:
+            exchange.answer(404, _TEXT, b"ask for /metrics or /state\n")
+
+    def dump(self) -> dict[str, object]:
+        """Returns the state of this process."""
+        known = self.holder.manifest
+        return {
+            "instance": self._options.name,
+            "ready": self.is_ready(),
+            "configuration": known.version if known else None,
+            "lease": self.leadership.sight,
+            "holds_lease": self.leadership.is_valid,
+            "endpoints": self.view.dump(),
+            "active": self._callers.active,
+            "engines": [
+                planner_module.describe_book(b)
+                for b in self._ordering.books.values()
+            ],
+        }
--- /dev/null
+++ b/src/wayslip/gateway/events.py
@@ -0,0 +1,43 @@
+"""Splits a stream of server-sent events at the ends of its events."""
+
+_SEPARATORS = (b"\n\n", b"\r\n\r\n")
+
+
+class EventSplitter:
+    """Hands out whole events and remembers the last id.
+
+    Attributes:
+        last_id: Id of the last whole event handed out.
+    """
+
+    def __init__(self, last_id: str = "") -> None:
+        self.last_id = last_id
+        self._rest = b""
+
+    def feed(self, data: bytes) -> bytes:
+        """Returns all bytes up to the end of the last whole event."""
+        self._rest += data
+        end = _find_end(self._rest)
+        whole, self._rest = self._rest[:end], self._rest[end:]
+        self._note_ids(whole)
+        return whole
+
+    def drop_rest(self) -> None:
+        """Drops a part of an event whose rest will not come."""
+        self._rest = b""
+
+    @property
+    def rest(self) -> bytes:
+        """Bytes after the last whole event."""
+        return self._rest
+
+    def _note_ids(self, whole: bytes) -> None:
+        for line in reversed(whole.splitlines()):
+            if line.startswith(b"id:"):
+                self.last_id = line[3:].strip().decode("latin-1")
+                return
+
+
+def _find_end(data: bytes) -> int:
+    ends = [data.rfind(s) + len(s) for s in _SEPARATORS if s in data]
+    return max(ends, default=0)
--- /dev/null
+++ b/src/wayslip/gateway/placement.py
@@ -0,0 +1,179 @@
+"""An instance's side of placement: tells the holder, hears its word."""
+
+import asyncio
+import collections
+import logging
+import os
+import time
+
+from wayslip import addresses
+from wayslip import logs
+from wayslip.gateway import dialect
+from wayslip.gateway import facts
+from wayslip.gateway import hub as hub_module
+from wayslip.gateway import leadership as leadership_module
+from wayslip.gateway import options as options_module
+from wayslip.gateway import view as view_module
+
+_LOG = logging.getLogger(__name__)
+# Between reports to the holder, seconds. Load moves by a few requests in this
+# time; a report and its answer cost about 1 KB.
+REPORT_SECONDS = 0.25
+# A holder that was silent for this long is asked after in the store, seconds:
+# five reports in a row without an answer.
+_SILENCE_SECONDS = 1.3
+# A wish is repeated after this, in case its datagram was lost, seconds.
+_WISH_SECONDS = 0.15
+# Instances assumed before the holder has told how many there are; more than
+# either first user runs, so that shared budgets are not overdrawn.
+_ASSUMED_INSTANCES = 12
+
+
+class Placement:
+    """Reports demand and load, and waits for models that are loaded."""
+
+    def __init__(
+        self,
+        options: options_module.Options,
+        view: view_module.EndpointView,
+        hub: hub_module.Hub,
+        leadership: leadership_module.Leadership,
+    ) -> None:
+        self._options = options
+        self._view = view
+        self._hub = hub
+        self._leadership = leadership
+        self._process = f"{options.name}-{os.getpid()}-{time.monotonic_ns()}"
+        self._number = 0
+        self._demand: collections.Counter[tuple[str, str, str]] = (
+            collections.Counter()
+        )
+        self._changed = asyncio.Event()
+        self._wished: dict[tuple[str, str, str], float] = {}
+        self._arrivals: dict[tuple[str, str], float] = {}
+        self._heard = 0.0
+        self.instances = _ASSUMED_INSTANCES
+
+    # For requests
+
+    def note_demand(self, service: str, traits: dialect.Traits) -> None:
+        """Counts a request for a model."""
+        if traits.model:
+            self._demand[(service, traits.model, traits.adapter)] += 1
+
+    async def want(
+        self, service: str, traits: dialect.Traits, seconds: float
+    ) -> bool:
+        """Asks for a model and waits for any news of endpoints.
+
+        Returns:
+            Whether news came; the caller looks again then.
+        """
+        holder = self._leadership.holder_address
+        if holder is None:
+            return False
+        item = (service, traits.model, traits.adapter)
+        now = time.monotonic()
+        if now - self._wished.get(item, 0.0) > _WISH_SECONDS:
+            self._wished[item] = now
+            wish = facts.Want(self._options.name, *item)
+            self._hub.send(wish, addresses.split_address(holder))
+        changed = self._changed
+        try:
+            async with asyncio.timeout(min(seconds, _WISH_SECONDS)):
+                await changed.wait()
+        except TimeoutError:
+            return seconds > _WISH_SECONDS
+        return True
+
+    def expect(self, service: str, traits: dialect.Traits) -> float | None:
+        """Returns the seconds until a model can serve, None if unknown."""
+        ready = self._arrivals.get((service, traits.model))
+        if ready is None:
+            return None
+        return max(ready - time.monotonic(), 0.0)
+
+    def notify(self) -> None:
+        """Wakes all requests that wait for a model."""
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    # Telling and hearing
+
+    async def run(self) -> None:
+        """Reports until it is cancelled."""
+        while True:
+            await asyncio.sleep(REPORT_SECONDS)
+            self._report()
+            if time.monotonic() - self._heard > _SILENCE_SECONDS:
+                self._leadership.ask()
+
+    def _report(self) -> None:
+        holder = self._leadership.holder_address
+        if holder is None:
+            return
+        self._number += 1
+        report = facts.Report(
+            self._options.name,
+            self._process,
+            self._number,
+            tuple(
+                facts.Usage(name, t.in_flight, t.unread)
+                for name, t in self._view.tracked.items()
+                if t.in_flight
+            ),
+            tuple(
+                facts.Demand(*item, count)
+                for item, count in self._demand.items()
+            ),
+        )
+        self._demand.clear()
+        self._hub.send(report, addresses.split_address(holder))
+
+    def take(self, state: facts.State) -> None:
+        """Takes in what the holder tells."""
+        if not state.is_holder or state.token < self._leadership.seen_token:
+            return
+        self._heard = time.monotonic()
+        self.instances = max(state.instances, 1)
+        self._take_usages(state)
+        for word in state.words:
+            self._take_word(word)
+        now = time.monotonic()
+        self._arrivals = {
+            (a.service, a.model): now + a.seconds for a in state.arrivals
+        }
+
+    def _take_usages(self, state: facts.State) -> None:
+        totals = {u.endpoint: u for u in state.usages}
+        for name, tracked in self._view.tracked.items():
+            total = totals.get(name)
+            if total is None:
+                tracked.others = (0, 0)
+                continue
+            # Our own part of the total is as old as the total, ours is not;
+            # the difference is what others have there.
+            tracked.others = (
+                max(total.in_flight - tracked.in_flight, 0),
+                max(total.unread - tracked.unread, 0),
+            )
+
+    def _take_word(self, word: facts.Word) -> None:
+        loop = asyncio.get_running_loop()
+        loop.call_later(word.seconds, self._apply_word, word)
+
+    def _apply_word(self, word: facts.Word) -> None:
+        is_news = self._view.tell(
+            word.endpoint, word.model, word.adapter, word.is_held
+        )
+        if not is_news:
+            return
+        logs.event(
+            _LOG,
+            "item_told",
+            endpoint=word.endpoint,
+            model=word.model,
+            adapter=word.adapter,
+            held=word.is_held,
+        )
+        self.notify()
--- /dev/null
+++ b/src/wayslip/gateway/store.py
@@ -0,0 +1,95 @@
+"""The store as the gateway sees it: objects with revisions, and changes."""
+
+from collections.abc import Callable
+import dataclasses
+from typing import Any
+from typing import Generic
+from typing import Protocol
+from typing import TypeVar
+
+T = TypeVar("T")
+
+
+@dataclasses.dataclass(frozen=True)
+class Kind(Generic[T]):
+    """A kind of objects.
+
+    Attributes:
+        name: In the store.
+        decode: From an object's name and content; raises ObjectError.
+        encode: To the content that is written.
+    """
+
+    name: str
+    decode: Callable[[str, Any], T]
+    encode: Callable[[T], Any]
+
+
+@dataclasses.dataclass(frozen=True)
+class Stored(Generic[T]):
+    """An object's value and the revision of its last change."""
+
+    name: str
+    revision: int
+    value: T
+
+
+@dataclasses.dataclass(frozen=True)
+class Listing(Generic[T]):
+    """Objects of a kind, and the revision to watch from."""
+
+    items: tuple[Stored[T], ...]
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Change(Generic[T]):
+    """A change of an object; `value` is None once it is removed."""
+
+    name: str
+    value: T | None
+
+
+@dataclasses.dataclass(frozen=True)
+class Changes(Generic[T]):
+    """What changed after a revision, and the revision to go on from."""
+
+    items: tuple[Change[T], ...]
+    revision: int
+
+
+class Store(Protocol):
+    """Reads and conditionally writes objects.
+
+    Every call raises ObjectUnavailableError when the store does not answer;
+    a write may then have taken effect, or may seconds later.
+    """
+
+    async def list(self, kind: Kind[T]) -> Listing[T]:
+        """Returns all objects of a kind."""
+
+    async def watch(
+        self, kind: Kind[T], revision: int, wait: float
+    ) -> Changes[T]:
+        """Returns what changed, nothing if nothing did for `wait` seconds.
+
+        Raises:
+            WatchExpiredError: The revision is too old; list again.
+        """
+
+    async def get(self, kind: Kind[T], name: str) -> Stored[T] | None:
+        """Returns an object, None if there is none."""
+
+    async def create(self, kind: Kind[T], name: str, value: T) -> Stored[T]:
+        """Makes an object.
+
+        Raises:
+            ObjectConflictError: It is there.
+        """
+
+    async def replace(self, kind: Kind[T], stored: Stored[T]) -> Stored[T]:
+        """Replaces an object if it still has the revision it was read at.
+
+        Raises:
+            ObjectConflictError: It has another one; nothing was written.
+        """
--- /dev/null
+++ b/src/wayslip/gateway/view.py
@@ -0,0 +1,259 @@
+"""The endpoints as this instance sees them: the list, load and condition.
+
+The list comes from the store. What the lease's holder tells of its orders
+goes before it for a while, because an entry in the store follows an order
+only with the engine's next heartbeat.
+"""
+
+from collections.abc import Iterable
+import dataclasses
+import logging
+import time
+
+from wayslip import logs
+from wayslip.decisions import condition as condition_module
+from wayslip.decisions import fleet
+from wayslip.decisions import selection
+from wayslip.gateway import dialect
+from wayslip.gateway import prefixes
+
+_LOG = logging.getLogger(__name__)
+# How long word of an order goes before the engine's entry, seconds: two
+# heartbeats and the list's lag.
+_WORD_SECONDS = 4.0
+# An endpoint with requests out and no byte from it for this long is not given
+# more, seconds: above the longest pause that a sheet allows between events.
+_SILENCE = 1.5
+
+
+@dataclasses.dataclass
+class Tracked:
+    """An endpoint with what this instance knows of it.
+
+    Attributes:
+        in_flight: This instance's requests there.
+        unread: Prompt tokens of those without a first byte.
+        tokens: Tokens that they may take of its memory.
+        others: Other instances' requests and unread tokens, as last told.
+        heard: When its last byte came.
+    """
+
+    endpoint: fleet.Endpoint
+    in_flight: int = 0
+    unread: int = 0
+    tokens: int = 0
+    others: tuple[int, int] = (0, 0)
+    waits_since: float = 0.0
+    heard: float = 0.0
+    is_gone: bool = False
+    condition: condition_module.Condition = condition_module.Condition()
+
+
+@dataclasses.dataclass
+class Use:
+    """One request at an endpoint, from choice to end."""
+
+    tracked: Tracked
+    unread: int
+    tokens: int
+
+
+class EndpointView:
+    """All endpoints. Used on the event loop only."""
+
+    def __init__(self, data_hall: str) -> None:
+        self._data_hall = data_hall
+        self.tracked: dict[str, Tracked] = {}
+        self._by_service: dict[str, dict[str, Tracked]] = {}
+        self.prefixes = prefixes.PrefixTable()
+        # Word of orders: (endpoint, model, adapter) to (is held, until).
+        self._word: dict[tuple[str, str, str], tuple[bool, float]] = {}
+
+    # The list
+
+    def take(self, endpoint: fleet.Endpoint) -> None:
+        """Takes in an endpoint's entry."""
+        tracked = self.tracked.get(endpoint.name)
+        if tracked is None:
+            tracked = Tracked(endpoint)
+            self.tracked[endpoint.name] = tracked
+            self._log("endpoint_found", endpoint)
+        elif endpoint.is_leaving and not tracked.endpoint.is_leaving:
+            self._log("endpoint_leaving", endpoint)
+        tracked.endpoint = endpoint
+        tracked.is_gone = False
+        self._by_service.setdefault(endpoint.service, {})[endpoint.name] = (
+            tracked
+        )
+
+    def remove(self, name: str) -> None:
+        """Takes an endpoint out; requests there go on."""
+        tracked = self.tracked.pop(name, None)
+        if tracked is None:
+            return
+        tracked.is_gone = True
+        self._by_service.get(tracked.endpoint.service, {}).pop(name, None)
+        self.prefixes.forget(name)
+        self._log("endpoint_gone", tracked.endpoint)
+
+    def replace_all(self, endpoints: Iterable[fleet.Endpoint]) -> None:
+        """Takes in a whole list."""
+        listed = {e.name: e for e in endpoints}
+        for name in [n for n in self.tracked if n not in listed]:
+            self.remove(name)
+        for endpoint in listed.values():
+            self.take(endpoint)
+
+    def _log(self, event: str, endpoint: fleet.Endpoint) -> None:
+        logs.event(
+            _LOG,
+            event,
+            endpoint=endpoint.name,
+            service=endpoint.service,
+            address=endpoint.address,
+            models=",".join(sorted(endpoint.models)),
+        )
+
+    def of_service(self, service: str) -> Iterable[Tracked]:
+        """Returns the endpoints of a service."""
+        return self._by_service.get(service, {}).values()
+
+    # What is loaded
+
+    def tell(self, name: str, model: str, adapter: str, is_held: bool) -> bool:
+        """Takes word of an order; returns whether it was news."""
+        now = time.monotonic()
+        known = self._word.get((name, model, adapter))
+        self._word[(name, model, adapter)] = (is_held, now + _WORD_SECONDS)
+        return known is None or known[0] is not is_held or known[1] <= now
+
+    def holds(self, endpoint: fleet.Endpoint, model: str, adapter: str) -> bool:
+        """Whether an endpoint can serve a model, and adapter if named."""
+        if not model:
+            return True
+        if not self._holds_item(endpoint, model, ""):
+            return False
+        return not adapter or self._holds_item(endpoint, model, adapter)
+
+    def _holds_item(
+        self, endpoint: fleet.Endpoint, model: str, adapter: str
+    ) -> bool:
+        word = self._word.get((endpoint.name, model, adapter))
+        if word is not None:
+            is_held, until = word
+            if time.monotonic() < until:
+                return is_held
+            del self._word[(endpoint.name, model, adapter)]
+        return endpoint.holds(model, adapter)
+
+    # Choosing
+
+    def candidates(
+        self,
+        service: str,
+        traits: dialect.Traits,
+        kv_tokens: int,
+        besides: frozenset[str],
+    ) -> list[selection.Candidate]:
+        """Returns the endpoints that can answer a request now."""
+        now = time.monotonic()
+        found = [
+            t
+            for t in self.of_service(service)
+            if not t.endpoint.is_leaving
+            and t.endpoint.name not in besides
+            and self.holds(t.endpoint, traits.model, traits.adapter)
+        ]
+        usual = min((t.condition.failing(now) for t in found), default=0.0)
+        return [
+            self._make_candidate(t, traits, kv_tokens, usual, now)
+            for t in found
+        ]
+
+    def _make_candidate(
+        self,
+        tracked: Tracked,
+        traits: dialect.Traits,
+        kv_tokens: int,
+        usual: float,
+        now: float,
+    ) -> selection.Candidate:
+        endpoint = tracked.endpoint
+        uncached = traits.prompt_tokens
+        if traits.parts:
+            item = f"{traits.model}/{traits.adapter}"
+            uncached -= self.prefixes.count_cached(
+                endpoint.name, item, traits.parts
+            )
+        memory = 0.0
+        if kv_tokens:
+            needed = traits.prompt_tokens + traits.output_tokens
+            memory = (tracked.tokens + needed) / kv_tokens
+        in_flight, unread = tracked.others
+        return selection.Candidate(
+            name=endpoint.name,
+            in_flight=tracked.in_flight + in_flight,
+            slots=endpoint.slots,
+            unread=tracked.unread + unread,
+            uncached=max(uncached, 0),
+            memory=memory,
+            failures=tracked.condition.failing(now) - usual,
+            is_near=endpoint.data_hall == self._data_hall,
+            is_suspended=tracked.condition.is_resting(now)
+            or _is_silent(tracked, now),
+        )
+
+    # What this instance does
+
+    def begin(self, name: str, traits: dialect.Traits, uncached: int) -> Use:
+        """Counts a request that is about to be sent."""
+        tracked = self.tracked[name]
+        use = Use(
+            tracked, uncached, traits.prompt_tokens + traits.output_tokens
+        )
+        if not tracked.in_flight:
+            tracked.waits_since = time.monotonic()
+        tracked.in_flight += 1
+        tracked.unread += use.unread
+        tracked.tokens += use.tokens
+        if traits.parts:
+            item = f"{traits.model}/{traits.adapter}"
+            self.prefixes.note(name, item, traits.parts)
+        return use
+
+    def hear(self, use: Use) -> None:
+        """Notes that bytes came; the prompt was read."""
+        now = time.monotonic()
+        use.tracked.heard = now
+        use.tracked.unread -= use.unread
+        use.unread = 0
+
+    def end(self, use: Use) -> None:
+        """Counts a request that ended, however it did."""
+        tracked = use.tracked
+        tracked.in_flight -= 1
+        tracked.unread -= use.unread
+        tracked.tokens -= use.tokens
+        use.unread = 0
+
+    def note_answer(self, use: Use, is_failure: bool) -> None:
+        """Notes an endpoint's own answer."""
+        tracked = use.tracked
+        now = time.monotonic()
+        tracked.condition = tracked.condition.note(is_failure, now)
+
+    def note_miss(self, use: Use) -> None:
+        """Notes that an endpoint was not reached, or broke off."""
+        tracked = use.tracked
+        tracked.condition = tracked.condition.miss(time.monotonic())
+
+    def dump(self) -> dict[str, object]:
+        """Returns the state of each endpoint."""
+        return {name: dataclasses.asdict(t) for name, t in self.tracked.items()}
+
+
+def _is_silent(tracked: Tracked, now: float) -> bool:
+    """Whether requests are out there and nothing came for too long."""
+    if not tracked.in_flight:
+        return False
+    return now - max(tracked.heard, tracked.waits_since) > _SILENCE
--- /dev/null
+++ b/src/wayslip/http1/client.py
@@ -0,0 +1,269 @@
+"""Connections to endpoints: one request at a time, surplus answers dropped.
+
+What went wrong is told by the kind of error: `NotSentError` while no byte of
+the request can have left, `EndpointUnclearError` afterwards.
+"""
+
+import asyncio
+import collections
+from collections.abc import Callable
+import socket
+from typing import Any
+
+import httptools
+
+from wayslip import errors
+from wayslip.http1 import messages
+
+# Body bytes read ahead of a slow client before the endpoint is held up.
+_READ_HIGH = 256 * 1024
+# See `server`; a dark endpoint is found out after this, milliseconds.
+_TCP_USER_TIMEOUT_MS = 3_000
+# How far a length may be trusted before the answer is taken as garbage.
+_HEAD_LIMIT = 64 * 1024
+
+Matcher = Callable[[messages.Head], bool]
+
+
+class Connection(asyncio.Protocol):
+    """One connection to an endpoint."""
+
+    def __init__(self) -> None:
+        self._transport: asyncio.Transport | None = None
+        self._parser: Any = httptools.HttpResponseParser(self)
+        self._wake: asyncio.Future[None] | None = None
+        self._chunks: collections.deque[bytes] = collections.deque()
+        self._buffered = 0
+        self._head: messages.Head | None = None
+        self._matcher: Matcher | None = None
+        self._is_complete = True
+        self._skips = False
+        self._failure: str | None = None
+        self._is_dirty = False
+        # Whether the pool has it; otherwise whoever sent on it closes it.
+        self.is_kept = False
+        self.idle_since = 0.0
+        self.idle_limit: float | None = None
+        self._reset_message()
+
+    # Use
+
+    @property
+    def is_reusable(self) -> bool:
+        """Whether another request may be sent on it."""
+        transport = self._transport
+        return (
+            transport is not None
+            and not transport.is_closing()
+            and self._failure is None
+            and self._is_complete
+            and not self._is_dirty
+            and transport.get_write_buffer_size() == 0
+        )
+
+    def send(self, data: bytes, matcher: Matcher) -> None:
+        """Sends a request.
+
+        Args:
+            data: The whole request.
+            matcher: Whether a head belongs to this request; answers to
+                earlier ones may still arrive.
+        """
+        self.is_kept = False
+        self._head = None
+        self._matcher = matcher
+        self._is_complete = False
+        self._chunks.clear()
+        self._buffered = 0
+        assert self._transport is not None
+        self._transport.write(data)
+
+    async def read_head(self) -> messages.Head:
+        """Returns the head of the answer.
+
+        Raises:
+            EndpointUnclearError: The connection broke, or sent garbage.
+        """
+        while self._head is None:
+            self._check()
+            await self._wait()
+        return self._head
+
+    async def read(self) -> bytes:
+        """Returns the next part of the body, nothing at its end.
+
+        Raises:
+            EndpointUnclearError: The body broke off, or is garbage.
+        """
+        while not self._chunks:
+            if self._is_complete:
+                return b""
+            self._check()
+            await self._wait()
+        data = b"".join(self._chunks)
+        self._chunks.clear()
+        self._buffered = 0
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.resume_reading()
+        return data
+
+    def close(self) -> None:
+        """Closes the connection at once; an endpoint stops its work."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _check(self) -> None:
+        if self._failure is not None:
+            raise errors.EndpointUnclearError(
+                f"the endpoint's answer can not be used: {self._failure}",
+                "see the endpoint's log; the request may have run",
+            )
+
+    async def _wait(self) -> None:
+        self._wake = asyncio.get_running_loop().create_future()
+        try:
+            await self._wake
+        finally:
+            self._wake = None
+
+    def _notify(self) -> None:
+        if self._wake is not None and not self._wake.done():
+            self._wake.set_result(None)
+
+    def _fail(self, reason: str) -> None:
+        if self._failure is None:
+            self._failure = reason
+        self._notify()
+
+    # What asyncio calls
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Takes the connection in."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        sock = transport.get_extra_info("socket")
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _TCP_USER_TIMEOUT_MS
+        )
+
+    def data_received(self, data: bytes) -> None:
+        """Parses what came."""
+        if self._is_complete:
+            # Nothing is due: whatever this is, it belongs to no request.
+            self._is_dirty = True
+            self.close()
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._fail("it changes the protocol")
+        except httptools.HttpParserError as e:
+            if self._is_complete:
+                self._is_dirty = True
+            else:
+                self._fail(f"it is no HTTP ({e})")
+        if self._head is None and len(data) > _HEAD_LIMIT:
+            self._fail("its head is too long")
+        if self._buffered > _READ_HIGH and self._transport is not None:
+            self._transport.pause_reading()
+
+    def eof_received(self) -> bool:
+        """Ends an answer without a length; anything else broke off."""
+        head = self._head
+        if not self._is_complete and head is not None and not head.is_framed:
+            self._is_complete = True
+            self._is_dirty = True
+        self._fail("the connection was closed")
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Notes that the connection is gone."""
+        self._fail(f"the connection was lost ({type(exc).__name__})")
+
+    # What the parser calls
+
+    def on_message_begin(self) -> None:
+        """Starts an answer."""
+        if self._is_complete:
+            self._is_dirty = True
+        self._reset_message()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Takes a header."""
+        self._headers.append((name.lower(), value or b""))
+
+    def on_headers_complete(self) -> None:
+        """Decides whether the answer is the one that is due."""
+        if self._is_complete:
+            return
+        status = int(self._parser.get_status_code())
+        if status < 200:
+            self._skips = True
+            return
+        head = self._make_head(status)
+        assert self._matcher is not None
+        if not self._matcher(head):
+            self._skips = True
+            return
+        self._head = head
+        self._notify()
+
+    def on_body(self, body: bytes) -> None:
+        """Takes a part of the body."""
+        if self._skips or self._is_complete:
+            return
+        self._chunks.append(body)
+        self._buffered += len(body)
+        self._notify()
+
+    def on_message_complete(self) -> None:
+        """Ends the answer."""
+        if self._skips or self._is_complete or self._head is None:
+            return
+        self._is_complete = True
+        if not self._head.keep_alive:
+            self._is_dirty = True
+        self._notify()
+
+    def _make_head(self, status: int) -> messages.Head:
+        length: int | None = None
+        is_chunked = False
+        for name, value in self._headers:
+            if name == b"content-length":
+                length = int(value)
+            if name == b"transfer-encoding" and b"chunked" in value.lower():
+                is_chunked = True
+        if status in (204, 304):
+            length = 0
+        is_framed = is_chunked or length is not None
+        return messages.Head(
+            status,
+            tuple(self._headers),
+            is_framed,
+            None if is_chunked else length,
+            is_framed and bool(self._parser.should_keep_alive()),
+        )
+
+    def _reset_message(self) -> None:
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._skips = False
+
+
+async def connect(address: tuple[str, int], timeout: float) -> Connection:
+    """Returns a new connection.
+
+    Raises:
+        NotSentError: None could be made in time.
+    """
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(timeout):
+            _, protocol = await loop.create_connection(Connection, *address)
+    except (OSError, TimeoutError) as e:
+        raise errors.NotSentError(
+            f"{address[0]}:{address[1]} accepts no connection"
+            f" ({type(e).__name__})",
+            "check that the endpoint runs and can be reached",
+        ) from e
+    return protocol
--- /dev/null
+++ b/src/wayslip/http1/server.py
@@ -0,0 +1,396 @@
+"""Clients' connections: whole requests in, answers out, one at a time.
+
+A request is handed to the application once its body is there. The answer goes
+through an `Exchange`, which knows whether anything was sent and never makes an
+answer that broke off look complete.
+"""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import logging
+import socket
+from typing import Any
+
+import httptools
+
+from wayslip.decisions import manifest
+from wayslip.http1 import messages
+
+_LOG = logging.getLogger(__name__)
+# A client that reads slowly holds at most this much of an answer here, bytes.
+_WRITE_HIGH = 128 * 1024
+# Linux's option 18: unacknowledged bytes end a connection after this, ms. A
+# dead client would otherwise hold its engine's work for minutes.
+_TCP_USER_TIMEOUT_MS = 5_000
+_PIPELINE_LIMIT = 16
+
+
+class Exchange:
+    """One request and the answer to it."""
+
+    def __init__(
+        self, connection: "Connection", request: messages.Request
+    ) -> None:
+        self._connection = connection
+        self.request = request
+        self.is_started = False
+        self.is_finished = False
+        self._chunked = False
+
+    def answer(
+        self, status: int, headers: messages.Headers, body: bytes
+    ) -> None:
+        """Sends a whole answer."""
+        framing = b"content-length: %d" % len(body)
+        if status in (204, 304):
+            framing = b""
+        head = messages.format_head(
+            status, headers, framing, self._connection.stays_open(self.request)
+        )
+        self.is_started = True
+        self._connection.write(
+            head if self.request.method == b"HEAD" else head + body
+        )
+        self._finish()
+
+    def start(
+        self, status: int, headers: messages.Headers, length: int | None
+    ) -> None:
+        """Sends the head of an answer whose body follows in parts."""
+        self._chunked = length is None
+        framing = (
+            b"transfer-encoding: chunked"
+            if length is None
+            else b"content-length: %d" % length
+        )
+        self.is_started = True
+        self._connection.write(
+            messages.format_head(
+                status,
+                headers,
+                framing,
+                self._connection.stays_open(self.request),
+            )
+        )
+
+    async def send(self, data: bytes) -> None:
+        """Sends a part of the body; waits while the client reads slowly."""
+        if not data:
+            return
+        if self._chunked:
+            data = b"%x\r\n%s\r\n" % (len(data), data)
+        self._connection.write(data)
+        await self._connection.drain()
+
+    def finish(self) -> None:
+        """Marks the answer as complete."""
+        if self._chunked:
+            self._connection.write(b"0\r\n\r\n")
+        self._finish()
+
+    def abort(self) -> None:
+        """Breaks the answer off so that it can not look complete."""
+        self.is_finished = True
+        self._connection.abort()
+
+    def _finish(self) -> None:
+        self.is_finished = True
+        self._connection.finish_exchange(self.request)
+
+
+Application = Callable[[Exchange], Awaitable[None]]
+
+
+class Server:
+    """Listens on an address; counts and drains its connections."""
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        application: Application,
+        limits: Callable[[], manifest.Limits],
+    ) -> None:
+        self._address = address
+        self.application = application
+        self.limits = limits
+        self.connections: set[Connection] = set()
+        self.is_draining = False
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listens.
+
+        Raises:
+            OSError: The address can not be used.
+        """
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: Connection(self),
+            *self._address,
+            backlog=512,
+            reuse_address=True,
+        )
+
+    @property
+    def port(self) -> int:
+        """The port it listens on."""
+        assert self._server is not None
+        return int(self._server.sockets[0].getsockname()[1])
+
+    @property
+    def active(self) -> int:
+        """Requests that have no complete answer yet."""
+        return sum(1 for c in self.connections if c.is_busy)
+
+    def stop_listening(self) -> None:
+        """Refuses new connections; open ones stay."""
+        if self._server is not None:
+            self._server.close()
+
+    def close_idle(self) -> None:
+        """Closes connections on which nothing is under way."""
+        for connection in list(self.connections):
+            connection.close_if_idle()
+
+    def abort_all(self) -> None:
+        """Breaks off every connection."""
+        for connection in list(self.connections):
+            connection.abort()
+
+
+class Connection(asyncio.Protocol):
+    """One client's connection."""
+
+    def __init__(self, server: Server) -> None:
+        self._server = server
+        self._transport: asyncio.Transport | None = None
+        self._parser: Any = httptools.HttpRequestParser(self)
+        self._queue: list[messages.Request] = []
+        self._current: asyncio.Task[None] | None = None
+        self._exchange: Exchange | None = None
+        self._can_write = asyncio.Event()
+        self._can_write.set()
+        self._timer: asyncio.TimerHandle | None = None
+        self._is_closing = False
+        self._reset_message()
+
+    # What asyncio calls
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Takes the connection in."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        transport.set_write_buffer_limits(high=_WRITE_HIGH)
+        sock = transport.get_extra_info("socket")
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _TCP_USER_TIMEOUT_MS
+        )
+        self._server.connections.add(self)
+        self._set_timer(self._server.limits().idle_seconds, self._end_idle)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Ends the request that is under way: nobody waits for it."""
+        self._server.connections.discard(self)
+        self._can_write.set()
+        self._set_timer(0, None)
+        self._is_closing = True
+        if self._current is not None:
+            self._current.cancel()
+
+    def eof_received(self) -> bool:
+        """Takes the client's close as leaving, also amid a request."""
+        return False
+
+    def pause_writing(self) -> None:
+        """Notes that the client reads slowly."""
+        self._can_write.clear()
+
+    def resume_writing(self) -> None:
+        """Notes that the client has caught up."""
+        self._can_write.set()
+
+    def data_received(self, data: bytes) -> None:
+        """Parses what came."""
+        if self._is_closing:
+            return
+        if not self._head_seen:
+            self._head_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._refuse(400)
+        except httptools.HttpParserError:
+            self._refuse(400)
+        else:
+            self._check_head()
+
+    # What the parser calls
+
+    def on_message_begin(self) -> None:
+        """Starts a request."""
+        self._reset_message()
+        self._set_timer(
+            self._server.limits().header_seconds, self._end_slow_head
+        )
+
+    def on_url(self, url: bytes) -> None:
+        """Takes a part of the target."""
+        self._target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Takes a header."""
+        self._headers.append((name.lower(), value or b""))
+
+    def on_headers_complete(self) -> None:
+        """Checks a whole head."""
+        self._head_seen = True
+        self._set_timer(0, None)
+        for name, value in self._headers:
+            if name == b"expect" and value.lower() == b"100-continue":
+                self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, body: bytes) -> None:
+        """Takes a part of the body."""
+        self._body_bytes += len(body)
+        if self._body_bytes <= self._server.limits().body_bytes:
+            self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Queues a whole request."""
+        if self._is_closing:
+            return
+        limits = self._server.limits()
+        if self._head_bytes > limits.header_bytes + self._body_bytes + 65_536:
+            self._refuse(431)
+            return
+        if self._body_bytes > limits.body_bytes:
+            self._refuse(413)
+            return
+        request = messages.Request(
+            self._parser.get_method(),
+            self._target,
+            tuple(self._headers),
+            b"".join(self._body),
+            bool(self._parser.should_keep_alive()),
+        )
+        self._queue.append(request)
+        if len(self._queue) > _PIPELINE_LIMIT:
+            self._refuse(400)
+            return
+        self._serve_next()
+
+    # Writing, called by the exchange
+
+    def write(self, data: bytes) -> None:
+        """Sends bytes, unless the connection is gone."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(data)
+
+    async def drain(self) -> None:
+        """Waits while the client reads slowly."""
+        await self._can_write.wait()
+
+    def stays_open(self, request: messages.Request) -> bool:
+        """Whether the connection may be used after this request."""
+        return request.keep_alive and not self._server.is_draining
+
+    def finish_exchange(self, request: messages.Request) -> None:
+        """Goes on with the next request, or closes."""
+        self._exchange = None
+        if not self.stays_open(request):
+            self._is_closing = True
+            if self._transport is not None:
+                self._transport.close()
+            return
+        self._set_timer(self._server.limits().idle_seconds, self._end_idle)
+
+    def abort(self) -> None:
+        """Breaks the connection off."""
+        self._is_closing = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    def close_if_idle(self) -> None:
+        """Closes the connection if nothing is under way."""
+        if self.is_busy:
+            return
+        self._is_closing = True
+        if self._transport is not None:
+            self._transport.close()
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request has no complete answer yet."""
+        return self._current is not None or bool(self._queue)
+
+    # Inside
+
+    def _reset_message(self) -> None:
+        self._target = b""
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._head_bytes = 0
+        self._head_seen = False
+
+    def _check_head(self) -> None:
+        limit = self._server.limits().header_bytes
+        if not self._head_seen and self._head_bytes > limit:
+            self._refuse(431)
+
+    def _refuse(self, status: int) -> None:
+        """Answers what can not be read, then closes."""
+        if self._is_closing:
+            return
+        self._is_closing = True
+        # Bytes of another answer must not be mixed with this one.
+        if self._current is None:
+            framing = b"content-length: 0"
+            self.write(messages.format_head(status, (), framing, False))
+        if self._transport is not None:
+            self._transport.close()
+
+    def _serve_next(self) -> None:
+        if self._current is not None or not self._queue or self._is_closing:
+            return
+        self._set_timer(0, None)
+        self._exchange = Exchange(self, self._queue.pop(0))
+        self._current = asyncio.get_running_loop().create_task(
+            self._run(self._exchange)
+        )
+
+    async def _run(self, exchange: Exchange) -> None:
+        try:
+            await self._server.application(exchange)
+        except asyncio.CancelledError:
+            # The client left; whatever was under way was told by this.
+            self.abort()
+        except Exception:
+            _LOG.exception("request_failed")
+            if exchange.is_started:
+                exchange.abort()
+            else:
+                exchange.answer(500, (), b"")
+        finally:
+            self._current = None
+        if not exchange.is_finished:
+            self.abort()
+        self._serve_next()
+
+    def _set_timer(
+        self, seconds: float, call: Callable[[], None] | None
+    ) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if call is not None:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(seconds, call)
+
+    def _end_idle(self) -> None:
+        self.close_if_idle()
+
+    def _end_slow_head(self) -> None:
+        self._refuse(408)
--- a/src/wayslip/peers/calls.py
+++ b/src/wayslip/peers/calls.py
@@ -16,6 +16,7 @@
 from websockets.sync import connection as ws_connection
 from websockets.sync import server as ws_server
 
+from wayslip import addresses
 from wayslip import errors
 from wayslip import logs
 from wayslip import metrics as metrics_module
@@ -47,7 +48,7 @@
         self._metrics = metrics
         self._handlers: dict[type, Handler] = {}
         self._room = threading.BoundedSemaphore(_MAX_CONNECTIONS)
-        host, port = settings.split_address(address)
+        host, port = addresses.split_address(address)
         self._server = ws_server.serve(
             self._serve,
             host,
--- a/src/wayslip/peers/node.py
+++ b/src/wayslip/peers/node.py
@@ -14,6 +14,7 @@
 import time
 from typing import TypeVar
 
+from wayslip import addresses
 from wayslip import errors
 from wayslip import logs
 from wayslip import metrics as metrics_module
@@ -90,7 +91,7 @@
         )
         self.process = me.process
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self._socket.bind(settings_module.split_address(identity.address))
+        self._socket.bind(addresses.split_address(identity.address))
         self._socket.settimeout(settings.peers.period / _TICKS_PER_PERIOD)
         self.calls = calls.Server(
             identity.address, self._key, settings.limits, metrics
@@ -279,7 +280,7 @@
             data = frames.seal_datagram(self._key, gossip, time.time())
             self._metrics.count("gossip_bytes", len(data), direction="out")
             try:
-                target = settings_module.split_address(out.address)
+                target = addresses.split_address(out.address)
                 self._socket.sendto(data, target)
             except OSError as e:
                 logs.event(_LOG, "datagram_lost", logging.DEBUG, reason=str(e))
--- /dev/null
+++ b/src/wayslip/platform/dialect.py
@@ -0,0 +1,138 @@
+"""The platform's request and answer headers."""
+
+from collections.abc import Callable
+
+from wayslip.decisions import fleet
+from wayslip.gateway import dialect
+from wayslip.http1 import messages
+
+_REQUEST_ID = b"wayslip-request-id"
+_DEADLINE_MS = b"wayslip-deadline-ms"
+_MODEL = b"wayslip-model"
+_TOKENS = b"wayslip-token-count"
+_PARTS = b"wayslip-prompt-prefix"
+_LAST_EVENT_ID = b"last-event-id"
+_PRIORITY = b"wayslip-request-priority"
+_TARGET = b"wayslip-target-instance"
+_SEAL = b"wayslip-server-seal"
+_NOT_RUN = b"wayslip-not-executed"
+_LOAD = b"wayslip-server-load"
+_RETRY_AFTER = b"retry-after"
+_CONTENT_TYPE = b"content-type"
+_CONTENT_ENCODING = b"content-encoding"
+_EVENT_STREAM = b"text/event-stream"
+_MISDIRECTED = 421
+_LOWEST_PRIORITY = 9
+_NOTHING: frozenset[bytes] = frozenset()
+
+
+class PlatformDialect:
+    """Implements `wayslip.gateway.dialect.Dialect`."""
+
+    def read_request(self, request: messages.Request) -> dialect.Traits | None:
+        """Returns a request's traits, None if it names no id."""
+        found = dict(reversed(request.headers))
+        request_id = found.get(_REQUEST_ID, b"").decode("latin-1")
+        if not request_id:
+            return None
+        host = found.get(b"host", b"").decode("latin-1").lower()
+        model, _, adapter = (
+            found.get(_MODEL, b"").decode("latin-1").partition("/")
+        )
+        prompt, _, output = found.get(_TOKENS, b"").partition(b",")
+        deadline = _read_int(found.get(_DEADLINE_MS, b""))
+        return dialect.Traits(
+            request_id=request_id,
+            host=host.partition(":")[0],
+            path=request.target.partition(b"?")[0].decode("latin-1"),
+            deadline=None if deadline is None else deadline / 1000,
+            model=model,
+            adapter=adapter,
+            prompt_tokens=_read_int(prompt) or 0,
+            output_tokens=_read_int(output) or 0,
+            parts=_read_parts(found.get(_PARTS, b"")),
+            last_event_id=found.get(_LAST_EVENT_ID, b"").decode("latin-1"),
+        )
+
+    def format_request(
+        self, request: messages.Request, order: dialect.Order
+    ) -> bytes:
+        """Returns the request as bytes for an endpoint."""
+        milliseconds = max(int(order.seconds_left * 1000), 1)
+        priority = min(max(order.priority, 0), _LOWEST_PRIORITY)
+        changes = [
+            (_DEADLINE_MS, b"%d" % milliseconds),
+            (_TARGET, order.endpoint.encode("latin-1")),
+            (_PRIORITY, b"%d" % priority),
+        ]
+        if order.last_event_id:
+            changes.append(
+                (_LAST_EVENT_ID, order.last_event_id.encode("latin-1"))
+            )
+        return messages.format_request(request, tuple(changes), _NOTHING)
+
+    def match_answer(
+        self, request_id: str, is_reused: bool
+    ) -> Callable[[messages.Head], bool]:
+        """Returns whether a head answers a request, as a function.
+
+        On a connection that served before, an answer without an id may be a
+        surplus one, so it is passed over.
+        """
+        expected = request_id.encode("latin-1")
+
+        def matches(head: messages.Head) -> bool:
+            echoed = head.header(_REQUEST_ID)
+            return echoed == expected or (not echoed and not is_reused)
+
+        return matches
+
+    def read_answer(self, head: messages.Head) -> dialect.Answer:
+        """Returns what an answer's head says."""
+        is_genuine = bool(head.header(_SEAL)) and not head.header(
+            _CONTENT_ENCODING
+        )
+        is_misdirected = head.status == _MISDIRECTED
+        return dialect.Answer(
+            is_genuine=is_genuine,
+            is_refusal=bool(head.header(_NOT_RUN)) or is_misdirected,
+            is_misdirected=is_misdirected,
+            is_stream=head.header(_CONTENT_TYPE).startswith(_EVENT_STREAM),
+            load=_read_load(head.header(_LOAD)),
+            retry_after=_read_float(head.header(_RETRY_AFTER)),
+        )
+
+    def make_retry_after(self, seconds: float) -> messages.Headers:
+        """Returns the headers of a refusal that says when to come back."""
+        return ((_RETRY_AFTER, f"{seconds:.2f}".encode("ascii")),)
+
+
+def _read_int(text: bytes) -> int | None:
+    try:
+        return int(text)
+    except ValueError:
+        return None
+
+
+def _read_float(text: bytes) -> float | None:
+    try:
+        return float(text)
+    except ValueError:
+        return None
+
+
+def _read_parts(text: bytes) -> tuple[dialect.Part, ...]:
+    parts = []
+    for item in text.decode("latin-1").split(","):
+        part_id, _, tokens = item.strip().partition(":")
+        if part_id and tokens.isdecimal():
+            parts.append(dialect.Part(part_id, int(tokens)))
+    return tuple(parts)
+
+
+def _read_load(text: bytes) -> fleet.Load | None:
+    numbers = [_read_int(t.strip()) for t in text.split(b",")]
+    if len(numbers) != 3 or None in numbers:
+        return None
+    running, waiting, slots = numbers
+    return fleet.Load(running or 0, waiting or 0, slots or 1)
--- /dev/null
+++ b/src/wayslip/platform/engines.py
@@ -0,0 +1,92 @@
+"""Reports of and orders to the platform's engines."""
+
+import json
+
+from wayslip import addresses
+from wayslip import errors
+from wayslip.decisions import fleet
+from wayslip.decisions import lease
+from wayslip.gateway import engines
+from wayslip.http1 import pool
+from wayslip.platform import decoding
+
+_REPORT_PATH = "/wayslip/report"
+_ORDER_PATH = "/wayslip/order"
+# Both are answered at once; a lost packet takes a few hundred ms, seconds.
+_CALL_SECONDS = 0.7
+_OUTCOMES = {
+    200: engines.OrderOutcome.HELD,
+    202: engines.OrderOutcome.TAKEN,
+    409: engines.OrderOutcome.BUSY,
+    400: engines.OrderOutcome.REFUSED,
+    412: engines.OrderOutcome.REFUSED,
+}
+
+
+class PlatformEngines:
+    """Implements `wayslip.gateway.engines.EngineClient`."""
+
+    async def report(self, endpoint: fleet.Endpoint) -> fleet.EngineState:
+        """Returns what an engine says of itself."""
+        status, data = await pool.fetch(
+            addresses.split_address(endpoint.address),
+            _format(endpoint, "GET", _REPORT_PATH, b""),
+            _CALL_SECONDS,
+        )
+        if status != 200:
+            raise errors.EndpointError(
+                f"{endpoint.name} answered {status} to a report",
+                "see the engine's log",
+            )
+        try:
+            return decoding.decode_state(json.loads(data))
+        except ValueError as e:
+            raise errors.EndpointError(
+                f"the report of {endpoint.name} is no JSON",
+                "see the engine's log",
+            ) from e
+
+    async def order(
+        self,
+        endpoint: fleet.Endpoint,
+        order: lease.Pending,
+        authority: engines.Authority,
+    ) -> engines.OrderOutcome:
+        """Sends an order once."""
+        body = {
+            "operation": order.action.value,
+            "model": order.model,
+            # The orders that the engine has taken so far, not a revision.
+            "expected_count": order.orders,
+            "holder": authority.holder,
+            "fencing_token": authority.token,
+        }
+        if order.adapter:
+            body["adapter"] = order.adapter
+        data = _format(endpoint, "POST", _ORDER_PATH, json.dumps(body).encode())
+        try:
+            status, _ = await pool.fetch(
+                addresses.split_address(endpoint.address), data, _CALL_SECONDS
+            )
+        except errors.NotSentError:
+            return engines.OrderOutcome.REFUSED
+        except errors.EndpointError:
+            return engines.OrderOutcome.UNKNOWN
+        if status == 421:
+            # Either it is another engine, or the model is not there.
+            return engines.OrderOutcome.ELSEWHERE
+        return _OUTCOMES.get(status, engines.OrderOutcome.UNKNOWN)
+
+
+def _format(
+    endpoint: fleet.Endpoint, method: str, path: str, body: bytes
+) -> bytes:
+    lines = [
+        f"{method} {path} HTTP/1.1",
+        f"host: {endpoint.address}",
+        f"wayslip-target-instance: {endpoint.name}",
+    ]
+    if body:
+        lines.append("content-type: application/json")
+        lines.append(f"content-length: {len(body)}")
+    return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body
--- /dev/null
+++ b/src/wayslip/platform/settings.py
@@ -0,0 +1,70 @@
+"""The platform's settings file of an instance."""
+
+import os
+import pathlib
+import tomllib
+from typing import Any
+
+from wayslip import errors
+from wayslip.gateway import options
+
+_PATH_VARIABLE = "WAYSLIP_SETTINGS"
+_PATH = "/etc/wayslip/settings.toml"
+# Offsets from the first of the ports that are free between our processes.
+_PEERS_OFFSET = 0
+_METRICS_OFFSET = 1
+
+
+def find_path() -> pathlib.Path:
+    """Returns the path that the environment names."""
+    return pathlib.Path(os.environ.get(_PATH_VARIABLE, _PATH))
+
+
+def load(path: pathlib.Path) -> options.Options:
+    """Reads the settings file; fields that are not known are passed over.
+
+    Raises:
+        SettingsError: It can not be read, or a field is missing or wrong.
+    """
+    try:
+        values = tomllib.loads(path.read_text(encoding="utf-8"))
+    except (OSError, tomllib.TOMLDecodeError) as e:
+        raise errors.SettingsError(
+            f"{path}: {e}", f"name a readable TOML file in {_PATH_VARIABLE}"
+        ) from e
+    try:
+        return _decode(values)
+    except (KeyError, TypeError, ValueError, IndexError) as e:
+        raise errors.SettingsError(
+            f"{path}: {type(e).__name__}: {e}", "add or correct that field"
+        ) from e
+
+
+def _decode(values: dict[str, Any]) -> options.Options:
+    listen = values["listen"]
+    ip = values["ip"]
+    first = int(values["internal_ports"][0])
+    return options.Options(
+        name=values["node_name"],
+        ip=ip,
+        data_hall=values["zone"],
+        callers=listen["front"],
+        readiness=listen["ready"],
+        store=values["platform"]["address"],
+        peers=f"{ip}:{first + _PEERS_OFFSET}",
+        metrics_port=first + _METRICS_OFFSET,
+        bounds=_decode_bounds(values.get("bounds") or {}),
+    )
+
+
+def _decode_bounds(raw: dict[str, Any]) -> options.Bounds:
+    default = options.Bounds()
+    return options.Bounds(
+        grace=float(raw.get("grace_s", default.grace)),
+        lease=float(raw.get("lease_ms", default.lease * 1000)) / 1000,
+        budget_ratio=float(raw.get("budget_ratio", default.budget_ratio)),
+        budget_window=float(raw.get("budget_window_s", default.budget_window)),
+        budget_slack=float(raw.get("retry_slack", default.budget_slack)),
+        load_window=float(raw.get("ceiling_window_s", default.load_window)),
+        load_over=float(raw.get("origin_rate_over", default.load_over)),
+    )
--- a/src/wayslip/settings.py
+++ b/src/wayslip/settings.py
@@ -35,12 +35,6 @@
 Address = Annotated[str, pydantic.AfterValidator(_check_address)]
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Returns the IP number and the port of "IP:PORT"."""
-    host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
-
-
 _STRICT = pydantic.ConfigDict(extra="forbid")
 
 
--- a/src/wayslip/web.py
+++ b/src/wayslip/web.py
@@ -19,6 +19,7 @@
 from cheroot import server as cheroot_server
 from cheroot.ssl import builtin as cheroot_ssl
 
+from wayslip import addresses
 from wayslip import errors
 from wayslip import settings as settings_module
 
@@ -263,7 +264,7 @@
                 _respond(self.req, application, limits)
 
         self._server = _Server(
-            settings_module.split_address(address),
+            addresses.split_address(address),
             gateway=Gateway,
             minthreads=threads,
             maxthreads=threads,
--- a/tests/entry/test_callers.py
+++ b/tests/entry/test_callers.py
@@ -6,7 +6,7 @@
 import pytest
 
 from tests import system as system_module
-from wayslip import settings
+from wayslip import addresses
 
 TEXT = system_module.expected_text("m@v1", "12 Salt Lake", 20)
 
@@ -142,7 +142,7 @@
 
 def _send_raw(address, *parts):
     with socket.create_connection(
-        settings.split_address(address), timeout=40
+        addresses.split_address(address), timeout=40
     ) as conn:
         for part in parts:
             conn.sendall(part)
--- a/tests/system.py
+++ b/tests/system.py
@@ -8,6 +8,7 @@
 from standins import engine as engine_standin
 from standins import objects as objects_standin
 from standins import service as service_standin
+from wayslip import addresses
 from wayslip import settings as settings_module
 from wayslip.control import daemon as control_daemon
 from wayslip.entry import daemon as entry_daemon
@@ -96,7 +97,7 @@
 
 def call(address, method, path, body=None, key=ALICE, **headers):
     """Makes one HTTP call and returns its whole answer."""
-    host, port = settings_module.split_address(address)
+    host, port = addresses.split_address(address)
     conn = http.client.HTTPConnection(host, port, timeout=WAIT_SECONDS)
     names = {k.replace("_", "-"): v for k, v in headers.items()}
     names["Authorization"] = f"Bearer {key}"
@@ -113,7 +114,7 @@
     """A caller's stream of events, read one at a time."""
 
     def __init__(self, address, path, body, key=ALICE, **headers):
-        host, port = settings_module.split_address(address)
+        host, port = addresses.split_address(address)
         self.conn = http.client.HTTPConnection(host, port, timeout=WAIT_SECONDS)
         names = {k.replace("_", "-"): v for k, v in headers.items()}
         names["Authorization"] = f"Bearer {key}"
