--- a/src/wayslip/decisions/lease.py
+++ b/src/wayslip/decisions/lease.py
@@ -16,12 +16,12 @@
 
 # Seconds for which a written record entitles its holder to send orders; about
 # two renewals of which one may be lost.
-HOLD = 1.8
+HOLD = 1.2
 # Seconds between renewals.
-RENEWAL = 0.8
+RENEWAL = 0.5
 # Seconds for which a record must be seen unchanged before another takes it;
 # HOLD plus the time of one slow call of the store.
-EXPIRY = 2.4
+EXPIRY = 1.7
 # Seconds added to the distance between two holders' orders, for the way that
 # an order takes.
 TRAVEL = 0.3
@@ -97,7 +97,7 @@
 ) -> Sight:
     """Returns the sight after a record was read."""
     if sight is not None and sight.revision == revision:
-        return sight
+        return dataclasses.replace(sight, record=record)
     return Sight(record, revision, now)
 
 
--- a/src/wayslip/gateway/facts.py
+++ b/src/wayslip/gateway/facts.py
@@ -91,12 +91,14 @@
 
     Attributes:
         token: The holder's fencing token.
+        revision: Of its last renewal of the lease.
         is_holder: Whether its lease is valid.
         instances: Instances that it hears of.
         usages: Totals over all instances.
     """
 
     token: int
+    revision: int
     is_holder: bool
     instances: int
     usages: tuple[Usage, ...]
--- a/src/wayslip/gateway/hub.py
+++ b/src/wayslip/gateway/hub.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import logging
+from typing import cast
 
 from wayslip import errors
 from wayslip import logs
@@ -31,8 +32,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Takes the socket in."""
-        assert isinstance(transport, asyncio.DatagramTransport)
-        self._transport = transport
+        # asyncio's own transport for datagrams is no DatagramTransport by type.
+        self._transport = cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, addr: Address) -> None:
         """Decodes a datagram and hands it on."""
--- a/src/wayslip/gateway/leadership.py
+++ b/src/wayslip/gateway/leadership.py
@@ -69,6 +69,29 @@
         """Our fencing token while we hold the lease."""
         return self.seen_token
 
+    @property
+    def revision(self) -> int:
+        """Of the record as last read or written."""
+        return self.sight.revision if self.sight else 0
+
+    @property
+    def is_held(self) -> bool:
+        """Whether we hold the lease, perhaps without being able to renew."""
+        return self._is_held
+
+    def hear(self, revision: int) -> None:
+        """Takes in the revision of the holder's last renewal, from itself.
+
+        A follower that knows since when the record has stood can take an
+        expired lease without watching the record for that time first.
+        """
+        if self.sight is None or self._is_held:
+            return
+        if revision > self.sight.revision:
+            self.sight = lease.Sight(
+                self.sight.record, revision, time.monotonic()
+            )
+
     @property
     def holder_address(self) -> str | None:
         """Where the holder hears its peers, None if nobody is known."""
@@ -200,7 +223,7 @@
         logs.event(
             _LOG,
             "lease_taken",
-            token=record.token,
+            fence=record.token,
             orders_in=f"{starts_at - time.monotonic():.2f}",
             pending=len(record.pending),
         )
--- a/src/wayslip/gateway/ordering.py
+++ b/src/wayslip/gateway/ordering.py
@@ -44,6 +44,7 @@
         ready_at: When models that are loading are expected to serve.
         loaded_at: When models finished loading.
         had: Adapters that it has held before.
+        rests_until: When it may be planned for again after a failure.
         pending: The order whose effect is not known yet.
         task: The series of orders that is under way.
         lock: Held while an order is given.
@@ -57,6 +58,7 @@
     ready_at: dict[str, float] = dataclasses.field(default_factory=dict)
     loaded_at: dict[str, float] = dataclasses.field(default_factory=dict)
     had: set[Item] = dataclasses.field(default_factory=set)
+    rests_until: float = 0.0
     pending: lease.Pending | None = None
     task: asyncio.Task[None] | None = None
     lock: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
@@ -265,7 +267,7 @@
             model=pending.model,
             adapter=pending.adapter,
             count=pending.orders,
-            token=self._leadership.token,
+            fence=self._leadership.token,
             outcome=outcome,
         )
         if outcome is engines_module.OrderOutcome.UNKNOWN:
--- a/src/wayslip/gateway/placement.py
+++ b/src/wayslip/gateway/placement.py
@@ -132,7 +132,13 @@
 
     def take(self, state: facts.State) -> None:
         """Takes in what the holder tells."""
-        if not state.is_holder or state.token < self._leadership.seen_token:
+        if state.token != self._leadership.seen_token:
+            if state.token > self._leadership.seen_token:
+                self._leadership.ask()
+            return
+        self._leadership.hear(state.revision)
+        if not state.is_holder:
+            self._leadership.ask()
             return
         self._heard = time.monotonic()
         self.instances = max(state.instances, 1)
--- a/src/wayslip/gateway/planner.py
+++ b/src/wayslip/gateway/planner.py
@@ -37,6 +37,9 @@
 # A load may take this many times what is expected before it is given up on.
 _LOAD_FACTOR = 3.0
 _LOAD_EXTRA = 5.0
+# An engine that did not carry out a load is left alone for this long: its
+# reports are some hundred milliseconds old, seconds.
+_FAILED_REST = 0.6
 # Time that an adapter takes to load, seconds and seconds for each megabyte;
 # one that the engine has held before takes a tenth.
 _ADAPTER_SECONDS = 0.035
@@ -124,7 +127,7 @@
 
     def take(self, message: facts.Message, source: hub_module.Address) -> None:
         """Takes in what an instance tells or asks for."""
-        if not self._leadership.is_valid:
+        if not self._leadership.is_held:
             return
         if isinstance(message, facts.Report):
             self._take_report(message, source)
@@ -163,7 +166,8 @@
             del self._members[name]
         return facts.State(
             token=self._leadership.token,
-            is_holder=True,
+            revision=self._leadership.revision,
+            is_holder=self._leadership.is_valid,
             instances=len(self._members),
             usages=tuple(self._total_usages()),
             words=tuple(self._list_words()),
@@ -281,11 +285,14 @@
             total += spec.adapter_mb
             adapters_mb[model] = adapters_mb.get(model, 0) + spec.adapter_mb
         is_free = (
-            book.task is None or book.task.done()
-        ) and book.pending is None
+            (book.task is None or book.task.done())
+            and book.pending is None
+            and now >= book.rests_until
+        )
         return loading.Engine(
             name=endpoint.name,
-            models=frozenset(m for m, a in charged if not a),
+            models=frozenset(m for m, a in charged if not a)
+            | frozenset(book.ready_at),
             charged_mb=total,
             adapters_mb=adapters_mb,
             is_free=is_free,
@@ -341,10 +348,13 @@
     ) -> None:
         began = time.monotonic()
         book.ready_at[step.model] = began + step.seconds
+        is_loaded = False
         try:
             if await self._make_room(book, step):
-                await self._load(book, step, pool)
+                is_loaded = await self._load(book, step, pool)
         finally:
+            if not is_loaded:
+                book.rests_until = time.monotonic() + _FAILED_REST
             book.ready_at.pop(step.model, None)
             self._tell_all()
 
@@ -375,7 +385,7 @@
         book: ordering_module.Book,
         step: loading.Step,
         pool: manifest_module.Pool,
-    ) -> None:
+    ) -> bool:
         need = pool.models[step.model].weights_mb
 
         def fits() -> bool:
@@ -387,7 +397,7 @@
             book, lease.Action.LOAD, (step.model, ""), fits
         )
         if outcome not in _DONE:
-            return
+            return False
         self._tell_all()
         limit = step.seconds * _LOAD_FACTOR + _LOAD_EXTRA
         await asyncio.sleep(step.seconds * 0.9)
@@ -402,6 +412,7 @@
             model=step.model,
             loaded=is_done,
         )
+        return is_done
 
     # Adapters
 
