Claim each engine before an order instead of one strict lease

Cause: after a holder lost the store, orders rested for lease_ms and more on all engines. A claim on each engine, written before every order, needs no renewal and changes hands at once where no order was sent lately; the lease on planning became soft.

--- a/src/wayslip/cli/gateway.py
+++ b/src/wayslip/cli/gateway.py
@@ -42,7 +42,6 @@
         configuration=kinds.CONFIGURATION,
         configuration_name=kinds.CONFIGURATION_NAME,
         endpoints=kinds.ENDPOINTS,
-        lease=kinds.LEASE,
     )
 
 
--- a/src/wayslip/decisions/fleet.py
+++ b/src/wayslip/decisions/fleet.py
@@ -2,6 +2,9 @@
 
 import dataclasses
 
+# A model and one of its adapters; the adapter is empty for the model itself.
+Item = tuple[str, str]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Endpoint:
@@ -52,8 +55,17 @@
     Attributes:
         orders: How many orders it has taken since its start.
         is_busy: Whether it is loading or unloading a model.
+        coming: Adapters on their way to it.
     """
 
     orders: int
     is_busy: bool
     models: dict[str, frozenset[str]]
+    coming: frozenset[Item] = frozenset()
+
+
+def list_items(models: dict[str, frozenset[str]]) -> set[Item]:
+    """Returns models and their adapters as items."""
+    items = {(m, "") for m in models}
+    items |= {(m, a) for m, adapters in models.items() for a in adapters}
+    return items
--- a/src/wayslip/decisions/lease.py
+++ b/src/wayslip/decisions/lease.py
@@ -1,29 +1,32 @@
-"""Who may order engines: one holder at a time, by an object in the store.
-
-No clock is compared across instances. The holder proves itself by writing its
-record again and again; it trusts a write for `HOLD` seconds from the moment
-the write was begun. Anyone else may take the lease after seeing the record
-unchanged for longer, and then waits until the last order of the holder before
-lies `Bounds.lease` seconds back. A write that takes effect late fails on its
-condition or delays the taker, so both stay safe.
-
-The record also holds the orders whose effect is not known yet. They are
-written before they are sent, so a successor knows what may still arrive.
+"""Which instance plans loads, and which may order an engine.
+
+The lease on planning is soft: it spares double work, and two instances that
+both think they hold it do no harm. What keeps orders apart is the claim on
+each engine. It is written, on the condition that nobody wrote it meanwhile,
+before every single order, so a claim that was not written has sent nothing
+since. Another instance may take an engine over once it knows that the claim
+has stood unchanged for longer than an order's way and the distance that two
+holders must keep. No clock is compared across instances, and nothing has to
+be renewed: an engine without recent orders changes hands at once.
+
+The claim also holds the order whose effect is not known yet, so a successor
+knows what may still arrive.
 """
 
 import dataclasses
 import enum
 
-# Seconds for which a written record entitles its holder to send orders; about
-# two renewals of which one may be lost.
+# Seconds for which a written lease entitles its holder to plan; about two
+# renewals of which one may be lost.
 HOLD = 1.2
 # Seconds between renewals.
 RENEWAL = 0.5
-# Seconds for which a record must be seen unchanged before another takes it;
-# HOLD plus the time of one slow call of the store.
+# Seconds for which a lease must be known unchanged before another takes it;
+# HOLD and the time of one slow call of the store.
 EXPIRY = 1.7
-# Seconds added to the distance between two holders' orders, for the way that
-# an order takes.
+# Seconds after the start of a claim's write in which its order must leave.
+SEND_LIMIT = 0.5
+# Seconds that an order may take on its way.
 TRAVEL = 0.3
 
 
@@ -52,77 +55,116 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Record:
-    """The lease as it is written.
+class Claim:
+    """Who orders an engine.
+
+    Attributes:
+        token: Rises with every change of the holder; orders carry it.
+        pending: The last order, unless its effect was known when the claim
+            was written.
+    """
+
+    endpoint: str
+    holder: str
+    token: int
+    pending: Pending | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SeenClaim:
+    """A claim as one instance knows it.
+
+    Attributes:
+        revision: Of the store; 0 if there is no claim.
+        since: When this instance first knew of the revision, steady seconds.
+    """
+
+    claim: Claim
+    revision: int
+    since: float
+
+
+def next_claim(
+    seen: SeenClaim | None, endpoint: str, holder: str, pending: Pending
+) -> Claim:
+    """Returns the claim to write before an order."""
+    if seen is None:
+        return Claim(endpoint, holder, 1, pending)
+    token = seen.claim.token
+    if seen.claim.holder != holder:
+        token += 1
+    return Claim(endpoint, holder, token, pending)
+
+
+def may_claim(
+    seen: SeenClaim | None, holder: str, distance: float, now: float
+) -> bool:
+    """Whether an instance may write itself into a claim.
+
+    Args:
+        seen: The claim as known, None if there is none.
+        holder: The instance.
+        distance: Seconds that two holders' orders keep apart.
+        now: Steady seconds.
+    """
+    if seen is None or seen.claim.holder == holder:
+        return True
+    return now - seen.since >= SEND_LIMIT + distance + TRAVEL
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lease:
+    """The lease on planning as it is written.
 
     Attributes:
         holder: The instance that holds it.
         address: Where peers reach the holder, "IP:PORT".
-        token: Rises with every holder; orders carry it.
-        beat: Rises with every write of a holder.
-        is_released: Whether the holder has stopped sending orders for good.
+        term: Rises with every holder.
+        beat: Rises with every renewal.
+        is_released: Whether the holder has given it back.
     """
 
     holder: str
     address: str
-    token: int
+    term: int
     beat: int = 0
     is_released: bool = False
-    pending: tuple[Pending, ...] = ()
 
-    def renew(self, pending: tuple[Pending, ...]) -> "Record":
-        """Returns the record with a new beat and the orders that are out."""
-        return dataclasses.replace(self, beat=self.beat + 1, pending=pending)
+    def renew(self) -> "Lease":
+        """Returns the lease with a new beat."""
+        return dataclasses.replace(self, beat=self.beat + 1)
 
-    def release(self) -> "Record":
-        """Returns the record of a holder that sends no more orders."""
+    def release(self) -> "Lease":
+        """Returns the lease of a holder that gives it back."""
         return dataclasses.replace(self, beat=self.beat + 1, is_released=True)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Sight:
-    """A record as an instance sees it.
+    """A lease as an instance sees it.
 
     Attributes:
-        since: When this very record was first seen, steady seconds.
+        since: When this very revision was first heard of, steady seconds.
     """
 
-    record: Record
+    lease: Lease
     revision: int
     since: float
 
 
-def see(
-    sight: Sight | None, record: Record, revision: int, now: float
-) -> Sight:
-    """Returns the sight after a record was read."""
+def see(sight: Sight | None, lease: Lease, revision: int, now: float) -> Sight:
+    """Returns the sight after a lease was read."""
     if sight is not None and sight.revision == revision:
-        return dataclasses.replace(sight, record=record)
-    return Sight(record, revision, now)
+        return dataclasses.replace(sight, lease=lease)
+    return Sight(lease, revision, now)
 
 
 def may_take(sight: Sight, name: str, now: float) -> bool:
-    """Whether an instance may write itself into the record.
+    """Whether an instance may write itself into the lease.
 
     An instance whose process started again may take its own lease at once:
     the process before is gone.
     """
-    if sight.record.holder == name or sight.record.is_released:
+    if sight.lease.holder == name or sight.lease.is_released:
         return True
     return now - sight.since >= EXPIRY
-
-
-def find_start(sight: Sight, name: str, distance: float, taken: float) -> float:
-    """Returns when a new holder may send its first order, steady seconds.
-
-    Args:
-        sight: The record that was replaced.
-        name: The new holder.
-        distance: Seconds that two holders' orders keep apart.
-        taken: When the lease was taken.
-    """
-    if sight.record.holder == name:
-        return taken
-    # A released record was written after the last order.
-    last = sight.since if sight.record.is_released else sight.since + HOLD
-    return max(taken, last + distance + TRAVEL)
--- a/src/wayslip/gateway/daemon.py
+++ b/src/wayslip/gateway/daemon.py
@@ -13,7 +13,6 @@
 from wayslip import logs
 from wayslip import metrics as metrics_module
 from wayslip.decisions import fleet
-from wayslip.decisions import lease
 from wayslip.decisions import manifest
 from wayslip.gateway import configuration
 from wayslip.gateway import dialect as dialect_module
@@ -26,6 +25,7 @@
 from wayslip.gateway import ordering as ordering_module
 from wayslip.gateway import placement as placement_module
 from wayslip.gateway import planner as planner_module
+from wayslip.gateway import records
 from wayslip.gateway import requests as requests_module
 from wayslip.gateway import store as store_module
 from wayslip.gateway import view as view_module
@@ -53,7 +53,6 @@
     configuration: store_module.Kind[manifest.Manifest]
     configuration_name: str
     endpoints: store_module.Kind[fleet.Endpoint]
-    lease: store_module.Kind[lease.Record]
 
 
 class Gateway:
@@ -71,19 +70,18 @@
         self.leadership = leadership_module.Leadership(
             options,
             platform.store,
-            platform.lease,
-            self._begin_holding,
-            self._end_holding,
+            records.LEASE,
+            lambda: self._planner.begin(),
+            lambda: self._planner.end(),
         )
         self._ordering = ordering_module.Ordering(
-            options, platform.engines, self.leadership, self.metrics
+            options, platform.store, platform.engines, self.metrics
         )
-        self.leadership.pending = self._ordering.list_pending
         self._planner = planner_module.Planner(
             self.holder, self.view, self.leadership, self._ordering, self._hub
         )
         self._placement = placement_module.Placement(
-            options, self.view, self._hub, self.leadership
+            options, self.view, self._hub, self.leadership, self._ordering
         )
         self._requests = requests_module.Requests(
             options,
@@ -214,12 +212,6 @@
         if is_ours and change.value is not None:
             self.holder.offer(change.value)
 
-    def _begin_holding(self, record: lease.Record) -> None:
-        self._planner.begin(record)
-
-    def _end_holding(self) -> None:
-        self._planner.end()
-
     def _take_message(
         self, message: facts.Message, source: hub_module.Address
     ) -> None:
--- a/src/wayslip/gateway/facts.py
+++ b/src/wayslip/gateway/facts.py
@@ -85,25 +85,34 @@
     seconds: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimRevision:
+    """The revision of the last claim on an engine."""
+
+    endpoint: str
+    revision: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class State:
     """What the lease's holder tells every instance.
 
     Attributes:
-        token: The holder's fencing token.
+        term: The holder's term.
         revision: Of its last renewal of the lease.
         is_holder: Whether its lease is valid.
         instances: Instances that it hears of.
         usages: Totals over all instances.
     """
 
-    token: int
+    term: int
     revision: int
     is_holder: bool
     instances: int
     usages: tuple[Usage, ...]
     words: tuple[Word, ...]
     arrivals: tuple[Arrival, ...]
+    claims: tuple[ClaimRevision, ...]
 
 
 Message = Report | Want | State
@@ -114,6 +123,7 @@
     "demands": Demand,
     "words": Word,
     "arrivals": Arrival,
+    "claims": ClaimRevision,
 }
 
 
--- a/src/wayslip/gateway/leadership.py
+++ b/src/wayslip/gateway/leadership.py
@@ -1,8 +1,7 @@
-"""Holds the lease on ordering engines, or knows who does."""
+"""Holds the lease on planning, or knows who does."""
 
 import asyncio
 from collections.abc import Callable
-import dataclasses
 import logging
 import random
 import time
@@ -21,8 +20,6 @@
 _REPEAT_SECONDS = 0.15
 # Instances that see a free lease together try at different times, seconds.
 _SPREAD_SECONDS = 0.4
-# A record is not trusted for its last tenth, in which an order may be late.
-_ORDER_MARGIN = 0.2
 
 
 class Leadership:
@@ -30,15 +27,15 @@
 
     Attributes:
         sight: The record as last read or written.
-        seen_token: The highest token seen; words of older ones are dropped.
+        seen_term: The highest term seen; words of older ones are dropped.
     """
 
     def __init__(
         self,
         options: options_module.Options,
         store: store_module.Store,
-        kind: store_module.Kind[lease.Record],
-        on_taken: Callable[[lease.Record], None],
+        kind: store_module.Kind[lease.Lease],
+        on_taken: Callable[[], None],
         on_lost: Callable[[], None],
     ) -> None:
         self._options = options
@@ -50,24 +47,17 @@
         self._asked.set()
         self._lock = asyncio.Lock()
         self._is_held = False
-        self._own_token = 0
+        self._own_term = 0
         self._is_stopping = False
         self._valid_until = 0.0
-        self._starts_at = 0.0
         self.sight: lease.Sight | None = None
-        self.pending: Callable[[], tuple[lease.Pending, ...]] = tuple
 
     # What others ask
 
     @property
-    def seen_token(self) -> int:
-        """The highest fencing token that was seen."""
-        return self.sight.record.token if self.sight else 0
-
-    @property
-    def token(self) -> int:
-        """Our fencing token while we hold the lease."""
-        return self.seen_token
+    def seen_term(self) -> int:
+        """The highest term that was seen; our own while we hold the lease."""
+        return self.sight.lease.term if self.sight else 0
 
     @property
     def revision(self) -> int:
@@ -89,29 +79,19 @@
             return
         if revision > self.sight.revision:
             self.sight = lease.Sight(
-                self.sight.record, revision, time.monotonic()
+                self.sight.lease, revision, time.monotonic()
             )
 
     @property
     def holder_address(self) -> str | None:
         """Where the holder hears its peers, None if nobody is known."""
-        return self.sight.record.address if self.sight else None
+        return self.sight.lease.address if self.sight else None
 
     @property
     def is_valid(self) -> bool:
         """Whether we hold the lease and may rely on that now."""
         return self._is_held and time.monotonic() < self._valid_until
 
-    @property
-    def may_order(self) -> bool:
-        """Whether an order may be sent now."""
-        now = time.monotonic()
-        return (
-            self._is_held
-            and not self._is_stopping
-            and self._starts_at <= now < self._valid_until - _ORDER_MARGIN
-        )
-
     def ask(self) -> None:
         """Has the lease looked at, because its holder is silent."""
         self._asked.set()
@@ -137,7 +117,7 @@
         # A holder whose lease ran out goes on writing: if that succeeds on
         # the old revision, nobody has taken the lease meanwhile.
         await asyncio.sleep(lease.RENEWAL if self.is_valid else _REPEAT_SECONDS)
-        await self.write()
+        await self.renew()
 
     async def _note_outage(self, error: errors.ObjectError) -> None:
         logs.event(
@@ -167,7 +147,7 @@
             return self.sight
 
     def _note(
-        self, stored: store_module.Stored[lease.Record], began: float
+        self, stored: store_module.Stored[lease.Lease], began: float
     ) -> None:
         """Takes in a record that was read, which may be an own late write."""
         sight = lease.see(
@@ -175,8 +155,8 @@
         )
         self.sight = sight
         if self._is_held and (
-            sight.record.holder != self._options.name
-            or sight.record.token != self._own_token
+            sight.lease.holder != self._options.name
+            or sight.lease.term != self._own_term
         ):
             self._lose("another instance took it")
 
@@ -199,55 +179,40 @@
     async def _take(self, sight: lease.Sight | None) -> None:
         began = time.monotonic()
         if sight is None:
-            record = lease.Record(self._options.name, self._options.peers, 1)
-            stored = await self._store.create(self._kind, NAME, record)
-            starts_at = began
+            mine = lease.Lease(self._options.name, self._options.peers, 1)
+            stored = await self._store.create(self._kind, NAME, mine)
         else:
-            record = lease.Record(
+            mine = lease.Lease(
                 self._options.name,
                 self._options.peers,
-                sight.record.token + 1,
-                pending=sight.record.pending,
+                sight.lease.term + 1,
             )
             stored = await self._store.replace(
-                self._kind, store_module.Stored(NAME, sight.revision, record)
+                self._kind, store_module.Stored(NAME, sight.revision, mine)
             )
-            starts_at = lease.find_start(
-                sight, self._options.name, self._options.bounds.lease, began
-            )
-        self.sight = lease.Sight(record, stored.revision, time.monotonic())
-        self._own_token = record.token
+        self.sight = lease.Sight(mine, stored.revision, time.monotonic())
+        self._own_term = mine.term
         self._is_held = True
         self._valid_until = began + lease.HOLD
-        self._starts_at = starts_at
-        logs.event(
-            _LOG,
-            "lease_taken",
-            fence=record.token,
-            orders_in=f"{starts_at - time.monotonic():.2f}",
-            pending=len(record.pending),
-        )
-        self._on_taken(record)
+        logs.event(_LOG, "lease_taken", term=mine.term)
+        self._on_taken()
 
-    async def write(self) -> None:
-        """Writes the record with the orders that are out; renews the lease.
+    async def renew(self) -> None:
+        """Writes the lease once more.
 
         Raises:
             ObjectConflictError: The lease is lost, or an answer was.
             ObjectUnavailableError: The store did not answer.
         """
         async with self._lock:
-            if not self._is_held or self.sight is None:
-                raise errors.ObjectConflictError(
-                    "the lease is not held", "leave orders to its holder"
-                )
+            assert self.sight is not None
             began = time.monotonic()
-            record = self.sight.record.renew(self.pending())
+            mine = self.sight.lease.renew()
             stored = await self._store.replace(
                 self._kind,
-                store_module.Stored(NAME, self.sight.revision, record),
+                store_module.Stored(NAME, self.sight.revision, mine),
             )
-            self.sight = lease.Sight(record, stored.revision, time.monotonic())
+            self.sight = lease.Sight(mine, stored.revision, time.monotonic())
             self._valid_until = began + lease.HOLD
 
     async def release(self) -> None:
@@ -257,11 +222,10 @@
             return
         try:
             async with self._lock:
-                record = self.sight.record.release()
-                record = dataclasses.replace(record, pending=self.pending())
+                mine = self.sight.lease.release()
                 await self._store.replace(
                     self._kind,
-                    store_module.Stored(NAME, self.sight.revision, record),
+                    store_module.Stored(NAME, self.sight.revision, mine),
                 )
         except errors.ObjectError as e:
             logs.event(
--- a/src/wayslip/gateway/ordering.py
+++ b/src/wayslip/gateway/ordering.py
@@ -18,8 +18,9 @@
 from wayslip.decisions import fleet
 from wayslip.decisions import lease
 from wayslip.gateway import engines as engines_module
-from wayslip.gateway import leadership as leadership_module
 from wayslip.gateway import options as options_module
+from wayslip.gateway import records
+from wayslip.gateway import store as store_module
 
 _LOG = logging.getLogger(__name__)
 # Between looks at an engine whose order had no answer, seconds. Its reports
@@ -28,19 +29,28 @@
 # Between looks at an engine that is to finish an order, seconds; the list
 # tells it a heartbeat later.
 _POLL_SECONDS = 0.4
-Item = tuple[str, str]
+Item = fleet.Item
 
 
 @dataclasses.dataclass
 class Book:
     """What the lease's holder knows of one engine.
 
+    Neither the list nor a report is ever ahead of the engine, and either may
+    lag behind the other. So an item counts as held while any of them shows
+    it, and only what was seen to be dropped no longer counts.
+
     Attributes:
-        endpoint: Its entry, without what it has dropped since.
-        listed: Its entry as the list has it.
-        orders: Orders that it has taken; None until it was asked.
-        added: Items ordered to load that the list does not show yet.
-        removed: Items ordered to unload that the list still shows.
+        endpoint: The engine's entry in the list.
+        orders: Orders that it has taken, None if that is not certain.
+        least_orders: Orders that it has taken at least; a report that tells
+            of fewer is an old one.
+        reported: What its last report showed.
+        is_known: Whether a report told all that it holds; not so while it
+            loads something that a holder before us ordered.
+        added: Items ordered to load that nothing shows yet, and when they
+            can serve.
+        removed: Items ordered to unload, and whether they are seen gone.
         ready_at: When models that are loading are expected to serve.
         loaded_at: When models finished loading.
         had: Adapters that it has held before.
@@ -48,13 +58,16 @@
         pending: The order whose effect is not known yet.
         task: The series of orders that is under way.
         lock: Held while an order is given.
+        changed: Set by every new entry.
     """
 
     endpoint: fleet.Endpoint
-    listed: fleet.Endpoint | None = None
     orders: int | None = None
+    least_orders: int = 0
+    reported: set[Item] = dataclasses.field(default_factory=set)
+    is_known: bool = False
     added: dict[Item, float] = dataclasses.field(default_factory=dict)
-    removed: dict[Item, float] = dataclasses.field(default_factory=dict)
+    removed: dict[Item, bool] = dataclasses.field(default_factory=dict)
     ready_at: dict[str, float] = dataclasses.field(default_factory=dict)
     loaded_at: dict[str, float] = dataclasses.field(default_factory=dict)
     had: set[Item] = dataclasses.field(default_factory=set)
@@ -66,79 +79,183 @@
 
     def charged(self) -> set[Item]:
         """Returns all items that take memory or may."""
-        items = _list_items(self.endpoint.models) | set(self.added)
+        items = self.listed() | self.reported | set(self.added)
         if self.pending is not None and self.pending.action is (
             lease.Action.LOAD
         ):
             items.add((self.pending.model, self.pending.adapter))
-        return items
+        return items - {i for i, is_gone in self.removed.items() if is_gone}
 
     def usable(self) -> set[Item]:
         """Returns the items that can serve now, or will in moments."""
         items = self.charged() - set(self.removed)
         return {i for i in items if i[0] not in self.ready_at}
 
+    def listed(self) -> set[Item]:
+        """Returns the items in the engine's entry."""
+        return fleet.list_items(self.endpoint.models)
+
     def take_entry(self, endpoint: fleet.Endpoint) -> None:
         """Takes in the engine's entry in the list."""
-        self.listed = endpoint
+        before = self.listed()
         self.endpoint = endpoint
-        listed = _list_items(endpoint.models)
+        listed = self.listed()
         self.had |= {i for i in listed if i[1]}
         for item in [i for i in self.added if i in listed]:
             del self.added[item]
         for item in [i for i in self.removed if i not in listed]:
-            del self.removed[item]
+            # Either the entry follows the unload, or a report has shown it.
+            if item in before or self.removed[item]:
+                del self.removed[item]
+                self.reported.discard(item)
         self.changed.set()
 
     def take_state(self, state: fleet.EngineState) -> bool:
         """Takes in a report; returns whether it was new enough."""
-        if self.orders is not None and state.orders < self.orders:
+        if state.orders < self.least_orders:
             return False
         self.orders = state.orders
-        held = _list_items(state.models)
-        for item in [i for i in self.removed if i not in held]:
-            self.drop(item)
-        for item in [i for i in self.added if i in held]:
+        self.least_orders = state.orders
+        self.reported = fleet.list_items(state.models) | state.coming
+        for item in self.removed:
+            self.removed[item] = item not in self.reported
+        for item in [i for i in self.added if i in self.reported]:
             del self.added[item]
+        if not state.is_busy:
+            self.is_known = True
         return True
 
-    def drop(self, item: Item) -> None:
-        """Takes out an item that the engine has dropped."""
-        self.removed[item] = time.monotonic()
-        model, adapter = item
-        models = dict(self.endpoint.models)
-        if adapter:
-            models[model] = models.get(model, frozenset()) - {adapter}
-        else:
-            models.pop(model, None)
-        self.endpoint = dataclasses.replace(self.endpoint, models=models)
+    def note_load(self, item: Item, now: float) -> None:
+        """Charges an item that the engine loads by our order."""
+        self.removed.pop(item, None)
+        self.added[item] = now
 
+    def note_unload(self, item: Item) -> None:
+        """Notes an unload by our order; a model takes its adapters along."""
+        model, adapter = item
+        for one in self.charged():
+            if one == item or (not adapter and one[0] == model):
+                self.added.pop(one, None)
+                self.removed[one] = False
 
-def _list_items(models: dict[str, frozenset[str]]) -> set[Item]:
-    items = {(m, "") for m in models}
-    items |= {(m, a) for m, adapters in models.items() for a in adapters}
-    return items
+    def note_gone(self, item: Item) -> None:
+        """Notes that the engine has dropped an item."""
+        self.reported.discard(item)
+        self.removed[item] = True
 
 
 class Ordering:
-    """Gives orders while this instance holds the lease."""
+    """Gives orders to engines, claiming each engine before."""
 
     def __init__(
         self,
         options: options_module.Options,
+        store: store_module.Store,
         client: engines_module.EngineClient,
-        leadership: leadership_module.Leadership,
         metrics: metrics_module.Metrics,
     ) -> None:
         self._options = options
+        self._store = store
         self._client = client
-        self._leadership = leadership
         self._metrics = metrics
         self.books: dict[str, Book] = {}
+        # Claims as they were read, written, or told by another holder.
+        self.claims: dict[str, lease.SeenClaim] = {}
+
+    # Claims
+
+    def hear_claim(self, endpoint: str, revision: int) -> None:
+        """Takes in a claim's revision as its holder tells it."""
+        seen = self.claims.get(endpoint)
+        if seen is not None and seen.revision >= revision:
+            return
+        # Whose it is, is read when we come to take it over.
+        unknown = lease.Claim(endpoint, "", 0)
+        self.claims[endpoint] = lease.SeenClaim(
+            unknown, revision, time.monotonic()
+        )
+
+    async def read_claims(self) -> None:
+        """Reads all claims, as a new planner.
+
+        Raises:
+            ObjectUnavailableError: The store did not answer.
+        """
+        listing = await self._store.list(records.CLAIM)
+        for stored in listing.items:
+            self._note_claim(stored)
+
+    def _note_claim(self, stored: store_module.Stored[lease.Claim]) -> None:
+        known = self.claims.get(stored.name)
+        since = time.monotonic()
+        if known is not None and known.revision == stored.revision:
+            since = known.since
+        self.claims[stored.name] = lease.SeenClaim(
+            stored.value, stored.revision, since
+        )
+
+    async def drop_claim(self, endpoint: str) -> None:
+        """Removes the claim of an engine that is gone."""
+        seen = self.claims.pop(endpoint, None)
+        if seen is None:
+            return
+        try:
+            await self._store.remove(records.CLAIM, endpoint, seen.revision)
+        except errors.ObjectError as e:
+            logs.event(
+                _LOG, "claim_not_removed", endpoint=endpoint, reason=e.reason
+            )
+
+    def may_claim(self, endpoint: str) -> bool:
+        """Whether an engine may be ordered by this instance now."""
+        return lease.may_claim(
+            self.claims.get(endpoint),
+            self._options.name,
+            self._options.bounds.lease,
+            time.monotonic(),
+        )
+
+    async def _claim(self, pending: lease.Pending) -> lease.Claim | None:
+        """Claims an engine for one order; returns None if it can not be."""
+        endpoint = pending.endpoint
+        if not self.may_claim(endpoint):
+            return None
+        seen = self.claims.get(endpoint)
+        claim = lease.next_claim(seen, endpoint, self._options.name, pending)
+        try:
+            if seen is None:
+                stored = await self._store.create(
+                    records.CLAIM, endpoint, claim
+                )
+            else:
+                stored = await self._store.replace(
+                    records.CLAIM,
+                    store_module.Stored(endpoint, seen.revision, claim),
+                )
+        except errors.ObjectError as e:
+            logs.event(
+                _LOG, "claim_not_written", endpoint=endpoint, reason=e.reason
+            )
+            await self._read_claim(endpoint)
+            return None
+        self.claims[endpoint] = lease.SeenClaim(
+            claim, stored.revision, time.monotonic()
+        )
+        return claim
+
+    async def _read_claim(self, endpoint: str) -> None:
+        """Reads a claim again whose write met another, or had no answer."""
+        try:
+            stored = await self._store.get(records.CLAIM, endpoint)
+        except errors.ObjectError as e:
+            logs.event(
+                _LOG, "claim_not_read", endpoint=endpoint, reason=e.reason
+            )
+            return
+        if stored is not None:
+            self._note_claim(stored)
 
-    def list_pending(self) -> tuple[lease.Pending, ...]:
-        """Returns the orders whose effect is not known yet."""
-        return tuple(b.pending for b in self.books.values() if b.pending)
+    # Orders
 
     async def sync(self, book: Book) -> fleet.EngineState | None:
         """Asks an engine for its count of orders and what it holds."""
@@ -171,14 +288,15 @@
                 it finds free stays free until this order is charged.
 
         Returns:
-            What came of it. Only UNKNOWN leaves that open: the lease was
-            lost meanwhile.
+            What came of it.
         """
         model, adapter = item
         async with book.lock:
             if book.orders is None and await self.sync(book) is None:
                 return engines_module.OrderOutcome.REFUSED
-            if not may_send():
+            if not book.is_known and await self.sync(book) is None:
+                return engines_module.OrderOutcome.REFUSED
+            if not book.is_known or not may_send():
                 return engines_module.OrderOutcome.REFUSED
             assert book.orders is not None
             pending = lease.Pending(
@@ -199,22 +317,11 @@
         self, book: Book, pending: lease.Pending
     ) -> engines_module.OrderOutcome:
         book.pending = pending
-        try:
-            await self._leadership.write()
-        except errors.ObjectError as e:
+        outcome = await self._send(book, pending)
+        if outcome is None:
             # It was not sent, so nothing of it can take effect.
-            book.pending = None
-            logs.event(
-                _LOG,
-                "order_not_written",
-                endpoint=pending.endpoint,
-                reason=e.reason,
-            )
-            return engines_module.OrderOutcome.REFUSED
-        if not self._leadership.may_order:
             book.pending = None
             return engines_module.OrderOutcome.REFUSED
-        outcome = await self._send(book, pending)
         if outcome is engines_module.OrderOutcome.UNKNOWN:
             outcome = await self._repeat(book, pending)
         self._note(book, pending, outcome)
@@ -222,10 +329,13 @@
 
     async def _send(
         self, book: Book, pending: lease.Pending
-    ) -> engines_module.OrderOutcome:
-        authority = engines_module.Authority(
-            self._options.name, self._leadership.token
-        )
+    ) -> engines_module.OrderOutcome | None:
+        """Claims the engine and sends an order; None if it was not sent."""
+        began = time.monotonic()
+        claim = await self._claim(pending)
+        if claim is None or time.monotonic() - began > lease.SEND_LIMIT:
+            return None
+        authority = engines_module.Authority(claim.holder, claim.token)
         self._metrics.count("orders", action=pending.action.value)
         return await self._client.order(book.endpoint, pending, authority)
 
@@ -238,10 +348,6 @@
             state = await self.sync(book)
             if state is not None and state.orders > pending.orders:
                 return engines_module.OrderOutcome.TAKEN
-            if not self._leadership.may_order:
-                if not self._leadership.is_valid:
-                    return engines_module.OrderOutcome.UNKNOWN
-                continue
             if state is None:
                 continue
             outcome = await self._send(book, pending)
@@ -267,14 +373,12 @@
             model=pending.model,
             adapter=pending.adapter,
             count=pending.orders,
-            fence=self._leadership.token,
             outcome=outcome,
         )
-        if outcome is engines_module.OrderOutcome.UNKNOWN:
-            return
         book.pending = None
         if outcome is engines_module.OrderOutcome.TAKEN:
-            book.orders = max(pending.orders + 1, book.orders or 0)
+            book.least_orders = max(pending.orders + 1, book.least_orders)
+            book.orders = book.least_orders
         else:
             # Whether the count rose is not told; it is asked for next time.
             book.orders = None
@@ -286,20 +390,10 @@
 
     def _apply(self, book: Book, pending: lease.Pending) -> None:
         item = (pending.model, pending.adapter)
-        now = time.monotonic()
         if pending.action is lease.Action.LOAD:
-            book.removed.pop(item, None)
-            book.added[item] = now
-            return
-        book.added.pop(item, None)
-        dropped = {
-            i
-            for i in book.charged()
-            if i == item or (not pending.adapter and i[0] == pending.model)
-        }
-        for one in dropped:
-            book.added.pop(one, None)
-            book.removed[one] = now
+            book.note_load(item, time.monotonic())
+        else:
+            book.note_unload(item)
 
     async def wait_for_model(
         self, book: Book, model: str, is_held: bool, seconds: float
@@ -320,17 +414,11 @@
                 async with asyncio.timeout(_POLL_SECONDS):
                     await book.changed.wait()
             except TimeoutError:
-                state = await self.sync(book)
-                if (
-                    state is not None
-                    and not state.is_busy
-                    and (model in state.models) is is_held
-                ):
-                    return True
+                await self.sync(book)
         return False
 
     def _is_settled(self, book: Book, model: str, is_held: bool) -> bool:
-        listed = model in book.endpoint.models
+        item = (model, "")
         if is_held:
-            return listed
-        return not listed and (model, "") not in book.added
+            return item in book.listed() or item in book.reported
+        return item not in book.charged()
--- a/src/wayslip/gateway/placement.py
+++ b/src/wayslip/gateway/placement.py
@@ -13,6 +13,7 @@
 from wayslip.gateway import hub as hub_module
 from wayslip.gateway import leadership as leadership_module
 from wayslip.gateway import options as options_module
+from wayslip.gateway import ordering as ordering_module
 from wayslip.gateway import view as view_module
 
 _LOG = logging.getLogger(__name__)
@@ -38,11 +39,13 @@
         view: view_module.EndpointView,
         hub: hub_module.Hub,
         leadership: leadership_module.Leadership,
+        ordering: ordering_module.Ordering,
     ) -> None:
         self._options = options
         self._view = view
         self._hub = hub
         self._leadership = leadership
+        self._ordering = ordering
         self._process = f"{options.name}-{os.getpid()}-{time.monotonic_ns()}"
         self._number = 0
         self._demand: collections.Counter[tuple[str, str, str]] = (
@@ -132,8 +135,8 @@
 
     def take(self, state: facts.State) -> None:
         """Takes in what the holder tells."""
-        if state.token != self._leadership.seen_token:
-            if state.token > self._leadership.seen_token:
+        if state.term != self._leadership.seen_term:
+            if state.term > self._leadership.seen_term:
                 self._leadership.ask()
             return
         self._leadership.hear(state.revision)
@@ -141,6 +144,8 @@
             self._leadership.ask()
             return
         self._heard = time.monotonic()
+        for claim in state.claims:
+            self._ordering.hear_claim(claim.endpoint, claim.revision)
         self.instances = max(state.instances, 1)
         self._take_usages(state)
         for word in state.words:
--- a/src/wayslip/gateway/planner.py
+++ b/src/wayslip/gateway/planner.py
@@ -6,6 +6,7 @@
 import logging
 import time
 
+from wayslip import errors
 from wayslip import logs
 from wayslip.decisions import demand as demand_module
 from wayslip.decisions import fleet
@@ -91,23 +92,39 @@
         self._coming: set[tuple[str, str, str]] = set()
         self._wishes: set[tuple[str, str, str]] = set()
         self._tasks: set[asyncio.Task[None]] = set()
+        self._is_prepared = False
         self._soon = asyncio.Event()
 
     # The lease
 
-    def begin(self, record: lease.Record) -> None:
-        """Starts anew as the lease's holder, with the orders left open."""
+    def begin(self) -> None:
+        """Starts to plan; claims of the planner before are read first."""
         self._ordering.books.clear()
         self._buckets.clear()
+        self._is_prepared = False
+        self._start(self._prepare())
+
+    async def _prepare(self) -> None:
+        while True:
+            try:
+                await self._ordering.read_claims()
+                break
+            except errors.ObjectError as e:
+                logs.event(
+                    _LOG, "claims_not_read", logging.WARNING, reason=e.reason
+                )
+                await asyncio.sleep(_PERIOD)
         self._follow_list()
-        for pending in record.pending:
-            book = self._ordering.books.get(pending.endpoint)
-            if book is not None:
-                book.pending = pending
+        for name, seen in self._ordering.claims.items():
+            book = self._ordering.books.get(name)
+            if book is not None and seen.claim.pending is not None:
+                book.pending = seen.claim.pending
                 book.task = self._start(self._ordering.settle(book))
+        self._is_prepared = True
 
     def end(self) -> None:
-        """Stops giving orders; what was sent stays in the record."""
+        """Stops giving orders; what was sent stays in the claims."""
+        self._is_prepared = False
         for task in list(self._tasks):
             task.cancel()
         self._members.clear()
@@ -165,13 +182,17 @@
         ]:
             del self._members[name]
         return facts.State(
-            token=self._leadership.token,
+            term=self._leadership.seen_term,
             revision=self._leadership.revision,
             is_holder=self._leadership.is_valid,
             instances=len(self._members),
             usages=tuple(self._total_usages()),
             words=tuple(self._list_words()),
             arrivals=tuple(self._list_arrivals(now)),
+            claims=tuple(
+                facts.ClaimRevision(name, seen.revision)
+                for name, seen in self._ordering.claims.items()
+            ),
         )
 
     def _total_usages(self) -> list[facts.Usage]:
@@ -226,20 +247,22 @@
                 pass
             self._soon.clear()
             self._follow_list()
-            if self._leadership.may_order:
+            if self._leadership.is_valid and self._is_prepared:
                 self._plan()
 
     def _follow_list(self) -> None:
         books = self._ordering.books
         for name in [n for n in books if n not in self._view.tracked]:
             del books[name]
+            if self._leadership.is_valid:
+                self._start(self._ordering.drop_claim(name))
         for name, tracked in self._view.tracked.items():
             book = books.get(name)
             if book is None:
                 book = ordering_module.Book(tracked.endpoint)
                 books[name] = book
                 book.take_entry(tracked.endpoint)
-            elif book.listed is not tracked.endpoint:
+            elif book.endpoint is not tracked.endpoint:
                 book.take_entry(tracked.endpoint)
 
     def _plan(self) -> None:
@@ -288,6 +311,7 @@
             (book.task is None or book.task.done())
             and book.pending is None
             and now >= book.rests_until
+            and self._ordering.may_claim(endpoint.name)
         )
         return loading.Engine(
             name=endpoint.name,
@@ -337,6 +361,8 @@
             rate=f"{rates.get(step.model, 0):.2f}",
         )
         book = books[step.engine]
+        # At once, so that the next plan counts this copy.
+        book.ready_at[step.model] = now + step.seconds
         book.task = self._start(self._carry_out(book, step, pool))
         return True
 
@@ -346,8 +372,6 @@
         step: loading.Step,
         pool: manifest_module.Pool,
     ) -> None:
-        began = time.monotonic()
-        book.ready_at[step.model] = began + step.seconds
         is_loaded = False
         try:
             if await self._make_room(book, step):
@@ -366,7 +390,7 @@
         if state is None or state.is_busy:
             return False
         for victim in step.victims:
-            book.removed[(victim, "")] = time.monotonic()
+            book.removed[(victim, "")] = False
             self._tell_all()
             outcome = await self._ordering.order(
                 book, lease.Action.UNLOAD, (victim, "")
@@ -434,6 +458,7 @@
             for n, b in books.items()
             if (model, "") in b.usable()
         }
+        # While it loads a model, an engine takes no order for an adapter.
         engines = {n: e for n, e in engines.items() if e.is_free}
         name = loading.choose_adapter_engine(
             engines,
@@ -496,7 +521,7 @@
         if outcome is not engines_module.OrderOutcome.HELD:
             return False
         # Unloading an adapter is done when it is answered.
-        book.drop((model, adapter))
+        book.note_gone((model, adapter))
         return True
 
 
--- a/src/wayslip/gateway/store.py
+++ b/src/wayslip/gateway/store.py
@@ -93,3 +93,10 @@
         Raises:
             ObjectConflictError: It has another one; nothing was written.
         """
+
+    async def remove(self, kind: Kind[T], name: str, revision: int) -> None:
+        """Removes an object if it still has a revision.
+
+        Raises:
+            ObjectConflictError: It has another one, or is not there.
+        """
--- a/src/wayslip/platform/decoding.py
+++ b/src/wayslip/platform/decoding.py
@@ -148,6 +148,9 @@
             orders=int(body["seq"]),
             is_busy=bool(body.get("busy")),
             models=_decode_models(body.get("models") or ()),
+            coming=frozenset(
+                _decode_coming(c) for c in body.get("coming") or ()
+            ),
         )
     except (KeyError, TypeError, ValueError, AttributeError) as e:
         raise errors.EndpointError(
@@ -162,6 +165,11 @@
     }
 
 
+def _decode_coming(text: str) -> fleet.Item:
+    """Returns the item of "MODEL/ADAPTER@VERSION"."""
+    return text.partition("/")[0], _adapter_name(text)
+
+
 def _adapter_name(raw: Any) -> str:
     """Returns an adapter's plain name, whichever way it is spelt."""
     text = raw["name"] if isinstance(raw, Mapping) else str(raw)
--- a/src/wayslip/platform/store.py
+++ b/src/wayslip/platform/store.py
@@ -102,6 +102,21 @@
         path = f"{_PREFIX}{kind.name}/{name}"
         return await self._write(kind, "PUT", path, content)
 
+    async def remove(
+        self, kind: store.Kind[T], name: str, revision: int
+    ) -> None:
+        """Removes an object if it still has a revision."""
+        quoted = urllib.parse.quote(name, safe="")
+        path = f"{_PREFIX}{kind.name}/{quoted}?revision={revision}"
+        status, _ = await self._line("write").call(
+            "DELETE", path, None, _CALL_SECONDS
+        )
+        if status in (404, 409):
+            raise errors.ObjectConflictError(
+                f"{path} was changed by somebody else", "read it again"
+            )
+        _expect(status, 200, 204)
+
     async def _read(self, path: str) -> Any:
         status, body = await self._line("read").call(
             "GET", path, None, _CALL_SECONDS
