Plan by when copies arrive; a successor knows demand and loads

Cause: a new holder began with no demand, took every model for unused and evicted busy ones; loads planned but never ordered were told as arrivals; a copy on its way counted like one that serves.

--- a/src/wayslip/decisions/demand.py
+++ b/src/wayslip/decisions/demand.py
@@ -26,6 +26,10 @@
         """Counts requests."""
         self._rates[key] = (self.get(key, now) + count / self._fading, now)
 
+    def set(self, key: K, rate: float, now: float) -> None:
+        """Takes a rate over from elsewhere."""
+        self._rates[key] = (rate, now)
+
     def get(self, key: K, now: float) -> float:
         """Returns a key's rate."""
         rate, at = self._rates.get(key, (0.0, now))
--- /dev/null
+++ b/src/wayslip/gateway/adapters.py
@@ -0,0 +1,146 @@
+"""Loads adapters when requests wait for them."""
+
+from collections.abc import Callable
+from collections.abc import Coroutine
+import time
+from typing import Any
+
+from wayslip.decisions import lease
+from wayslip.decisions import loading
+from wayslip.decisions import manifest
+from wayslip.gateway import charges
+from wayslip.gateway import engines
+from wayslip.gateway import members as members_module
+from wayslip.gateway import ordering as ordering_module
+
+# Time that an adapter takes to load, seconds and seconds for each megabyte;
+# one that the engine has held before takes a tenth.
+_SECONDS = 0.035
+_SECONDS_PER_MB = 0.0025
+_HELD_BEFORE = 0.1
+# An adapter in use at least so often is not taken away, requests a second.
+_IN_USE = 0.5
+
+Wish = tuple[str, str, str]
+Starter = Callable[[Coroutine[Any, Any, None]], Any]
+
+
+class Adapters:
+    """Carries out wishes for adapters of models that are loaded."""
+
+    def __init__(
+        self,
+        ordering: ordering_module.Ordering,
+        members: members_module.Members,
+        start: Starter,
+        tell_all: Callable[[], None],
+    ) -> None:
+        self._ordering = ordering
+        self._members = members
+        self._start = start
+        self._tell_all = tell_all
+        self._coming: set[Wish] = set()
+
+    def wish(
+        self,
+        service: str,
+        pool: manifest.Pool,
+        books: list[ordering_module.Book],
+        item: tuple[str, str],
+    ) -> None:
+        """Starts to load an adapter where its model is, if it is nowhere."""
+        wish = (service, *item)
+        spec = pool.models.get(item[0])
+        if spec is None or wish in self._coming:
+            return
+        if any(item in b.charged() - set(b.removed) for b in books):
+            return
+        book = self._choose(pool, books, item[0])
+        if book is None:
+            return
+        self._coming.add(wish)
+        self._start(self._carry_out(wish, book, pool, spec))
+
+    def _choose(
+        self,
+        pool: manifest.Pool,
+        books: list[ordering_module.Book],
+        model: str,
+    ) -> ordering_module.Book | None:
+        # While it loads a model, an engine takes no order for an adapter.
+        now = time.monotonic()
+        found = {
+            b.endpoint.name: b
+            for b in books
+            if (model, "") in b.usable()
+            and charges.is_free(
+                b, self._ordering.may_claim(b.endpoint.name), now
+            )
+        }
+        usages = self._members.total_usages()
+        name = loading.choose_adapter_engine(
+            {n: charges.count_adapters(b) for n, b in found.items()},
+            pool.adapter_slots,
+            {n: u.in_flight for n, u in usages.items()},
+        )
+        return found[name] if name is not None else None
+
+    async def _carry_out(
+        self,
+        wish: Wish,
+        book: ordering_module.Book,
+        pool: manifest.Pool,
+        spec: manifest.Model,
+    ) -> None:
+        try:
+            await self._load(book, pool, spec, wish[2])
+        finally:
+            self._coming.discard(wish)
+
+    async def _load(
+        self,
+        book: ordering_module.Book,
+        pool: manifest.Pool,
+        spec: manifest.Model,
+        adapter: str,
+    ) -> None:
+        item = (spec.name, adapter)
+
+        def fits() -> bool:
+            total, _ = charges.sum_charges(book, pool)
+            has_place = charges.count_adapters(book) < pool.adapter_slots
+            return has_place and total + spec.adapter_mb <= pool.weights_mb
+
+        if not fits() and not await self._drop_one(book):
+            return
+        outcome = await self._ordering.order(
+            book, lease.Action.LOAD, item, fits
+        )
+        if outcome not in engines.DONE:
+            return
+        seconds = _SECONDS + spec.adapter_mb * _SECONDS_PER_MB
+        if item in book.had:
+            seconds *= _HELD_BEFORE
+        book.had.add(item)
+        if item in book.added:
+            book.added[item] = time.monotonic() + seconds
+        self._tell_all()
+
+    async def _drop_one(self, book: ordering_module.Book) -> bool:
+        """Unloads the adapter that is used least; returns whether it went."""
+        service = book.endpoint.service
+        rates = sorted(
+            (self._members.adapter_rate(service, item), item)
+            for item in book.charged() - set(book.removed)
+            if item[1]
+        )
+        if not rates or rates[0][0] > _IN_USE:
+            return False
+        item = rates[0][1]
+        outcome = await self._ordering.order(book, lease.Action.UNLOAD, item)
+        self._tell_all()
+        if outcome is not engines.OrderOutcome.HELD:
+            return False
+        # An adapter is unloaded by the time that is answered.
+        book.note_gone(item)
+        return True
--- /dev/null
+++ b/src/wayslip/gateway/charges.py
@@ -0,0 +1,64 @@
+"""What an engine's book says to the planner."""
+
+import time
+
+from wayslip.decisions import loading
+from wayslip.decisions import manifest
+from wayslip.gateway import ordering
+
+
+def count_adapters(book: ordering.Book) -> int:
+    """Returns the places for adapters that are or may be taken."""
+    return sum(1 for _, adapter in book.charged() if adapter)
+
+
+def sum_charges(
+    book: ordering.Book, pool: manifest.Pool
+) -> tuple[float, dict[str, float]]:
+    """Returns the memory that is or may be taken, and adapters' by model."""
+    total = 0.0
+    adapters: dict[str, float] = {}
+    for model, adapter in book.charged():
+        spec = pool.models.get(model)
+        if spec is None:
+            continue
+        if not adapter:
+            total += spec.weights_mb
+            continue
+        total += spec.adapter_mb
+        adapters[model] = adapters.get(model, 0.0) + spec.adapter_mb
+    return total, adapters
+
+
+def is_free(book: ordering.Book, may_claim: bool, now: float) -> bool:
+    """Whether an engine can be ordered now."""
+    return (
+        (book.task is None or book.task.done())
+        and book.pending is None
+        and now >= book.rests_until
+        and may_claim
+    )
+
+
+def make_engine(
+    book: ordering.Book, pool: manifest.Pool, may_claim: bool
+) -> loading.Engine:
+    """Returns an engine as the planner sees it."""
+    now = time.monotonic()
+    endpoint = book.endpoint
+    total, adapters = sum_charges(book, pool)
+    coming = {m: max(at - now, 0.0) for m, at in book.ready_at.items()}
+    held = {m for m, a in book.charged() if not a} - set(coming)
+    return loading.Engine(
+        name=endpoint.name,
+        models=frozenset(held),
+        coming=coming,
+        charged_mb=total,
+        adapters_mb=adapters,
+        is_free=is_free(book, may_claim, now),
+        fresh=frozenset(
+            m for m, at in book.loaded_at.items() if now - at < loading.SETTLE
+        ),
+        in_memory=endpoint.in_memory,
+        on_disk=endpoint.on_disk,
+    )
--- a/src/wayslip/gateway/daemon.py
+++ b/src/wayslip/gateway/daemon.py
@@ -217,8 +217,7 @@
     ) -> None:
         if isinstance(message, facts.State):
             self._placement.take(message)
-        else:
-            self._planner.take(message, source)
+        self._planner.take(message, source)
 
     # Answers to the balancer and to operators
 
--- a/src/wayslip/gateway/engines.py
+++ b/src/wayslip/gateway/engines.py
@@ -28,6 +28,9 @@
     UNKNOWN = "unknown"
 
 
+DONE = (OrderOutcome.TAKEN, OrderOutcome.HELD)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Authority:
     """In whose name an order is given."""
--- a/src/wayslip/gateway/facts.py
+++ b/src/wayslip/gateway/facts.py
@@ -78,11 +78,31 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Arrival:
-    """A model that is being loaded and the seconds until it can serve."""
+    """A model that is being loaded and the seconds until it can serve.
 
+    Attributes:
+        is_ordered: Whether the engine has taken the order; else something
+            makes way first, and a successor of the holder plans anew.
+    """
+
+    endpoint: str
     service: str
     model: str
     seconds: float
+    is_ordered: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rate:
+    """How often a model is asked for, requests a second.
+
+    A successor of the holder begins with these.
+    """
+
+    service: str
+    model: str
+    adapter: str
+    rate: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -113,6 +133,7 @@
     words: tuple[Word, ...]
     arrivals: tuple[Arrival, ...]
     claims: tuple[ClaimRevision, ...]
+    rates: tuple[Rate, ...]
 
 
 Message = Report | Want | State
@@ -124,6 +145,7 @@
     "words": Word,
     "arrivals": Arrival,
     "claims": ClaimRevision,
+    "rates": Rate,
 }
 
 
--- /dev/null
+++ b/src/wayslip/gateway/members.py
@@ -0,0 +1,131 @@
+"""What the lease's holder hears from the instances: load and demand.
+
+Every instance keeps a copy of the demand as the holder tells it, so that a
+successor does not take every model for unused.
+"""
+
+import dataclasses
+import time
+
+from wayslip.decisions import demand
+from wayslip.gateway import facts
+from wayslip.gateway import hub as hub_module
+
+# How fast older requests fade from the demand, seconds: long enough that a
+# model asked for every few seconds is remembered until it is loaded.
+_FADING = 4.0
+# The same for models that nothing holds: rare ones must be served too.
+_LONG_FADING = 12.0
+# An instance that was silent for this long is no longer counted, seconds.
+_SILENCE = 2.0
+
+
+@dataclasses.dataclass
+class _Member:
+    """An instance that reports to us."""
+
+    address: hub_module.Address
+    process: str
+    number: int
+    heard: float
+    usages: tuple[facts.Usage, ...]
+
+
+class Members:
+    """The instances' reports. Used on the event loop only."""
+
+    def __init__(self) -> None:
+        self._members: dict[str, _Member] = {}
+        self._models: demand.Rates[tuple[str, str]] = demand.Rates(_FADING)
+        self._long: demand.Rates[tuple[str, str]] = demand.Rates(_LONG_FADING)
+        self._adapters: demand.Rates[tuple[str, str, str]] = demand.Rates(
+            _FADING
+        )
+
+    def take(self, report: facts.Report, source: hub_module.Address) -> None:
+        """Takes in a report, unless a newer one of its process came first."""
+        now = time.monotonic()
+        known = self._members.get(report.instance)
+        if (
+            known is not None
+            and known.process == report.process
+            and known.number >= report.number
+        ):
+            return
+        self._members[report.instance] = _Member(
+            source, report.process, report.number, now, report.usages
+        )
+        for one in report.demands:
+            key = (one.service, one.model)
+            self._models.add(key, one.count, now)
+            self._long.add(key, one.count, now)
+            if one.adapter:
+                self._adapters.add((*key, one.adapter), one.count, now)
+
+    def adopt(self, rates: tuple[facts.Rate, ...]) -> None:
+        """Takes over the demand as the holder tells it."""
+        now = time.monotonic()
+        for one in rates:
+            key = (one.service, one.model)
+            if one.adapter:
+                self._adapters.set((*key, one.adapter), one.rate, now)
+            else:
+                self._models.set(key, one.rate, now)
+
+    def list_rates(self) -> tuple[facts.Rate, ...]:
+        """Returns the demand, for successors."""
+        now = time.monotonic()
+        models = tuple(
+            facts.Rate(service, model, "", round(rate, 2))
+            for (service, model), rate in self._models.all(now).items()
+        )
+        adapters = tuple(
+            facts.Rate(*key, round(rate, 2))
+            for key, rate in self._adapters.all(now).items()
+        )
+        return models + adapters
+
+    def model_rates(self, service: str) -> dict[str, float]:
+        """Returns how often each model of a service is asked for."""
+        rates = self._models.all(time.monotonic())
+        return {m: r for (s, m), r in rates.items() if s == service}
+
+    def long_rates(self, service: str) -> dict[str, float]:
+        """Returns the same over a longer time."""
+        rates = self._long.all(time.monotonic())
+        return {m: r for (s, m), r in rates.items() if s == service}
+
+    def adapter_rate(self, service: str, item: tuple[str, str]) -> float:
+        """Returns how often an adapter is asked for."""
+        return self._adapters.get((service, *item), time.monotonic())
+
+    def adapter_rates(self, service: str) -> dict[tuple[str, str], float]:
+        """Returns how often each adapter of a service is asked for."""
+        rates = self._adapters.all(time.monotonic())
+        return {(m, a): r for (s, m, a), r in rates.items() if s == service}
+
+    def total_usages(self) -> dict[str, facts.Usage]:
+        """Returns requests and unread tokens at each endpoint."""
+        totals: dict[str, facts.Usage] = {}
+        for member in self._members.values():
+            for usage in member.usages:
+                name = usage.endpoint
+                known = totals.get(name, facts.Usage(name, 0, 0))
+                totals[name] = facts.Usage(
+                    name,
+                    known.in_flight + usage.in_flight,
+                    known.unread + usage.unread,
+                )
+        return totals
+
+    def addresses(self) -> list[hub_module.Address]:
+        """Returns where the instances hear us, forgetting silent ones."""
+        now = time.monotonic()
+        for name, member in list(self._members.items()):
+            if now - member.heard > _SILENCE:
+                del self._members[name]
+        return [m.address for m in self._members.values()]
+
+    def clear(self) -> None:
+        """Forgets the instances, not the demand."""
+        self._members.clear()
--- a/src/wayslip/gateway/placement.py
+++ b/src/wayslip/gateway/placement.py
@@ -54,6 +54,8 @@
         self._changed = asyncio.Event()
         self._wished: dict[tuple[str, str, str], float] = {}
         self._arrivals: dict[tuple[str, str], float] = {}
+        # When items that were ordered can serve; bounded by their number.
+        self._ready_at: dict[tuple[str, str], float] = {}
         self._heard = 0.0
         self.instances = _ASSUMED_INSTANCES
 
@@ -91,10 +93,12 @@
 
     def expect(self, service: str, traits: dialect.Traits) -> float | None:
         """Returns the seconds until a model can serve, None if unknown."""
-        ready = self._arrivals.get((service, traits.model))
-        if ready is None:
-            return None
-        return max(ready - time.monotonic(), 0.0)
+        now = time.monotonic()
+        ready = self._ready_at.get((traits.model, traits.adapter), 0.0)
+        if ready > now:
+            return ready - now
+        arrival = self._arrivals.get((service, traits.model))
+        return None if arrival is None else max(arrival - now, 0.0)
 
     def notify(self) -> None:
         """Wakes all requests that wait for a model."""
@@ -150,10 +154,15 @@
         self._take_usages(state)
         for word in state.words:
             self._take_word(word)
+        self._take_arrivals(state)
+
+    def _take_arrivals(self, state: facts.State) -> None:
         now = time.monotonic()
-        self._arrivals = {
-            (a.service, a.model): now + a.seconds for a in state.arrivals
-        }
+        self._arrivals = {}
+        for one in state.arrivals:
+            key = (one.service, one.model)
+            at = now + one.seconds
+            self._arrivals[key] = min(self._arrivals.get(key, at), at)
 
     def _take_usages(self, state: facts.State) -> None:
         totals = {u.endpoint: u for u in state.usages}
@@ -170,6 +179,11 @@
             )
 
     def _take_word(self, word: facts.Word) -> None:
+        if not word.seconds:
+            self._apply_word(word)
+            return
+        item = (word.model, word.adapter)
+        self._ready_at[item] = time.monotonic() + word.seconds
         loop = asyncio.get_running_loop()
         loop.call_later(word.seconds, self._apply_word, word)
 
--- a/src/wayslip/gateway/requests.py
+++ b/src/wayslip/gateway/requests.py
@@ -38,6 +38,9 @@
 # within a quarter of the target lets the client try again for a good part of
 # the worth; this leaves it time to arrive.
 _PATIENCE = 0.2
+# The same for a model that is known to be there by then: it can still be
+# answered in time.
+_SURE_PATIENCE = 0.6
 _SHORTEST_RETRY_AFTER = 0.1
 _UNKNOWN_RETRY_AFTER = 1.0
 # A request is refused if it would wait for more than this share of the time
@@ -461,10 +464,9 @@
 
     async def _wait_for_model(self, job: Job) -> selection.Choice | None:
         """Has a model or adapter loaded; waits while that is worth it."""
-        patience = job.began + _PATIENCE * job.route.target
-        while True:
-            left = patience - time.monotonic()
-            if left <= 0 or job.progress.attempts:
+        while not job.progress.attempts:
+            left = self._find_patience(job) - time.monotonic()
+            if left <= 0:
                 return None
             is_told = await self._placement.want(
                 job.service.name, job.traits, left
@@ -472,6 +474,16 @@
             choice = self._choose(job)
             if choice is not None or not is_told:
                 return choice
+        return None
+
+    def _find_patience(self, job: Job) -> float:
+        """Returns until when a request should wait for its model."""
+        target = job.route.target
+        expected = self._placement.expect(job.service.name, job.traits)
+        sure = job.began + _SURE_PATIENCE * target
+        if expected is not None and time.monotonic() + expected < sure:
+            return sure
+        return job.began + _PATIENCE * target
 
     def _refuse_missing(self, job: Job) -> None:
         if job.relayed or job.progress.may_have_run:
