--- a/src/wayslip/decisions/lease.py
+++ b/src/wayslip/decisions/lease.py
@@ -85,15 +85,24 @@
 
 
 def next_claim(
-    seen: SeenClaim | None, endpoint: str, holder: str, pending: Pending
+    seen: SeenClaim | None, holder: str, pending: Pending, least_token: int
 ) -> Claim:
-    """Returns the claim to write before an order."""
+    """Returns the claim to write before an order.
+
+    Args:
+        seen: The claim as known, None if there is none.
+        holder: Who gives the order.
+        pending: The order.
+        least_token: The store's revision at which the holder took the lease.
+            No two holders share one and later ones are higher, so tokens
+            rise even where a claim was removed and made anew.
+    """
     if seen is None:
-        return Claim(endpoint, holder, 1, pending)
+        return Claim(pending.endpoint, holder, least_token, pending)
     token = seen.claim.token
     if seen.claim.holder != holder:
-        token += 1
-    return Claim(endpoint, holder, token, pending)
+        token = max(token + 1, least_token)
+    return Claim(pending.endpoint, holder, token, pending)
 
 
 def may_claim(
--- a/src/wayslip/gateway/ordering.py
+++ b/src/wayslip/gateway/ordering.py
@@ -159,6 +159,8 @@
         self._client = client
         self._metrics = metrics
         self.books: dict[str, Book] = {}
+        # The store's revision at which this instance took the lease.
+        self.least_token = 0
         # Claims as they were read, written, or told by another holder.
         self.claims: dict[str, lease.SeenClaim] = {}
 
@@ -221,7 +223,9 @@
         if not self.may_claim(endpoint):
             return None
         seen = self.claims.get(endpoint)
-        claim = lease.next_claim(seen, endpoint, self._options.name, pending)
+        claim = lease.next_claim(
+            seen, self._options.name, pending, self.least_token
+        )
         try:
             if seen is None:
                 stored = await self._store.create(
--- a/src/wayslip/gateway/planner.py
+++ b/src/wayslip/gateway/planner.py
@@ -37,6 +37,9 @@
 # An engine that did not carry out a load is left alone for this long: its
 # reports are some hundred milliseconds old, seconds.
 _FAILED_REST = 0.6
+# The claim of an engine is kept for so long after it left the list, seconds:
+# many times what an entry that lapsed takes to come back.
+_CLAIM_SECONDS = 60.0
 # Demand is told to every instance this often, seconds; it fades in 4.
 _RATES_SECONDS = 0.8
 
@@ -66,6 +69,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         # Loads that the holder before us told of, by endpoint and model.
         self._heard_arrivals: dict[tuple[str, str], float] = {}
+        self._missing_since: dict[str, float] = {}
         self._rates_told = 0.0
         self._is_prepared = False
         self._soon = asyncio.Event()
@@ -75,6 +79,7 @@
     def begin(self) -> None:
         """Starts to plan; claims of the planner before are read first."""
         self._ordering.books.clear()
+        self._ordering.least_token = self._leadership.revision
         self._buckets.clear()
         self._is_prepared = False
         self._start(self._prepare())
@@ -235,15 +240,16 @@
             self._follow_list()
             if self._leadership.is_valid and self._is_prepared:
                 self._plan()
+                self._drop_claims()
                 self._tell_rates()
 
     def _follow_list(self) -> None:
         books = self._ordering.books
         for name in [n for n in books if n not in self._view.tracked]:
             del books[name]
-            if self._leadership.is_valid:
-                self._start(self._ordering.drop_claim(name))
+            self._missing_since[name] = time.monotonic()
         for name, tracked in self._view.tracked.items():
+            self._missing_since.pop(name, None)
             book = books.get(name)
             if book is None:
                 book = ordering_module.Book(tracked.endpoint)
@@ -252,6 +258,18 @@
             elif book.endpoint is not tracked.endpoint:
                 book.take_entry(tracked.endpoint)
 
+    def _drop_claims(self) -> None:
+        """Removes the claims of engines that will not come back.
+
+        An engine that lives may be missing from the list for a while, and
+        its claim must then still be there.
+        """
+        limit = time.monotonic() - _CLAIM_SECONDS
+        old = [n for n, at in self._missing_since.items() if at < limit]
+        for name in old:
+            del self._missing_since[name]
+            self._start(self._ordering.drop_claim(name))
+
     def _plan(self) -> None:
         manifest = self._holder.manifest
         if manifest is None:
