--- a/src/wayslip/gateway/members.py
+++ b/src/wayslip/gateway/members.py
@@ -4,6 +4,7 @@
 successor does not take every model for unused.
 """
 
+from collections.abc import Set
 import dataclasses
 import time
 
@@ -14,8 +15,11 @@
 # How fast older requests fade from the demand, seconds: long enough that a
 # model asked for every few seconds is remembered until it is loaded.
 _FADING = 4.0
-# The same for models that nothing holds: rare ones must be served too.
-_LONG_FADING = 12.0
+# What a request that found its model nowhere adds to the model's demand until
+# one finds it, requests a second. Rare models must be served too, however
+# slowly requests for them come: the fifth or so brings about a load.
+_MISS_RATE = 0.09
+_MISS_MOST = 0.6
 # An instance that was silent for this long is no longer counted, seconds.
 _SILENCE = 2.0
 
@@ -37,13 +41,24 @@
     def __init__(self) -> None:
         self._members: dict[str, _Member] = {}
         self._models: demand.Rates[tuple[str, str]] = demand.Rates(_FADING)
-        self._long: demand.Rates[tuple[str, str]] = demand.Rates(_LONG_FADING)
+        self._misses: dict[tuple[str, str], int] = {}
         self._adapters: demand.Rates[tuple[str, str, str]] = demand.Rates(
             _FADING
         )
 
-    def take(self, report: facts.Report, source: hub_module.Address) -> None:
-        """Takes in a report, unless a newer one of its process came first."""
+    def take(
+        self,
+        report: facts.Report,
+        source: hub_module.Address,
+        held: Set[tuple[str, str]],
+    ) -> None:
+        """Takes in a report, unless a newer one of its process came first.
+
+        Args:
+            report: The report.
+            source: Where it came from.
+            held: Services with the models that can serve now.
+        """
         now = time.monotonic()
         known = self._members.get(report.instance)
         if (
@@ -58,7 +73,10 @@
         for one in report.demands:
             key = (one.service, one.model)
             self._models.add(key, one.count, now)
-            self._long.add(key, one.count, now)
+            if key in held:
+                self._misses.pop(key, None)
+            else:
+                self._misses[key] = self._misses.get(key, 0) + one.count
             if one.adapter:
                 self._adapters.add((*key, one.adapter), one.count, now)
 
@@ -87,13 +105,14 @@
 
     def model_rates(self, service: str) -> dict[str, float]:
         """Returns how often each model of a service is asked for."""
-        rates = self._models.all(time.monotonic())
-        return {m: r for (s, m), r in rates.items() if s == service}
-
-    def long_rates(self, service: str) -> dict[str, float]:
-        """Returns the same over a longer time."""
-        rates = self._long.all(time.monotonic())
-        return {m: r for (s, m), r in rates.items() if s == service}
+        now = time.monotonic()
+        rates = self._models.all(now)
+        found = {m: r for (s, m), r in rates.items() if s == service}
+        for (name, model), count in self._misses.items():
+            if name == service:
+                boost = min(count * _MISS_RATE, _MISS_MOST)
+                found[model] = max(found.get(model, 0.0), boost)
+        return found
 
     def adapter_rate(self, service: str, item: tuple[str, str]) -> float:
         """Returns how often an adapter is asked for."""
--- a/src/wayslip/gateway/ordering.py
+++ b/src/wayslip/gateway/ordering.py
@@ -87,8 +87,9 @@
         return items - {i for i, is_gone in self.removed.items() if is_gone}
 
     def usable(self) -> set[Item]:
-        """Returns the items that can serve now, or will in moments."""
-        items = self.charged() - set(self.removed)
+        """Returns the items that can serve now; adapters, or in moments."""
+        coming = {i for i in self.added if i[1]}
+        items = (self.listed() | self.reported | coming) - set(self.removed)
         return {i for i in items if i[0] not in self.ready_at}
 
     def listed(self) -> set[Item]:
--- a/src/wayslip/gateway/planner.py
+++ b/src/wayslip/gateway/planner.py
@@ -40,6 +40,9 @@
 # The claim of an engine is kept for so long after it left the list, seconds:
 # many times what an entry that lapsed takes to come back.
 _CLAIM_SECONDS = 60.0
+# A load that the holder before us ordered is taken to last so much longer,
+# seconds: half of a load from the weight store.
+_ADOPTED_SECONDS = 5.0
 # Demand is told to every instance this often, seconds; it fades in 4.
 _RATES_SECONDS = 0.8
 
@@ -100,7 +103,7 @@
             book = self._ordering.books.get(name)
             if book is not None and seen.claim.pending is not None:
                 book.pending = seen.claim.pending
-                self._start(self._ordering.settle(book))
+                self._start(self._settle(book, seen.claim.pending))
         self._is_prepared = True
 
     def _adopt_loads(self) -> None:
@@ -112,6 +115,16 @@
             book.ready_at[model] = at
             book.task = self._start(self._see_loaded(book, model, at - now))
 
+    async def _settle(
+        self, book: ordering_module.Book, pending: lease.Pending
+    ) -> None:
+        """Settles an order that the holder before us left open."""
+        await self._ordering.settle(book)
+        is_model = not pending.adapter
+        if is_model and (pending.model, "") in book.added:
+            book.ready_at[pending.model] = time.monotonic() + _ADOPTED_SECONDS
+            await self._see_loaded(book, pending.model, _ADOPTED_SECONDS)
+
     async def _see_loaded(
         self, book: ordering_module.Book, model: str, seconds: float
     ) -> None:
@@ -155,7 +168,7 @@
         if not self._leadership.is_held:
             return
         if isinstance(message, facts.Report):
-            self.members.take(message, source)
+            self.members.take(message, source, self._find_held())
             self._hub.send(self._make_state(), source)
         else:
             self._wishes.add((message.service, message.model, message.adapter))
@@ -173,6 +186,15 @@
             if a.is_ordered
         }
 
+    def _find_held(self) -> set[tuple[str, str]]:
+        """Returns services with the models that can serve now."""
+        return {
+            (book.endpoint.service, model)
+            for book in self._ordering.books.values()
+            for model, adapter in book.usable()
+            if not adapter
+        }
+
     def _make_state(self, rates: tuple[facts.Rate, ...] = ()) -> facts.State:
         now = time.monotonic()
         return facts.State(
@@ -195,11 +217,10 @@
         for name, book in self._ordering.books.items():
             for model, adapter in book.removed:
                 words.append(facts.Word(name, model, adapter, False, 0.0))
-            for (model, adapter), at in book.added.items():
-                if model in book.ready_at:
-                    continue
-                seconds = max(at - now, 0.0)
-                words.append(facts.Word(name, model, adapter, True, seconds))
+            listed = book.listed()
+            for item in book.usable() - listed:
+                seconds = max(book.added.get(item, now) - now, 0.0)
+                words.append(facts.Word(name, *item, True, seconds))
         return words
 
     def _list_arrivals(self, now: float) -> list[facts.Arrival]:
@@ -301,7 +322,7 @@
             n: charges.make_engine(b, pool, self._ordering.may_claim(n))
             for n, b in books.items()
         }
-        demand = self._find_demand(service, pool, books)
+        demand = self._find_demand(service, pool)
         bucket = self._buckets.get(service)
         if bucket is None:
             bucket = rate.Bucket(pool.loads_per_s, _COLD_BURST, 0.0, now)
@@ -334,16 +355,11 @@
         self,
         service: str,
         pool: manifest_module.Pool,
-        books: dict[str, ordering_module.Book],
     ) -> dict[str, loading.Demand]:
         rates = self.members.model_rates(service)
         adapters: dict[str, float] = {}
         for (model, _), r in self.members.adapter_rates(service).items():
             adapters[model] = adapters.get(model, 0.0) + r
-        held = {m for b in books.values() for m, a in b.charged() if not a}
-        for model, r in self.members.long_rates(service).items():
-            if model not in held:
-                rates[model] = max(r, rates.get(model, 0.0))
         demand = {}
         for model, r in rates.items():
             spec = pool.models.get(model)
--- a/src/wayslip/gateway/requests.py
+++ b/src/wayslip/gateway/requests.py
@@ -55,6 +55,8 @@
     Attributes:
         deadline: When the answer is due, steady seconds.
         relayed: Whether a part of an answer went to the client.
+        sent_after: Seconds from its arrival until it was first sent.
+        first_after: The same until the first part of its answer.
         fallback: An endpoint's own failure, passed on if no retry helps.
     """
 
@@ -70,6 +72,8 @@
     tried: frozenset[str] = frozenset()
     endpoint: str = ""
     relayed: bool = False
+    sent_after: float | None = None
+    first_after: float | None = None
     fallback: tuple[messages.Head, bytes] | None = None
 
 
@@ -129,7 +133,7 @@
         except TimeoutError:
             self._time_out(job)
         except asyncio.CancelledError:
-            self._end(traits.request_id, "client_left", 0, began, job.endpoint)
+            self._end_job(job, "client_left", 0)
             raise
 
     def _make_job(
@@ -291,6 +295,8 @@
             priority=job.route.priority,
             last_event_id=job.splitter.last_id,
         )
+        if job.sent_after is None:
+            job.sent_after = time.monotonic() - job.began
         connection.send(
             self._dialect.format_request(job.exchange.request, order),
             self._dialect.match_answer(traits.request_id, is_reused),
@@ -300,6 +306,14 @@
         answer = self._dialect.read_answer(head)
         if answer.is_refusal:
             await self._read_rest(connection)
+            logs.event(
+                _LOG,
+                "endpoint_refused",
+                request=traits.request_id,
+                endpoint=endpoint,
+                status=head.status,
+                load=answer.load,
+            )
             self._note_refusal(job, use, answer)
             self._keep(endpoint, connection, head)
             return retry.Failure.REFUSED
@@ -417,8 +431,8 @@
         if job.relayed:
             return
         job.relayed = True
-        first = time.monotonic() - job.began
-        self._metrics.latency("first_event").observe(first)
+        job.first_after = time.monotonic() - job.began
+        self._metrics.latency("first_event").observe(job.first_after)
         headers = messages.find_end_to_end(head.headers)
         job.exchange.start(head.status, headers, None)
 
@@ -533,11 +547,13 @@
             outcome,
             status,
             job.began,
-            job.endpoint,
-            job.route.name,
-            job.traits.model,
-            job.traits.adapter,
-            retry_after,
+            endpoint=job.endpoint,
+            route=job.route.name,
+            model=job.traits.model,
+            adapter=job.traits.adapter,
+            sent_after=_format_seconds(job.sent_after),
+            first_after=_format_seconds(job.first_after),
+            retry_after=retry_after,
         )
 
     def _end(
@@ -546,11 +562,7 @@
         outcome: str,
         status: int,
         began: float,
-        endpoint: str = "",
-        route: str = "",
-        model: str = "",
-        adapter: str = "",
-        retry_after: str = "",
+        **fields: str,
     ) -> None:
         seconds = time.monotonic() - began
         self._metrics.latency("request").observe(seconds)
@@ -561,9 +573,9 @@
             outcome=outcome,
             status=status,
             seconds=f"{seconds:.3f}",
-            endpoint=endpoint,
-            route=route,
-            model=model,
-            adapter=adapter,
-            retry_after=retry_after,
+            **fields,  # type: ignore[arg-type]
         )
+
+
+def _format_seconds(seconds: float | None) -> str:
+    return "" if seconds is None else f"{seconds:.3f}"
