--- a/src/wayslip/gateway/members.py
+++ b/src/wayslip/gateway/members.py
@@ -18,8 +18,8 @@
 # What a request that found its model nowhere adds to the model's demand until
 # one finds it, requests a second. Rare models must be served too, however
 # slowly requests for them come: the fifth or so brings about a load.
-_MISS_RATE = 0.09
-_MISS_MOST = 0.6
+_MISS_RATE = 0.12
+_MISS_MOST = 1.5
 # An instance that was silent for this long is no longer counted, seconds.
 _SILENCE = 2.0
 
--- a/src/wayslip/gateway/ordering.py
+++ b/src/wayslip/gateway/ordering.py
@@ -29,6 +29,10 @@
 # Between looks at an engine that is to finish an order, seconds; the list
 # tells it a heartbeat later.
 _POLL_SECONDS = 0.4
+# A report that is older than an order is asked for again after a while,
+# seconds; reports are some hundred milliseconds old.
+_LEARN_SECONDS = 0.15
+_LEARN_TRIES = 5
 Item = fleet.Item
 
 
@@ -276,6 +280,16 @@
             return None
         return state if book.take_state(state) else None
 
+    async def learn(self, book: Book) -> bool:
+        """Sees to it that an engine's count and content are known."""
+        for attempt in range(_LEARN_TRIES):
+            if book.orders is not None and book.is_known:
+                return True
+            if attempt:
+                await asyncio.sleep(_LEARN_SECONDS)
+            await self.sync(book)
+        return book.orders is not None and book.is_known
+
     async def order(
         self,
         book: Book,
@@ -297,11 +311,7 @@
         """
         model, adapter = item
         async with book.lock:
-            if book.orders is None and await self.sync(book) is None:
-                return engines_module.OrderOutcome.REFUSED
-            if not book.is_known and await self.sync(book) is None:
-                return engines_module.OrderOutcome.REFUSED
-            if not book.is_known or not may_send():
+            if not await self.learn(book) or not may_send():
                 return engines_module.OrderOutcome.REFUSED
             assert book.orders is not None
             pending = lease.Pending(
--- a/src/wayslip/gateway/planner.py
+++ b/src/wayslip/gateway/planner.py
@@ -390,8 +390,7 @@
         self, book: ordering_module.Book, step: loading.Step
     ) -> bool:
         """Unloads the victims; returns whether all are gone."""
-        state = await self._ordering.sync(book)
-        if state is None or state.is_busy:
+        if not await self._ordering.learn(book):
             return False
         for victim in step.victims:
             book.removed[(victim, "")] = False
