Spread copies by the time their prompts take to read

Cause: a copy was taken to serve 5 requests a second of any model, but larger models read prompts three to five times slower and their engines queued. Rates are learned from requests that were alone; unread prompts count in seconds.

--- a/src/wayslip/decisions/demand.py
+++ b/src/wayslip/decisions/demand.py
@@ -22,7 +22,7 @@
         self._fading = fading
         self._rates: dict[K, tuple[float, float]] = {}
 
-    def add(self, key: K, count: int, now: float) -> None:
+    def add(self, key: K, count: float, now: float) -> None:
         """Counts requests."""
         self._rates[key] = (self.get(key, now) + count / self._fading, now)
 
--- a/src/wayslip/decisions/loading.py
+++ b/src/wayslip/decisions/loading.py
@@ -14,10 +14,12 @@
 # Over how long a load has to pay. Demand moves to other models within half a
 # minute.
 HORIZON = 15.0
-# Requests a second of one model that one copy serves well beside others.
-COPY_RATE = 5.0
-# Part of the worth of a request that a further copy saves by spreading load.
-SPREAD_WORTH = 0.35
+# Share of an engine's time that reading prompts may take before the first
+# tokens come late.
+BUSY_SHARE = 0.65
+# Part of the worth of a request that is saved where an engine is not busier
+# than that: a late answer earns a half at one user and a tenth at the other.
+SPREAD_WORTH = 0.5
 # What the only copy of a model without demand is worth, requests a second:
 # somebody may ask for it, and a load takes seconds.
 RESERVE = 0.03
@@ -41,11 +43,13 @@
 
     Attributes:
         rate: All requests.
+        work: Seconds that an engine takes to read their prompts, a second.
         missing_adapter: Those for an adapter that is probably not loaded; an
             engine that loads a model can not load one meanwhile.
     """
 
     rate: float
+    work: float = 0.0
     missing_adapter: float = 0.0
 
 
@@ -105,7 +109,7 @@
         arrival: Seconds until the first of those can serve.
     """
 
-    held: int = 0
+    held: tuple[str, ...] = ()
     coming: int = 0
     arrival: float = HORIZON
 
@@ -115,6 +119,86 @@
         return 0.0 if self.held else self.arrival
 
 
+class _World:
+    """Engines and demand with what follows from both."""
+
+    def __init__(
+        self,
+        engines: Mapping[str, Engine],
+        pool: manifest.Pool,
+        demand: Mapping[str, Demand],
+    ) -> None:
+        self.engines = engines
+        self.pool = pool
+        self._demand = demand
+        self.copies = {m: _find_copies(engines, m) for m in pool.models}
+        self._busy = {e.name: self._sum_work(e) for e in engines.values()}
+
+    def demand(self, model: str) -> Demand:
+        """Returns the demand for a model."""
+        return self._demand.get(model, _NO_DEMAND)
+
+    def _part(self, model: str) -> float:
+        """Returns the work of a model on each engine that holds it."""
+        copies = self.copies.get(model, _Copies())
+        return self.demand(model).work / max(len(copies.held), 1)
+
+    def _sum_work(self, engine: Engine) -> float:
+        return sum(self._part(m) for m in engine.models)
+
+    def _spare(self, engine: str) -> float:
+        return max(BUSY_SHARE - self._busy[engine], 0.0)
+
+    def _find_excess(self, model: str) -> float:
+        """Returns the work for a model that its engines can not do in time."""
+        part = self._part(model)
+        excess = 0.0
+        for name in self.copies[model].held:
+            busy = self._busy[name]
+            if busy > BUSY_SHARE:
+                excess += part * (1 - BUSY_SHARE / busy)
+        return excess
+
+    def _count_requests(self, model: str, work: float) -> float:
+        """Returns how many requests a second some work is."""
+        asked = self.demand(model)
+        return work / asked.work * asked.rate if asked.work else 0.0
+
+    def gain_of_copy(self, model: str, engine: str, seconds: float) -> float:
+        """Returns the requests that one more copy serves in the horizon.
+
+        Args:
+            model: The model.
+            engine: Where the copy would be.
+            seconds: When it could serve.
+        """
+        copies = self.copies[model]
+        gain = max(copies.soonest - seconds, 0.0) * self.demand(model).rate
+        # Copies on their way will take a part of what is too much now.
+        excess = self._find_excess(model) / (1 + copies.coming)
+        moved = min(excess, self._spare(engine))
+        late = self._count_requests(model, moved) * SPREAD_WORTH
+        return gain + late * max(HORIZON - max(seconds, copies.soonest), 0.0)
+
+    def most_gain(self, model: str) -> float:
+        """Returns the most that a further copy could gain."""
+        return max(
+            (self.gain_of_copy(model, name, 0.0) for name in self.engines),
+            default=0.0,
+        )
+
+    def loss_of_copy(self, model: str, engine: str) -> float:
+        """Returns the requests that are lost with a copy in the horizon."""
+        copies = self.copies[model]
+        rate = self.demand(model).rate
+        if len(copies.held) <= 1:
+            return (rate + RESERVE) * copies.arrival
+        others = sum(self._spare(n) for n in copies.held if n != engine)
+        moved = max(self._part(model) - others, 0.0)
+        late = self._count_requests(model, moved) * SPREAD_WORTH
+        return (late + 0.02 * rate) * HORIZON
+
+
 def plan_load(
     engines: Mapping[str, Engine],
     pool: manifest.Pool,
@@ -122,18 +206,16 @@
     may_load_cold: bool,
 ) -> Step | None:
     """Returns the load that gains most, None if none pays."""
-    copies = {m: _find_copies(engines, m) for m in pool.models}
+    world = _World(engines, pool, demand)
     best: Step | None = None
-    for name, asked in demand.items():
+    for name in demand:
         model = pool.models.get(name)
-        if model is None:
-            continue
-        if _gain_of_copy(asked.rate, copies[name], 0.0) <= LEAST_GAIN:
+        if model is None or world.most_gain(name) <= LEAST_GAIN:
             continue
         for engine in engines.values():
             if not engine.is_free or name in engine.models:
                 continue
-            step = _plan_on(engine, model, pool, demand, copies)
+            step = _plan_on(world, engine, model)
             if step is None or (step.is_cold and not may_load_cold):
                 continue
             if best is None or step.gain > best.gain:
@@ -142,64 +224,31 @@
 
 
 def _find_copies(engines: Mapping[str, Engine], model: str) -> _Copies:
-    held = sum(1 for e in engines.values() if model in e.models)
+    held = tuple(e.name for e in engines.values() if model in e.models)
     coming = [e.coming[model] for e in engines.values() if model in e.coming]
     return _Copies(held, len(coming), min([*coming, HORIZON]))
 
 
-def _gain_of_copy(rate: float, copies: _Copies, seconds: float) -> float:
-    """Returns the requests that one more copy serves within the horizon.
-
-    Args:
-        rate: How often the model is asked for, requests a second.
-        copies: Where it is already.
-        seconds: When the further copy can serve.
-    """
-    earlier = max(copies.soonest - seconds, 0.0) * rate
-    count = copies.held + copies.coming
-    if not count:
-        return earlier
-    over = min(max(rate - count * COPY_RATE, 0.0), COPY_RATE) * SPREAD_WORTH
-    return earlier + over * max(HORIZON - max(seconds, copies.soonest), 0.0)
-
-
-def _loss_of_copy(rate: float, copies: _Copies) -> float:
-    """Returns the requests that are lost with one copy in the horizon."""
-    if copies.held <= 1:
-        return (rate + RESERVE) * copies.arrival
-    rest = dataclasses.replace(copies, held=copies.held - 1)
-    return _gain_of_copy(rate, rest, 0.0) + 0.02 * rate * HORIZON
-
-
 def _plan_on(
-    engine: Engine,
-    model: manifest.Model,
-    pool: manifest.Pool,
-    demand: Mapping[str, Demand],
-    copies: Mapping[str, _Copies],
+    world: _World, engine: Engine, model: manifest.Model
 ) -> Step | None:
     seconds, is_cold = _time_load(engine, model)
-    missing = engine.charged_mb + model.weights_mb - pool.weights_mb
-    victims, loss = _choose_victims(engine, pool, demand, copies, missing)
+    missing = engine.charged_mb + model.weights_mb - world.pool.weights_mb
+    victims, loss = _choose_victims(world, engine, missing)
     if victims is None:
         return None
-    if any(_rate(demand, v) > _IDLE_RATE for v in victims):
+    if any(world.demand(v).rate > _IDLE_RATE for v in victims):
         seconds += UNLOAD_SECONDS
-    stays = [m for m in engine.models if m not in victims]
     blocked = sum(
-        demand.get(m, _NO_DEMAND).missing_adapter / max(copies[m].held, 1)
-        for m in stays
-        if m in copies
+        world.demand(m).missing_adapter / max(len(world.copies[m].held), 1)
+        for m in engine.models
+        if m in world.copies and m not in victims
     )
     loss += (BUSY_LOSS + blocked) * seconds
-    gain = _gain_of_copy(_rate(demand, model.name), copies[model.name], seconds)
-    if gain - loss < LEAST_GAIN:
+    gain = world.gain_of_copy(model.name, engine.name, seconds) - loss
+    if gain < LEAST_GAIN:
         return None
-    return Step(engine.name, model.name, victims, is_cold, seconds, gain - loss)
-
-
-def _rate(demand: Mapping[str, Demand], model: str) -> float:
-    return demand.get(model, _NO_DEMAND).rate
+    return Step(engine.name, model.name, victims, is_cold, seconds, gain)
 
 
 def _time_load(engine: Engine, model: manifest.Model) -> tuple[float, bool]:
@@ -211,26 +260,22 @@
 
 
 def _choose_victims(
-    engine: Engine,
-    pool: manifest.Pool,
-    demand: Mapping[str, Demand],
-    copies: Mapping[str, _Copies],
-    missing: float,
+    world: _World, engine: Engine, missing: float
 ) -> tuple[tuple[str, ...] | None, float]:
     """Returns the models that make way and the loss, cheapest first."""
     if missing <= 0:
         return (), 0.0
     losses = sorted(
-        (_loss_of_copy(_rate(demand, m), copies[m]), m)
+        (world.loss_of_copy(m, engine.name), m)
         for m in engine.models
-        if m not in engine.fresh and m in copies
+        if m not in engine.fresh and m in world.copies
     )
     victims: list[str] = []
     total = 0.0
     for loss, name in losses:
         victims.append(name)
         total += loss
-        missing -= pool.models[name].weights_mb
+        missing -= world.pool.models[name].weights_mb
         missing -= engine.adapters_mb.get(name, 0.0)
         if missing <= 0:
             return tuple(victims), total
--- a/src/wayslip/decisions/selection.py
+++ b/src/wayslip/decisions/selection.py
@@ -1,16 +1,12 @@
 """Which endpoint gets a request.
 
 Every candidate is given the time that the request is expected to wait there
-for its first byte; the smallest wins. Times are seconds, lengths tokens.
+for its first byte; the smallest wins. Times are seconds.
 """
 
 from collections.abc import Sequence
 import dataclasses
 
-# Prompt tokens that an engine reads a second when nothing else runs. The
-# operators' sheet of both sites says 19.1 a millisecond; larger models and
-# full batches are slower, so somewhat less is assumed.
-PREFILL_RATE = 14_000.0
 # What every request that runs already adds to the first token of a new one:
 # its share of the decoding steps that a prompt's pieces are read between.
 RUNNING_COST = 0.0035
@@ -34,8 +30,8 @@
     Attributes:
         in_flight: Requests there, over all instances.
         slots: Requests that it works on at once.
-        unread: Prompt tokens there that are not read yet.
-        uncached: Prompt tokens of this request that it has to read.
+        unread: Seconds that it takes to read the prompts waiting there.
+        reading: Seconds that it takes to read this request's.
         memory: Share of its memory that is taken with this request.
         failures: Share of requests that failed lately beyond the service's
             own rate.
@@ -46,8 +42,8 @@
     name: str
     in_flight: int = 0
     slots: int = 1
-    unread: int = 0
-    uncached: int = 0
+    unread: float = 0.0
+    reading: float = 0.0
     memory: float = 0.0
     failures: float = 0.0
     is_near: bool = True
@@ -71,7 +67,7 @@
 def predict_wait(candidate: Candidate) -> float:
     """Returns the seconds to the first byte that are expected."""
     queued = max(candidate.in_flight + 1 - candidate.slots, 0)
-    reading = (candidate.unread + candidate.uncached) / PREFILL_RATE
+    reading = candidate.unread + candidate.reading
     running = min(candidate.in_flight, candidate.slots)
     wait = reading + running * RUNNING_COST + queued * QUEUE_COST
     over = max(candidate.memory - MEMORY_SHARE, 0.0)
--- a/src/wayslip/gateway/facts.py
+++ b/src/wayslip/gateway/facts.py
@@ -19,21 +19,26 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Usage:
-    """Requests at an endpoint and prompt tokens not read yet."""
+    """Requests at an endpoint and the seconds to read their prompts."""
 
     endpoint: str
     in_flight: int
-    unread: int
+    unread: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Demand:
-    """Requests for a model that came since the last report."""
+    """Requests for a model that came since the last report.
+
+    Attributes:
+        work: Seconds that an engine takes to read their prompts.
+    """
 
     service: str
     model: str
     adapter: str
     count: int
+    work: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -97,12 +102,16 @@
     """How often a model is asked for, requests a second.
 
     A successor of the holder begins with these.
+
+    Attributes:
+        work: Seconds to read their prompts, a second.
     """
 
     service: str
     model: str
     adapter: str
     rate: float
+    work: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/wayslip/gateway/members.py
+++ b/src/wayslip/gateway/members.py
@@ -41,6 +41,7 @@
     def __init__(self) -> None:
         self._members: dict[str, _Member] = {}
         self._models: demand.Rates[tuple[str, str]] = demand.Rates(_FADING)
+        self._work: demand.Rates[tuple[str, str]] = demand.Rates(_FADING)
         self._misses: dict[tuple[str, str], int] = {}
         self._adapters: demand.Rates[tuple[str, str, str]] = demand.Rates(
             _FADING
@@ -73,6 +74,7 @@
         for one in report.demands:
             key = (one.service, one.model)
             self._models.add(key, one.count, now)
+            self._work.add(key, one.work, now)
             if key in held:
                 self._misses.pop(key, None)
             else:
@@ -89,17 +91,20 @@
                 self._adapters.set((*key, one.adapter), one.rate, now)
             else:
                 self._models.set(key, one.rate, now)
+                self._work.set(key, one.work, now)
 
     def list_rates(self) -> tuple[facts.Rate, ...]:
         """Returns the demand, for successors."""
         now = time.monotonic()
         models = tuple(
-            facts.Rate(service, model, "", round(rate, 2))
-            for (service, model), rate in self._models.all(now).items()
+            facts.Rate(
+                *key, "", round(r, 2), round(self._work.get(key, now), 3)
+            )
+            for key, r in self._models.all(now).items()
         )
         adapters = tuple(
-            facts.Rate(*key, round(rate, 2))
-            for key, rate in self._adapters.all(now).items()
+            facts.Rate(*key, round(r, 2), 0.0)
+            for key, r in self._adapters.all(now).items()
         )
         return models + adapters
 
@@ -114,6 +119,10 @@
                 found[model] = max(found.get(model, 0.0), boost)
         return found
 
+    def work(self, service: str, model: str) -> float:
+        """Returns the seconds a second that a model's prompts take to read."""
+        return self._work.get((service, model), time.monotonic())
+
     def adapter_rate(self, service: str, item: tuple[str, str]) -> float:
         """Returns how often an adapter is asked for."""
         return self._adapters.get((service, *item), time.monotonic())
@@ -129,7 +138,7 @@
         for member in self._members.values():
             for usage in member.usages:
                 name = usage.endpoint
-                known = totals.get(name, facts.Usage(name, 0, 0))
+                known = totals.get(name, facts.Usage(name, 0, 0.0))
                 totals[name] = facts.Usage(
                     name,
                     known.in_flight + usage.in_flight,
--- a/src/wayslip/gateway/placement.py
+++ b/src/wayslip/gateway/placement.py
@@ -51,6 +51,7 @@
         self._demand: collections.Counter[tuple[str, str, str]] = (
             collections.Counter()
         )
+        self._work: dict[tuple[str, str, str], float] = {}
         self._changed = asyncio.Event()
         self._wished: dict[tuple[str, str, str], float] = {}
         self._arrivals: dict[tuple[str, str], float] = {}
@@ -61,10 +62,21 @@
 
     # For requests
 
-    def note_demand(self, service: str, traits: dialect.Traits) -> None:
-        """Counts a request for a model."""
-        if traits.model:
-            self._demand[(service, traits.model, traits.adapter)] += 1
+    def note_demand(
+        self, service: str, traits: dialect.Traits, work: float
+    ) -> None:
+        """Counts a request for a model.
+
+        Args:
+            service: Of its route.
+            traits: Of the request.
+            work: Seconds that an engine takes to read its prompt.
+        """
+        if not traits.model:
+            return
+        item = (service, traits.model, traits.adapter)
+        self._demand[item] += 1
+        self._work[item] = self._work.get(item, 0.0) + work
 
     async def want(
         self, service: str, traits: dialect.Traits, seconds: float
@@ -125,16 +137,17 @@
             self._process,
             self._number,
             tuple(
-                facts.Usage(name, t.in_flight, t.unread)
+                facts.Usage(name, t.in_flight, round(t.unread, 3))
                 for name, t in self._view.tracked.items()
                 if t.in_flight
             ),
             tuple(
-                facts.Demand(*item, count)
+                facts.Demand(*item, count, round(self._work[item], 3))
                 for item, count in self._demand.items()
             ),
         )
         self._demand.clear()
+        self._work.clear()
         self._hub.send(report, addresses.split_address(holder))
 
     def take(self, state: facts.State) -> None:
@@ -169,13 +182,13 @@
         for name, tracked in self._view.tracked.items():
             total = totals.get(name)
             if total is None:
-                tracked.others = (0, 0)
+                tracked.others = (0, 0.0)
                 continue
             # Our own part of the total is as old as the total, ours is not;
             # the difference is what others have there.
             tracked.others = (
                 max(total.in_flight - tracked.in_flight, 0),
-                max(total.unread - tracked.unread, 0),
+                max(total.unread - tracked.unread, 0.0),
             )
 
     def _take_word(self, word: facts.Word) -> None:
--- a/src/wayslip/gateway/planner.py
+++ b/src/wayslip/gateway/planner.py
@@ -344,6 +344,7 @@
             seconds=f"{step.seconds:.1f}",
             gain=f"{step.gain:.2f}",
             rate=f"{demand[step.model].rate:.2f}",
+            work=f"{demand[step.model].work:.2f}",
         )
         book = books[step.engine]
         # At once, so that the next plan counts this copy.
@@ -365,7 +366,11 @@
             spec = pool.models.get(model)
             count = spec.adapters if spec else 0
             misses = max(1 - pool.adapter_slots / count, 0.0) if count else 0.0
-            demand[model] = loading.Demand(r, adapters.get(model, 0.0) * misses)
+            demand[model] = loading.Demand(
+                rate=r,
+                work=self.members.work(service, model),
+                missing_adapter=adapters.get(model, 0.0) * misses,
+            )
         return demand
 
     # Carrying out
--- a/src/wayslip/gateway/requests.py
+++ b/src/wayslip/gateway/requests.py
@@ -174,7 +174,10 @@
     async def _serve_job(self, job: Job) -> None:
         self._budget(job.service.name).note_request(job.began)
         if job.service.pool is not None:
-            self._placement.note_demand(job.service.name, job.traits)
+            work = self._view.reading.estimate(
+                job.traits.model, job.traits.prompt_tokens
+            )
+            self._placement.note_demand(job.service.name, job.traits, work)
         while True:
             choice = await self._find(job)
             if choice is None:
@@ -244,8 +247,7 @@
         """Sends the request to one endpoint; returns None once answered."""
         job.endpoint = choice.name
         tracked = self._view.tracked[choice.name]
-        uncached = self._count_uncached(job, choice.name)
-        use = self._view.begin(choice.name, job.traits, uncached)
+        use = self._view.begin(choice.name, job.traits)
         connection = self._pool.take(choice.name)
         is_reused = connection is not None
         try:
@@ -272,14 +274,6 @@
             if connection is not None and not connection.is_kept:
                 connection.close()
 
-    def _count_uncached(self, job: Job, endpoint: str) -> int:
-        traits = job.traits
-        if not traits.parts:
-            return traits.prompt_tokens
-        item = f"{traits.model}/{traits.adapter}"
-        cached = self._view.prefixes.count_cached(endpoint, item, traits.parts)
-        return max(traits.prompt_tokens - cached, 0)
-
     async def _exchange(
         self,
         job: Job,
--- a/src/wayslip/gateway/view.py
+++ b/src/wayslip/gateway/view.py
@@ -13,6 +13,7 @@
 from wayslip import logs
 from wayslip.decisions import condition as condition_module
 from wayslip.decisions import fleet
+from wayslip.decisions import reading
 from wayslip.decisions import selection
 from wayslip.gateway import dialect
 from wayslip.gateway import prefixes
@@ -24,6 +25,8 @@
 # An endpoint with requests out and no byte from it for this long is not given
 # more, seconds: above the longest pause that a sheet allows between events.
 _SILENCE = 1.5
+# Less unread work than this at an endpoint does not disturb a sample, seconds.
+_ALONE_SECONDS = 0.01
 
 
 @dataclasses.dataclass
@@ -32,17 +35,17 @@
 
     Attributes:
         in_flight: This instance's requests there.
-        unread: Prompt tokens of those without a first byte.
+        unread: Seconds to read the prompts of those without a first byte.
         tokens: Tokens that they may take of its memory.
-        others: Other instances' requests and unread tokens, as last told.
+        others: Other instances' requests and unread seconds, as last told.
         heard: When its last byte came.
     """
 
     endpoint: fleet.Endpoint
     in_flight: int = 0
-    unread: int = 0
+    unread: float = 0.0
     tokens: int = 0
-    others: tuple[int, int] = (0, 0)
+    others: tuple[int, float] = (0, 0.0)
     waits_since: float = 0.0
     heard: float = 0.0
     is_gone: bool = False
@@ -51,11 +54,22 @@
 
 @dataclasses.dataclass
 class Use:
-    """One request at an endpoint, from choice to end."""
+    """One request at an endpoint, from choice to end.
+
+    Attributes:
+        unread: Seconds to read its prompt, 0 after its first byte.
+        tokens: Tokens that it may take of the endpoint's memory.
+        uncached: Tokens of its prompt that have to be read.
+        is_alone: Whether no other prompt was unread when it was sent.
+    """
 
     tracked: Tracked
-    unread: int
+    model: str
+    unread: float
     tokens: int
+    uncached: int
+    is_alone: bool
+    began: float
 
 
 class EndpointView:
@@ -66,6 +80,7 @@
         self.tracked: dict[str, Tracked] = {}
         self._by_service: dict[str, dict[str, Tracked]] = {}
         self.prefixes = prefixes.PrefixTable()
+        self.reading = reading.ReadingRates()
         # Word of orders: (endpoint, model, adapter) to (is held, until).
         self._word: dict[tuple[str, str, str], tuple[bool, float]] = {}
 
@@ -179,12 +194,7 @@
         now: float,
     ) -> selection.Candidate:
         endpoint = tracked.endpoint
-        uncached = traits.prompt_tokens
-        if traits.parts:
-            item = f"{traits.model}/{traits.adapter}"
-            uncached -= self.prefixes.count_cached(
-                endpoint.name, item, traits.parts
-            )
+        uncached = self.count_uncached(endpoint.name, traits)
         memory = 0.0
         if kv_tokens:
             needed = traits.prompt_tokens + traits.output_tokens
@@ -195,7 +205,7 @@
             in_flight=tracked.in_flight + in_flight,
             slots=endpoint.slots,
             unread=tracked.unread + unread,
-            uncached=max(uncached, 0),
+            reading=self.reading.estimate(traits.model, uncached),
             memory=memory,
             failures=tracked.condition.failing(now) - usual,
             is_near=endpoint.data_hall == self._data_hall,
@@ -205,14 +215,30 @@
 
     # What this instance does
 
-    def begin(self, name: str, traits: dialect.Traits, uncached: int) -> Use:
+    def count_uncached(self, name: str, traits: dialect.Traits) -> int:
+        """Returns the tokens of a prompt that an endpoint has to read."""
+        if not traits.parts:
+            return traits.prompt_tokens
+        item = f"{traits.model}/{traits.adapter}"
+        cached = self.prefixes.count_cached(name, item, traits.parts)
+        return max(traits.prompt_tokens - cached, 0)
+
+    def begin(self, name: str, traits: dialect.Traits) -> Use:
         """Counts a request that is about to be sent."""
         tracked = self.tracked[name]
+        now = time.monotonic()
+        uncached = self.count_uncached(name, traits)
         use = Use(
-            tracked, uncached, traits.prompt_tokens + traits.output_tokens
+            tracked=tracked,
+            model=traits.model,
+            unread=self.reading.estimate(traits.model, uncached),
+            tokens=traits.prompt_tokens + traits.output_tokens,
+            uncached=uncached,
+            is_alone=tracked.unread + tracked.others[1] < _ALONE_SECONDS,
+            began=now,
         )
         if not tracked.in_flight:
-            tracked.waits_since = time.monotonic()
+            tracked.waits_since = now
         tracked.in_flight += 1
         tracked.unread += use.unread
         tracked.tokens += use.tokens
@@ -225,16 +251,22 @@
         """Notes that bytes came; the prompt was read."""
         now = time.monotonic()
         use.tracked.heard = now
-        use.tracked.unread -= use.unread
-        use.unread = 0
+        if not use.unread:
+            return
+        if use.is_alone and use.model:
+            self.reading.learn(use.model, use.uncached, now - use.began)
+        self._end_reading(use)
+
+    def _end_reading(self, use: Use) -> None:
+        use.tracked.unread = max(use.tracked.unread - use.unread, 0.0)
+        use.unread = 0.0
 
     def end(self, use: Use) -> None:
         """Counts a request that ended, however it did."""
         tracked = use.tracked
         tracked.in_flight -= 1
-        tracked.unread -= use.unread
         tracked.tokens -= use.tokens
-        use.unread = 0
+        self._end_reading(use)
 
     def note_answer(self, use: Use, is_failure: bool) -> None:
         """Notes an endpoint's own answer."""
