Ask more of a load; rest after list changes; prefer open connections

Cause: loads for single requests took engines for nine seconds from busier models; each adapter changed an entry and woke every instance's watch.

--- a/src/wayslip/decisions/loading.py
+++ b/src/wayslip/decisions/loading.py
@@ -26,9 +26,10 @@
 # What an engine loses by being busy with a load, requests a second, besides
 # its adapters: another model may be wanted more a moment later.
 BUSY_LOSS = 0.04
-# What a load has to gain at least, requests: its price, and half a request
-# more against moving to and fro.
-LEAST_GAIN = 0.7
+# What a load has to gain at least, requests. Its price is a third of one; the
+# rest is against loads for a single request, which in trials cost the busier
+# models more than they served (docs/design/platform.md).
+LEAST_GAIN = 1.3
 # A loaded model is not taken away for this long, so that the requests it was
 # loaded for can come back for it.
 SETTLE = 4.0
--- a/src/wayslip/decisions/selection.py
+++ b/src/wayslip/decisions/selection.py
@@ -15,6 +15,9 @@
 # A request in another data hall takes this much longer, and its bytes are
 # priced; half a millisecond each way.
 DISTANCE_COST = 0.004
+# A new connection takes a round trip and a millisecond of the endpoint, and is
+# priced.
+CONNECT_COST = 0.005
 # An endpoint that fails all of its requests looks this much slower than one
 # that fails none, so it is used only when nothing else is there.
 FAILURE_COST = 3.0
@@ -36,6 +39,7 @@
         failures: Share of requests that failed lately beyond the service's
             own rate.
         is_near: Whether it is in our data hall.
+        is_connected: Whether an open connection to it is idle.
         is_suspended: Whether it failed just now and should rest.
     """
 
@@ -47,6 +51,7 @@
     memory: float = 0.0
     failures: float = 0.0
     is_near: bool = True
+    is_connected: bool = True
     is_suspended: bool = False
 
 
@@ -95,5 +100,6 @@
 
 def _rate(candidate: Candidate) -> float:
     distance = 0.0 if candidate.is_near else DISTANCE_COST
+    connecting = 0.0 if candidate.is_connected else CONNECT_COST
     failing = candidate.failures * FAILURE_COST
-    return predict_wait(candidate) + distance + failing
+    return predict_wait(candidate) + distance + connecting + failing
--- a/src/wayslip/gateway/following.py
+++ b/src/wayslip/gateway/following.py
@@ -16,6 +16,9 @@
 
 # An entry that lapsed is back within about two seconds of the store's return.
 _RETURN_SECONDS = 2.0
+# Engines' entries change with every adapter; a leaving endpoint is heard of
+# this much later, of two seconds that are allowed.
+_REST_SECONDS = 0.4
 # For so long after an outage a missing entry may have lapsed in it, seconds.
 _AFTERMATH_SECONDS = 3.0
 
@@ -37,7 +40,7 @@
         self._listed: set[str] = set()
         self._outage_ended = -_AFTERMATH_SECONDS
         self.watcher = watching.Watcher(
-            store, kind, self._take_list, self._take_change
+            store, kind, self._take_list, self._take_change, _REST_SECONDS
         )
 
     def _take_list(
--- a/src/wayslip/gateway/requests.py
+++ b/src/wayslip/gateway/requests.py
@@ -453,6 +453,7 @@
             job.traits,
             pool.kv_tokens if pool else 0,
             job.tried,
+            self._pool.has_idle,
         )
         choice = selection.choose(candidates, self._rng.random())
         if choice is not None:
--- a/src/wayslip/gateway/view.py
+++ b/src/wayslip/gateway/view.py
@@ -5,6 +5,7 @@
 only with the engine's next heartbeat.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
 import logging
@@ -169,6 +170,7 @@
         traits: dialect.Traits,
         kv_tokens: int,
         besides: frozenset[str],
+        is_connected: Callable[[str], bool],
     ) -> list[selection.Candidate]:
         """Returns the endpoints that can answer a request now."""
         now = time.monotonic()
@@ -181,7 +183,10 @@
         ]
         usual = min((t.condition.failing(now) for t in found), default=0.0)
         return [
-            self._make_candidate(t, traits, kv_tokens, usual, now)
+            dataclasses.replace(
+                self._make_candidate(t, traits, kv_tokens, usual, now),
+                is_connected=is_connected(t.endpoint.name),
+            )
             for t in found
         ]
 
--- a/src/wayslip/gateway/watching.py
+++ b/src/wayslip/gateway/watching.py
@@ -27,6 +27,14 @@
 class Watcher(Generic[T]):
     """Follows one kind and tells of lists and changes.
 
+    Args:
+        store: Where to read.
+        kind: What to follow.
+        take_list: Is given every whole list.
+        take_change: Is given every change.
+        rest: Pause after changes, seconds, so that several come with one
+            call; calls are priced.
+
     Attributes:
         is_synced: Whether a list was read.
         lost_since: When the store stopped answering, None while it does.
@@ -38,11 +46,13 @@
         kind: store_module.Kind[T],
         take_list: Callable[[tuple[store_module.Stored[T], ...]], None],
         take_change: Callable[[store_module.Change[T]], None],
+        rest: float = 0.0,
     ) -> None:
         self._store = store
         self._kind = kind
         self._take_list = take_list
         self._take_change = take_change
+        self._rest = rest
         self.is_synced = False
         self.lost_since: float | None = None
 
@@ -75,6 +85,8 @@
         changes = await self._store.watch(self._kind, revision, WATCH_SECONDS)
         for change in changes.items:
             self._take_change(change)
+        if changes.items and self._rest:
+            await asyncio.sleep(self._rest)
         return changes.revision
 
     def _lose(self, error: errors.ObjectError) -> None:
--- a/src/wayslip/http1/pool.py
+++ b/src/wayslip/http1/pool.py
@@ -24,15 +24,21 @@
         self._connect_seconds = connect_seconds
         self._idle: dict[str, list[client.Connection]] = {}
 
+    def has_idle(self, endpoint: str) -> bool:
+        """Whether a connection is kept that probably can be used."""
+        now = asyncio.get_running_loop().time()
+        return any(
+            c.is_reusable and _is_fresh(c, now)
+            for c in self._idle.get(endpoint, ())
+        )
+
     def take(self, endpoint: str) -> client.Connection | None:
         """Returns an idle connection that can be used."""
         now = asyncio.get_running_loop().time()
         idle = self._idle.get(endpoint, [])
         while idle:
             connection = idle.pop()
-            limit = connection.idle_limit or _IDLE_SECONDS
-            fresh = now - connection.idle_since < limit - _IDLE_MARGIN
-            if fresh and connection.is_reusable:
+            if connection.is_reusable and _is_fresh(connection, now):
                 return connection
             connection.close()
         return None
@@ -74,6 +80,11 @@
             self.drop(endpoint)
 
 
+def _is_fresh(connection: client.Connection, now: float) -> bool:
+    limit = connection.idle_limit or _IDLE_SECONDS
+    return now - connection.idle_since < limit - _IDLE_MARGIN
+
+
 def _parse_keep_alive(value: bytes) -> float | None:
     for part in value.split(b","):
         name, _, text = part.strip().partition(b"=")
