Test the gateway, its adapter and decisions; count heads rightly

Cause found by a test: the bytes of a head were reset by the start of the message they belong to, so a head over the limit was answered 408 instead of 431. Stand-ins for the platform's store and engines are new.

--- a/src/wayslip/http1/server.py
+++ b/src/wayslip/http1/server.py
@@ -24,6 +24,8 @@
 # dead client would otherwise hold its engine's work for minutes.
 _TCP_USER_TIMEOUT_MS = 5_000
 _PIPELINE_LIMIT = 16
+# A colon, a blank and the end of the line of each header, bytes.
+_SEPARATORS = 4
 
 
 class Exchange:
@@ -215,8 +217,6 @@
         """Parses what came."""
         if self._is_closing:
             return
-        if not self._head_seen:
-            self._head_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -224,7 +224,7 @@
         except httptools.HttpParserError:
             self._refuse(400)
         else:
-            self._check_head()
+            self._check_open_head(len(data))
 
     # What the parser calls
 
@@ -238,14 +238,19 @@
     def on_url(self, url: bytes) -> None:
         """Takes a part of the target."""
         self._target += url
+        self._head_bytes += len(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Takes a header."""
         self._headers.append((name.lower(), value or b""))
+        self._head_bytes += len(name) + len(value or b"") + _SEPARATORS
 
     def on_headers_complete(self) -> None:
         """Checks a whole head."""
         self._head_seen = True
+        if self._head_bytes > self._server.limits().header_bytes:
+            self._refuse(431)
+            return
         self._set_timer(0, None)
         for name, value in self._headers:
             if name == b"expect" and value.lower() == b"100-continue":
@@ -261,11 +266,7 @@
         """Queues a whole request."""
         if self._is_closing:
             return
-        limits = self._server.limits()
-        if self._head_bytes > limits.header_bytes + self._body_bytes + 65_536:
-            self._refuse(431)
-            return
-        if self._body_bytes > limits.body_bytes:
+        if self._body_bytes > self._server.limits().body_bytes:
             self._refuse(413)
             return
         request = messages.Request(
@@ -333,11 +334,15 @@
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._head_bytes = 0
+        self._open_bytes = 0
         self._head_seen = False
 
-    def _check_head(self) -> None:
-        limit = self._server.limits().header_bytes
-        if not self._head_seen and self._head_bytes > limit:
+    def _check_open_head(self, received: int) -> None:
+        """Refuses a head that is too long before it is there whole."""
+        if self._head_seen:
+            return
+        self._open_bytes += received
+        if self._open_bytes > self._server.limits().header_bytes:
             self._refuse(431)
 
     def _refuse(self, status: int) -> None:
--- /dev/null
+++ b/standins/platform_engine.py
@@ -0,0 +1,192 @@
+"""Stand-in for an endpoint of the platform, with scripted misbehaviour.
+
+It reads whole requests from raw sockets and hands them to a script, which
+writes whatever it likes: a whole answer, half of one, two, or none.
+"""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+import json
+from typing import Any
+
+SEAL = "3e1b.07.5a2"
+
+
+@dataclasses.dataclass(frozen=True)
+class Received:
+    """A request that an endpoint got."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def id(self) -> str:
+        """The request's id."""
+        return self.headers.get("wayslip-request-id", "")
+
+
+Script = Callable[["PlatformEngine", Received, "Line"], Awaitable[None]]
+
+
+class Line:
+    """The connection that a request came on."""
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.reader = reader
+        self.writer = writer
+
+    async def write(self, data: bytes) -> None:
+        """Writes raw bytes."""
+        self.writer.write(data)
+        await self.writer.drain()
+
+    def reset(self) -> None:
+        """Breaks the connection off."""
+        self.writer.transport.abort()
+
+    async def answer(
+        self,
+        request: Received,
+        body: bytes = b"ok",
+        status: int = 200,
+        **headers: str,
+    ) -> None:
+        """Writes a whole answer of the endpoint's own."""
+        await self.write(format_answer(request.id, body, status, **headers))
+
+
+def format_answer(
+    request_id: str, body: bytes, status: int = 200, **headers: str
+) -> bytes:
+    """Returns a whole answer as bytes."""
+    named = {
+        "Wayslip-Request-Id": request_id,
+        "Wayslip-Server-Seal": SEAL,
+        "Content-Length": str(len(body)),
+    }
+    named.update({k.replace("_", "-"): v for k, v in headers.items()})
+    lines = [f"HTTP/1.1 {status} Status"]
+    lines += [f"{k}: {v}" for k, v in named.items() if v]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+async def answer_whole(
+    engine: "PlatformEngine", request: Received, line: Line
+) -> None:
+    """The usual script: answers with the endpoint's name."""
+    await line.answer(request, engine.name.encode())
+
+
+@dataclasses.dataclass
+class PlatformEngine:
+    """The stand-in. Used on the event loop only.
+
+    Attributes:
+        script: What it does with a request.
+        received: Requests that reached it, orders and reports left out.
+        orders: Bodies of the orders that it got.
+        order_status: What it answers to an order; 0 to carry it out and
+            say nothing.
+        taken: How many orders it has carried out.
+        left: How many connections were closed while a script ran.
+    """
+
+    name: str
+    script: Script = answer_whole
+    received: list[Received] = dataclasses.field(default_factory=list)
+    orders: list[dict[str, Any]] = dataclasses.field(default_factory=list)
+    order_status: int = 202
+    taken: int = 0
+    models: dict[str, list[str]] = dataclasses.field(default_factory=dict)
+    is_busy: bool = False
+    connections: int = 0
+    left: int = 0
+    _server: asyncio.Server | None = None
+
+    async def start(self) -> str:
+        """Listens; returns the address."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        return f"127.0.0.1:{port}"
+
+    def stop(self) -> None:
+        """Stops listening."""
+        if self._server is not None:
+            self._server.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.connections += 1
+        line = Line(reader, writer)
+        try:
+            while True:
+                request = await _read_request(reader)
+                await self._respond(request, line)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+    async def _respond(self, request: Received, line: Line) -> None:
+        if request.target == "/wayslip/report":
+            await line.answer(request, json.dumps(self._report()).encode())
+            return
+        if request.target == "/wayslip/order":
+            await self._take_order(request, line)
+            return
+        self.received.append(request)
+        try:
+            await self.script(self, request, line)
+        except ConnectionError:
+            self.left += 1
+            raise
+
+    def _report(self) -> dict[str, Any]:
+        models = [
+            {"name": name, "version": 1, "adapters": adapters}
+            for name, adapters in self.models.items()
+        ]
+        return {"seq": self.taken, "busy": self.is_busy, "models": models}
+
+    async def _take_order(self, request: Received, line: Line) -> None:
+        order = json.loads(request.body)
+        self.orders.append(order)
+        status = self.order_status
+        if order["expected_count"] != self.taken:
+            status = 409
+        if status in (200, 202, 0):
+            self.taken += 1
+            self._carry_out(order)
+        if status == 0:
+            line.reset()
+            return
+        await line.answer(request, b"{}", status)
+
+    def _carry_out(self, order: dict[str, Any]) -> None:
+        model, adapter = order["model"], order.get("adapter")
+        if order["operation"] == "load" and adapter:
+            self.models[model].append(adapter)
+        elif order["operation"] == "load":
+            self.models[model] = []
+        elif adapter:
+            self.models[model].remove(adapter)
+        else:
+            del self.models[model]
+
+
+async def _read_request(reader: asyncio.StreamReader) -> Received:
+    head = await reader.readuntil(b"\r\n\r\n")
+    first, *lines = head.decode("latin-1").strip().split("\r\n")
+    method, target, _ = first.split(" ")
+    headers = {}
+    for text in lines:
+        name, _, value = text.partition(":")
+        headers[name.strip().lower()] = value.strip()
+    length = int(headers.get("content-length", 0))
+    body = await reader.readexactly(length)
+    return Received(method, target, headers, body)
--- /dev/null
+++ b/standins/platform_store.py
@@ -0,0 +1,183 @@
+"""Stand-in for the platform's store, on the event loop, with faults.
+
+It keeps objects with one revision counter, answers lists, watches and
+conditional writes, and forgets its history when told to.
+"""
+
+import asyncio
+import dataclasses
+import json
+from typing import Any
+import urllib.parse
+
+from wayslip.decisions import manifest
+from wayslip.http1 import server
+
+_PREFIX = "/wayslip/objects/"
+_JSON = ((b"content-type", b"application/json"),)
+_STEP = 0.01
+
+
+@dataclasses.dataclass
+class Faults:
+    """What goes wrong.
+
+    Attributes:
+        is_down: Calls are answered 503 and do nothing.
+        is_silent: Calls get no answer and do nothing.
+        loses_writes: So many of the next writes are done and not answered.
+        page: Objects in a page of a list.
+    """
+
+    is_down: bool = False
+    is_silent: bool = False
+    loses_writes: int = 0
+    page: int = 500
+
+
+class PlatformStore:
+    """The stand-in. Used on the event loop only."""
+
+    def __init__(self) -> None:
+        self.faults = Faults()
+        self.objects: dict[str, dict[str, dict[str, Any]]] = {}
+        self.revision = 1
+        self.oldest = 0
+        self.history: list[tuple[int, str, bool, dict[str, Any]]] = []
+        self.calls: list[tuple[str, str]] = []
+        self._server = server.Server(
+            ("127.0.0.1", 0), self._answer, manifest.Limits
+        )
+
+    async def start(self) -> str:
+        """Listens; returns the address."""
+        await self._server.start()
+        return f"127.0.0.1:{self._server.port}"
+
+    def stop(self) -> None:
+        """Ends all connections."""
+        self._server.stop_listening()
+        self._server.abort_all()
+
+    # What an operator and the endpoints do
+
+    def put(self, kind: str, name: str, spec: Any) -> int:
+        """Writes an object; returns its revision."""
+        self.revision += 1
+        created = self.revision
+        known = self.objects.get(kind, {}).get(name)
+        if known is not None:
+            created = known["metadata"]["create_rev"]
+        value = {
+            "metadata": {
+                "name": name,
+                "revision": self.revision,
+                "create_rev": created,
+                "finalizers": [],
+                "deleting": False,
+            },
+            "spec": spec,
+            "status": None,
+        }
+        self.objects.setdefault(kind, {})[name] = value
+        self.history.append((self.revision, kind, False, value))
+        return self.revision
+
+    def remove(self, kind: str, name: str) -> None:
+        """Removes an object."""
+        value = self.objects[kind].pop(name)
+        self.revision += 1
+        self.history.append((self.revision, kind, True, value))
+
+    def forget_history(self) -> None:
+        """Drops the history, as a compaction does."""
+        self.oldest = self.revision
+        self.history.clear()
+
+    # Calls
+
+    async def _answer(self, exchange: server.Exchange) -> None:
+        method = exchange.request.method.decode()
+        url = urllib.parse.urlsplit(exchange.request.target.decode())
+        self.calls.append((method, exchange.request.target.decode()))
+        while self.faults.is_silent:
+            await asyncio.sleep(_STEP)
+        if self.faults.is_down:
+            exchange.answer(503, (), b"")
+            return
+        kind, _, name = url.path.removeprefix(_PREFIX).partition("/")
+        query = dict(urllib.parse.parse_qsl(url.query))
+        if method == "GET" and not name and "watch" in query:
+            status, value = await self._watch(kind, query)
+        elif method == "GET" and not name:
+            status, value = self._list(kind, query)
+        elif method == "GET":
+            status, value = self._get(kind, name)
+        else:
+            status, value = self._write(method, kind, name, query, exchange)
+            if status == 200 and self.faults.loses_writes:
+                self.faults.loses_writes -= 1
+                exchange.abort()
+                return
+        exchange.answer(status, _JSON, json.dumps(value).encode())
+
+    def _get(self, kind: str, name: str) -> tuple[int, Any]:
+        value = self.objects.get(kind, {}).get(name)
+        return (200, value) if value else (404, {})
+
+    def _list(self, kind: str, query: dict[str, str]) -> tuple[int, Any]:
+        after = query.get("after", "")
+        values = self.objects.get(kind, {})
+        names = sorted(n for n in values if n > after)
+        page = names[: self.faults.page]
+        return 200, {
+            "items": [values[n] for n in page],
+            "has_more": len(names) > len(page),
+            "as_of": self.revision,
+        }
+
+    async def _watch(self, kind: str, query: dict[str, str]) -> tuple[int, Any]:
+        since = int(query["watch"])
+        loop = asyncio.get_running_loop()
+        end = loop.time() + int(query["wait_ms"]) / 1000
+        while True:
+            if since < self.oldest:
+                return 410, {}
+            events = [
+                {"object": value, "removed": is_removed}
+                for revision, changed, is_removed, value in self.history
+                if changed == kind and revision > since
+            ]
+            if events or loop.time() >= end:
+                return 200, {"events": events, "as_of": self.revision}
+            await asyncio.sleep(_STEP)
+
+    def _write(
+        self,
+        method: str,
+        kind: str,
+        name: str,
+        query: dict[str, str],
+        exchange: server.Exchange,
+    ) -> tuple[int, Any]:
+        if method == "DELETE":
+            known = self.objects.get(kind, {}).get(name)
+            if known is None:
+                return 404, {}
+            if int(query["revision"]) != known["metadata"]["revision"]:
+                return 409, known
+            self.remove(kind, name)
+            return 200, {}
+        content = json.loads(exchange.request.body)
+        name = content["metadata"]["name"]
+        known = self.objects.get(kind, {}).get(name)
+        if method == "POST" and known is not None:
+            return 409, known
+        if method == "PUT" and known is None:
+            return 404, {}
+        if known is not None:
+            wanted = content["metadata"].get("revision")
+            if wanted != known["metadata"]["revision"]:
+                return 409, known
+        self.put(kind, name, content["spec"])
+        return 200, self.objects[kind][name]
--- /dev/null
+++ b/tests/decisions/test_loading.py
@@ -0,0 +1,140 @@
+import dataclasses
+
+from wayslip.decisions import loading
+from wayslip.decisions import manifest
+
+
+def make_pool(*names, adapters=0):
+    models = {
+        n: manifest.Model(
+            n, 70.0, 1.0, adapters, load_s=9.0, disk_s=2.0, warm_s=0.8
+        )
+        for n in names
+    }
+    return manifest.Pool(64, 100_000, 150.0, 8, 1.4, models)
+
+
+def make_engine(name, *models, **fields):
+    values = {
+        "models": frozenset(models),
+        "coming": {},
+        "charged_mb": 70.0 * len(models),
+        "adapters_mb": {},
+        "is_free": True,
+    }
+    return loading.Engine(name, **{**values, **fields})
+
+
+def plan(engines, pool, demand, cold=True):
+    return loading.plan_load({e.name: e for e in engines}, pool, demand, cold)
+
+
+def asked(rate, work=0.0):
+    return loading.Demand(rate, work)
+
+
+def test_model_that_is_nowhere_takes_the_place_of_an_unused_one():
+    pool = make_pool("a", "b", "c")
+    step = plan(
+        [make_engine("e1", "a", "b")], pool, {"a": asked(2), "c": asked(1)}
+    )
+    assert (step.engine, step.model, step.victims) == ("e1", "c", ("b",))
+    assert step.is_cold
+
+
+def test_nothing_moves_without_demand_or_a_free_engine():
+    pool = make_pool("a", "b", "c")
+    engine = make_engine("e1", "a", "b")
+    assert plan([engine], pool, {"a": asked(2)}) is None
+    busy = dataclasses.replace(engine, is_free=False)
+    assert plan([busy], pool, {"c": asked(5)}) is None
+
+
+def test_cold_loads_wait_for_the_weight_store():
+    pool = make_pool("a", "b", "c")
+    engine = make_engine("e1", "a", "b")
+    assert plan([engine], pool, {"c": asked(2)}, cold=False) is None
+    near = dataclasses.replace(engine, on_disk=frozenset({"c"}))
+    step = plan([near], pool, {"c": asked(2)}, cold=False)
+    assert (step.is_cold, step.seconds) == (False, 2.0)
+
+
+def test_engine_with_the_weights_at_hand_is_preferred():
+    pool = make_pool("a", "b", "c")
+    engines = [
+        make_engine("e1", "a"),
+        make_engine("e2", "b", in_memory=frozenset({"c"})),
+    ]
+    assert plan(engines, pool, {"c": asked(1)}).engine == "e2"
+
+
+def test_only_copy_is_kept_while_another_is_still_coming():
+    # The copy that comes serves in nine seconds; until then this is the only
+    # one, and 5 requests a second would be lost.
+    pool = make_pool("a", "b", "c")
+    engines = [
+        make_engine("e1", "a", "b"),
+        make_engine("e2", "b", coming={"a": 9.0}, is_free=False),
+    ]
+    step = plan(engines, pool, {"a": asked(5), "b": asked(3), "c": asked(0.5)})
+    assert step is None or "a" not in step.victims
+
+
+def test_model_on_its_way_is_not_loaded_twice():
+    pool = make_pool("a", "b", "c")
+    engines = [
+        make_engine("e1", "a"),
+        make_engine("e2", coming={"c": 2.0}, is_free=False),
+    ]
+    assert plan(engines, pool, {"c": asked(0.3)}) is None
+
+
+def test_faster_copy_is_loaded_beside_one_that_takes_long():
+    pool = make_pool("a", "b", "c")
+    engines = [
+        make_engine("e1", "a", in_memory=frozenset({"c"})),
+        make_engine("e2", coming={"c": 9.0}, is_free=False),
+    ]
+    assert plan(engines, pool, {"c": asked(2)}).engine == "e1"
+
+
+def test_busy_engine_is_relieved_by_a_copy_elsewhere():
+    pool = make_pool("a", "b")
+    engines = [make_engine("e1", "a"), make_engine("e2", "b")]
+    calm = {"a": asked(3, work=0.3), "b": asked(0.5, work=0.05)}
+    assert plan(engines, pool, calm) is None
+    busy = {"a": asked(6, work=1.5), "b": asked(0.5, work=0.05)}
+    step = plan(engines, pool, busy)
+    assert (step.engine, step.model, step.victims) == ("e2", "a", ())
+
+
+def test_copy_does_not_help_where_the_engine_is_busy_itself():
+    pool = make_pool("a", "b")
+    engines = [make_engine("e1", "a"), make_engine("e2", "b")]
+    busy = {"a": asked(6, work=1.5), "b": asked(6, work=1.5)}
+    assert plan(engines, pool, busy) is None
+
+
+def test_fresh_model_is_not_taken_away():
+    pool = make_pool("a", "b", "c")
+    engine = make_engine("e1", "a", "b", fresh=frozenset({"b"}))
+    step = plan([engine], pool, {"a": asked(5), "c": asked(1)})
+    assert step is None or step.victims != ("b",)
+
+
+def test_load_waits_where_adapters_would_be_missed():
+    pool = make_pool("a", "b", "c", adapters=24)
+    engine = make_engine("e1", "a", "b")
+    demand = {
+        "a": loading.Demand(5.0, missing_adapter=3.0),
+        "c": loading.Demand(0.5),
+    }
+    assert plan([engine], pool, demand) is None
+
+
+def test_adapter_goes_where_there_is_a_place():
+    chosen = loading.choose_adapter_engine({"e1": 8, "e2": 3}, 8, {"e2": 50})
+    assert chosen == "e2"
+    chosen = loading.choose_adapter_engine({"e1": 2, "e2": 3}, 8, {"e1": 9})
+    assert chosen == "e2"
+    assert loading.choose_adapter_engine({}, 8, {}) is None
--- /dev/null
+++ b/tests/gateway/test_placement.py
@@ -0,0 +1,160 @@
+"""Models and adapters come to where requests wait for them."""
+
+import pytest
+
+from tests.gateway import harness
+from tests.gateway import test_requests
+from wayslip import errors
+from wayslip.gateway import configuration
+from wayslip.gateway import facts
+from wayslip.gateway import members as members_module
+from wayslip.platform import decoding
+
+
+async def ask(system, model, request_id, path="/gen/a"):
+    return await system.ask(
+        path,
+        request_id,
+        method="POST",
+        body=b"prompt",
+        Wayslip_Model=model,
+        Wayslip_Token_Count="400,20",
+    )
+
+
+async def mirror_entries(system):
+    """Lets the list follow what engines hold, as their heartbeats do."""
+    for name, engine in system.engines.items():
+        entry = system.store.objects["servers"][name]["spec"]
+        models = [
+            {"name": m, "version": 1, "adapters": list(a)}
+            for m, a in engine.models.items()
+        ]
+        if entry["models"] != models:
+            system.store.put("servers", name, {**entry, "models": models})
+
+
+@harness.run
+async def test_adapter_is_loaded_while_its_request_waits(system):
+    engine = await system.add(
+        "e1", "models", ["m1"], test_requests.stream_whole
+    )
+    await system.until(lambda: system.gateway.leadership.is_valid)
+    answer = await ask(system, "m1/a2", "r1")
+    assert answer.status == 200
+    assert engine.models == {"m1": ["a2"]}
+
+
+@harness.run
+async def test_missing_model_is_refused_with_a_time_and_then_loaded(system):
+    engine = await system.add(
+        "e1", "models", ["m1"], test_requests.stream_whole
+    )
+    await system.until(lambda: system.gateway.leadership.is_valid)
+    statuses = []
+    for number in range(60):
+        answer = await ask(system, "m2", f"r{number}")
+        statuses.append(answer.status)
+        if answer.status == 200:
+            break
+        assert answer.status == 503
+        assert float(answer.headers["retry-after"]) > 0
+        await mirror_entries(system)
+    assert statuses[-1] == 200
+    assert "m2" in engine.models
+
+
+@harness.run
+async def test_last_place_goes_to_the_model_that_is_asked_for(system):
+    engine = await system.add(
+        "e1", "models", ["m1", "m2"], test_requests.stream_whole
+    )
+    await system.until(lambda: system.gateway.leadership.is_valid)
+    for number in range(5):
+        await ask(system, "m1", f"first{number}")
+    members = system.gateway._planner.members
+    await system.until(lambda: members.model_rates("models").get("m1", 0) > 1)
+    for number in range(80):
+        answer = await ask(system, "m3", f"r{number}")
+        if answer.status == 200:
+            break
+        await ask(system, "m1", f"k{number}")
+        await mirror_entries(system)
+    assert answer.status == 200
+    # The one in use stayed, and memory was never exceeded.
+    assert "m1" in engine.models and "m2" not in engine.models
+    actions = [(o["operation"], o["model"]) for o in engine.orders]
+    assert actions.index(("unload", "m2")) < actions.index(("load", "m3"))
+
+
+# Facts, demand and configuration
+
+
+def test_facts_survive_the_way():
+    state = facts.State(
+        term=3,
+        revision=99,
+        is_holder=True,
+        instances=6,
+        usages=(facts.Usage("e1", 4, 0.25),),
+        words=(facts.Word("e1", "m1", "a1", True, 0.1),),
+        arrivals=(facts.Arrival("e1", "s", "m2", 8.5, True),),
+        claims=(facts.ClaimRevision("e1", 77),),
+        rates=(facts.Rate("s", "m1", "", 2.5, 0.4),),
+    )
+    assert facts.decode(facts.encode(state)) == state
+    report = facts.Report(
+        "g1", "p", 1, (), (facts.Demand("s", "m", "", 3, 0.2),)
+    )
+    assert facts.decode(facts.encode(report)) == report
+
+
+@pytest.mark.parametrize(
+    "data", [b"", b"\x00", b"\x81\x18\x63", b"\x82\x01\x02", b"\xff" * 20]
+)
+def test_malformed_datagrams_are_refused(data):
+    with pytest.raises(errors.FrameError):
+        facts.decode(data)
+
+
+def report(number, count, process="p"):
+    demand = facts.Demand("s", "rare", "", count, 0.1)
+    return facts.Report("g1", process, number, (), (demand,))
+
+
+def test_misses_add_up_until_the_model_is_held():
+    members = members_module.Members()
+    address = ("127.0.0.1", 1)
+    members.take(report(1, 1), address, set())
+    once = members.model_rates("s")["rare"]
+    members.take(report(2, 5), address, set())
+    assert members.model_rates("s")["rare"] > once
+    members.take(report(3, 1), address, {("s", "rare")})
+    assert not members._misses
+
+
+def test_old_reports_are_dropped_but_not_those_of_a_new_process():
+    members = members_module.Members()
+    address = ("127.0.0.1", 1)
+    members.take(report(5, 1), address, set())
+    before = members.model_rates("s")["rare"]
+    members.take(report(4, 9), address, set())
+    assert members.model_rates("s")["rare"] <= before
+    members.take(report(1, 9, "q"), address, set())
+    assert members.model_rates("s")["rare"] > before
+
+
+def test_successor_begins_with_the_demand_that_was_told():
+    first, second = members_module.Members(), members_module.Members()
+    first.take(report(1, 8), ("127.0.0.1", 1), {("s", "rare")})
+    second.adopt(first.list_rates())
+    assert second.model_rates("s")["rare"] == pytest.approx(2.0, rel=0.1)
+
+
+def test_configuration_never_goes_back():
+    holder = configuration.Holder()
+    new = decoding.decode_manifest(harness.manifest(version=9))
+    old = decoding.decode_manifest(harness.manifest(version=8))
+    assert holder.offer(new)
+    assert not holder.offer(old)
+    assert holder.manifest is new
--- /dev/null
+++ b/tests/gateway/test_requests.py
@@ -0,0 +1,312 @@
+import asyncio
+
+from standins import platform_engine
+from tests.gateway import harness
+
+EVENTS = [f"id: {n}\ndata: piece-{n}\n\n".encode() for n in range(1, 6)]
+STREAM = {"Content_Type": "text/event-stream"}
+
+
+def chunk(data):
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def stream_head(request):
+    return platform_engine.format_answer(
+        request.id,
+        b"",
+        Content_Length="",
+        Transfer_Encoding="chunked",
+        **STREAM,
+    )
+
+
+async def stream_whole(engine, request, line):
+    after = int(request.headers.get("last-event-id", 0))
+    await line.write(stream_head(request))
+    for event in EVENTS[after:]:
+        await line.write(chunk(event))
+    await line.write(b"0\r\n\r\n")
+
+
+async def break_off_amid_event(engine, request, line):
+    await line.write(stream_head(request))
+    await line.write(chunk(EVENTS[0]) + chunk(EVENTS[1]))
+    await line.write(chunk(EVENTS[2][:5]))
+    await asyncio.sleep(0.05)
+    line.reset()
+
+
+async def reset(engine, request, line):
+    line.reset()
+
+
+async def refuse(engine, request, line):
+    await line.answer(request, b"", 503, Wayslip_Not_Executed="1")
+
+
+async def hang(engine, request, line):
+    # The reader sees the end of the connection as soon as we are left.
+    await line.reader.read(1)
+    raise ConnectionResetError
+
+
+@harness.run
+async def test_answer_passes_unchanged_with_its_seal(system):
+    engine = await system.add("e1", "plain")
+    answer = await system.ask("/get/a?x=1", "r9")
+    assert (answer.status, answer.body) == (200, b"e1")
+    assert answer.headers["wayslip-server-seal"] == platform_engine.SEAL
+    received = engine.received[0]
+    assert (received.method, received.target) == ("GET", "/get/a?x=1")
+    assert received.headers["wayslip-target-instance"] == "e1"
+    assert 0 < int(received.headers["wayslip-deadline-ms"]) <= 1500
+
+
+@harness.run
+async def test_body_and_headers_reach_the_endpoint(system):
+    engine = await system.add("e1", "plain")
+    await system.ask("/once/a", method="POST", body=b"x" * 5000, X_Trace="7")
+    received = engine.received[0]
+    assert received.body == b"x" * 5000
+    assert received.headers["x-trace"] == "7"
+
+
+@harness.run
+async def test_no_route_is_404(system):
+    answer = await system.ask("/nowhere/")
+    assert answer.status == 404
+
+
+@harness.run
+async def test_repeatable_request_goes_to_another_endpoint(system):
+    await system.add("e1", "plain", script=reset)
+    await system.add("e2", "plain")
+    for number in range(6):
+        answer = await system.ask("/get/a", f"r{number}")
+        assert (answer.status, answer.body) == (200, b"e2")
+
+
+@harness.run
+async def test_request_that_may_not_repeat_runs_once_after_a_reset(system):
+    first = await system.add("e1", "plain", script=reset)
+    second = await system.add("e2", "plain", script=reset)
+    answer = await system.ask("/once/a", method="POST", body=b"x")
+    # It may have run, so neither a promise nor a second send is right.
+    assert answer.status == 502
+    assert len(first.received) + len(second.received) == 1
+
+
+@harness.run
+async def test_refusal_of_an_endpoint_is_tried_elsewhere(system):
+    await system.add("e1", "plain", script=refuse)
+    await system.add("e2", "plain")
+    for number in range(4):
+        answer = await system.ask(
+            "/once/a", f"r{number}", method="POST", body=b"x"
+        )
+        assert answer.status == 200
+
+
+@harness.run
+async def test_refused_everywhere_says_not_run_and_when_to_come_back(system):
+    await system.add("e1", "plain", script=refuse)
+    answer = await system.ask("/once/a", method="POST", body=b"x")
+    assert answer.status == 503
+    assert float(answer.headers["retry-after"]) > 0
+    assert "wayslip-server-seal" not in answer.headers
+
+
+@harness.run
+async def test_no_endpoint_is_refused_at_once(system):
+    began = asyncio.get_running_loop().time()
+    answer = await system.ask("/get/a")
+    assert answer.status == 503
+    assert asyncio.get_running_loop().time() - began < 1.0
+
+
+@harness.run
+async def test_unsealed_success_is_not_passed_on(system):
+    async def unsealed(engine, request, line):
+        await line.answer(request, b"fake", Wayslip_Server_Seal="")
+
+    await system.add("e1", "plain", script=unsealed)
+    answer = await system.ask("/once/a", method="POST", body=b"x")
+    assert answer.status == 502
+    assert answer.body != b"fake"
+
+
+@harness.run
+async def test_encoded_body_is_not_the_endpoints(system):
+    async def encoded(engine, request, line):
+        await line.answer(request, b"odd", Content_Encoding="gzip")
+
+    await system.add("e1", "plain", script=encoded)
+    answer = await system.ask("/once/a", method="POST", body=b"x")
+    assert answer.status == 502
+
+
+@harness.run
+async def test_endpoints_own_failure_passes_with_its_status(system):
+    async def fail(engine, request, line):
+        await line.answer(request, b"no", 500)
+
+    await system.add("e1", "plain", script=fail)
+    answer = await system.ask("/once/a", method="POST", body=b"x")
+    assert (answer.status, answer.body) == (500, b"no")
+    assert answer.headers["wayslip-server-seal"] == platform_engine.SEAL
+
+
+@harness.run
+async def test_surplus_answer_never_reaches_the_next_client(system):
+    async def twice(engine, request, line):
+        await line.answer(request, b"for " + request.id.encode())
+        await asyncio.sleep(0.02)
+        await line.answer(request, b"again " + request.id.encode())
+
+    await system.add("e1", "plain", script=twice)
+    for number in range(5):
+        answer = await system.ask("/get/a", f"r{number}")
+        assert answer.body == f"for r{number}".encode()
+
+
+@harness.run
+async def test_cut_answer_does_not_look_complete(system):
+    async def cut(engine, request, line):
+        whole = platform_engine.format_answer(request.id, b"y" * 100)
+        await line.write(whole[:-50])
+        line.reset()
+
+    await system.add("e1", "plain", script=cut)
+    answer = await system.ask("/once/a", method="POST", body=b"x")
+    assert answer.status == 502
+
+
+@harness.run
+async def test_unframed_answer_ends_with_its_connection(system):
+    async def unframed(engine, request, line):
+        await line.write(
+            platform_engine.format_answer(
+                request.id, b"to the end", Content_Length=""
+            )
+        )
+        line.writer.close()
+
+    await system.add("e1", "plain", script=unframed)
+    answer = await system.ask("/get/a")
+    assert (answer.body, answer.is_whole) == (b"to the end", True)
+
+
+@harness.run
+async def test_timeout_of_the_route_is_answered_at_it(system):
+    engine = await system.add("e1", "plain", script=hang)
+    answer = await system.ask("/once/a", method="POST", body=b"x")
+    assert answer.status == 504
+    await system.until(lambda: engine.left == 1)
+
+
+@harness.run
+async def test_endpoint_stops_when_the_client_leaves(system):
+    engine = await system.add("e1", "plain", script=hang)
+    client = await system.connect()
+    await client.send("/get/a", "r1")
+    await system.until(lambda: engine.received)
+    client.close()
+    await system.until(lambda: engine.left == 1)
+
+
+@harness.run
+async def test_stream_goes_on_at_the_last_whole_event(system):
+    await system.add("e1", "models", ["m1"], break_off_amid_event)
+    answer = await ask_stream(system, "/gen/a")
+    assert not answer.is_whole
+    await system.add("e2", "models", ["m1"], stream_whole)
+    for number in range(4):
+        answer = await ask_stream(system, "/gen/a", f"s{number}")
+        assert answer.is_whole
+        assert answer.body == b"".join(EVENTS)
+
+
+@harness.run
+async def test_stream_that_may_not_resume_is_broken_off(system):
+    engine = await system.add("e1", "models", ["m1"], break_off_amid_event)
+    other = await system.add("e2", "models", ["m2"], stream_whole)
+    answer = await ask_stream(system, "/live/a")
+    assert not answer.is_whole
+    assert answer.body == EVENTS[0] + EVENTS[1]
+    assert (len(engine.received), len(other.received)) == (1, 0)
+
+
+@harness.run
+async def test_stream_that_breaks_before_its_first_event_has_a_status(system):
+    async def head_only(engine, request, line):
+        await line.write(stream_head(request))
+        await asyncio.sleep(0.02)
+        line.reset()
+
+    await system.add("e1", "models", ["m1"], head_only)
+    answer = await ask_stream(system, "/live/a")
+    assert answer.status == 502
+
+
+async def ask_stream(system, path, request_id="s0"):
+    return await system.ask(
+        path,
+        request_id,
+        method="POST",
+        body=b"prompt",
+        Wayslip_Model="m1",
+        Wayslip_Token_Count="400,20",
+        Wayslip_Prompt_Prefix="aa:300,bb:100",
+    )
+
+
+@harness.run
+async def test_without_configuration_it_is_not_known_what_is_allowed(system):
+    system.gateway.holder.manifest = None
+    answer = await system.ask("/nowhere/")
+    assert answer.status == 503
+
+
+@harness.run
+async def test_leaving_endpoint_gets_nothing_new(system):
+    engine = await system.add("e1", "plain")
+    await system.add("e2", "plain")
+    value = system.store.objects["servers"]["e1"]["spec"]
+    system.store.put("servers", "e1", {**value, "state": "draining"})
+    view = system.gateway.view
+    await system.until(lambda: view.tracked["e1"].endpoint.is_leaving)
+    for number in range(6):
+        answer = await system.ask("/get/a", f"r{number}")
+        assert answer.body == b"e2"
+    assert not engine.received
+
+
+@harness.run
+async def test_misdirected_request_did_not_run(system):
+    async def elsewhere(engine, request, line):
+        await line.answer(request, b"", 421, Wayslip_Server_Seal="")
+
+    await system.add("e1", "plain", script=elsewhere)
+    answer = await system.ask("/once/a", method="POST", body=b"x")
+    assert answer.status == 503
+
+
+@harness.run
+async def test_planned_stop_cuts_nothing(system):
+    release = asyncio.Event()
+
+    async def slow(engine, request, line):
+        await release.wait()
+        await line.answer(request, b"late")
+
+    engine = await system.add("e1", "plain", script=slow)
+    asking = asyncio.create_task(system.ask("/get/a"))
+    await system.until(lambda: engine.received)
+    system.gateway._stopping.set()
+    await system.until(lambda: not system.gateway.is_ready())
+    await asyncio.sleep(0.2)
+    release.set()
+    answer = await asking
+    assert (answer.status, answer.body) == (200, b"late")
+    assert answer.headers["connection"] == "close"
--- /dev/null
+++ b/tests/http1/test_server.py
@@ -0,0 +1,166 @@
+import asyncio
+
+from wayslip.decisions import manifest
+from wayslip.http1 import server
+
+LIMITS = manifest.Limits(
+    header_bytes=2000, body_bytes=1000, header_seconds=0.2, idle_seconds=0.3
+)
+
+
+def serve(application):
+    """Decorates a test that talks raw bytes to a server."""
+
+    def decorate(test):
+        def wrapper():
+            async def body():
+                one = server.Server(
+                    ("127.0.0.1", 0), application, lambda: LIMITS
+                )
+                await one.start()
+                try:
+                    async with asyncio.timeout(10):
+                        await test(one)
+                finally:
+                    one.stop_listening()
+                    one.abort_all()
+
+            asyncio.run(body())
+
+        wrapper.__name__ = test.__name__
+        return wrapper
+
+    return decorate
+
+
+async def echo(exchange):
+    request = exchange.request
+    exchange.answer(200, (), request.method + b" " + request.body)
+
+
+async def exchange_bytes(one, *parts):
+    reader, writer = await asyncio.open_connection("127.0.0.1", one.port)
+    for part in parts:
+        writer.write(part)
+        await writer.drain()
+        await asyncio.sleep(0.01)
+    data = await reader.read(-1)
+    writer.close()
+    return data
+
+
+@serve(echo)
+async def test_chunked_body_is_put_together(one):
+    data = await exchange_bytes(
+        one,
+        b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n",
+        b"3\r\nabc\r\n2\r\n",
+        b"de\r\n0\r\n\r\n",
+    )
+    assert data.endswith(b"\r\n\r\nPOST abcde")
+
+
+@serve(echo)
+async def test_requests_sent_ahead_are_answered_in_order(one):
+    two = b"GET /%d HTTP/1.1\r\nHost: h\r\n\r\n"
+    data = await exchange_bytes(one, two % 1 + two % 2)
+    assert data.count(b"HTTP/1.1 200") == 2
+
+
+@serve(echo)
+async def test_conflicting_lengths_are_refused(one):
+    data = await exchange_bytes(
+        one,
+        b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /b HTTP/1.1\r\n\r\n",
+    )
+    assert data.startswith(b"HTTP/1.1 400")
+    assert data.count(b"HTTP/1.1") == 1
+
+
+@serve(echo)
+async def test_garbage_is_refused(one):
+    data = await exchange_bytes(one, b"\x00\x01 what\r\n\r\n")
+    assert data.startswith(b"HTTP/1.1 400")
+
+
+@serve(echo)
+async def test_head_and_body_have_limits(one):
+    data = await exchange_bytes(one, b"GET / HTTP/1.1\r\nX: " + b"y" * 4000)
+    assert data.startswith(b"HTTP/1.1 431")
+    data = await exchange_bytes(
+        one,
+        b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1500\r\n\r\n",
+        b"z" * 1500,
+    )
+    assert data.startswith(b"HTTP/1.1 413")
+
+
+@serve(echo)
+async def test_head_that_never_ends_is_given_up(one):
+    data = await exchange_bytes(one, b"GET / HTTP/1.1\r\nHost")
+    assert data.startswith(b"HTTP/1.1 408")
+
+
+@serve(echo)
+async def test_idle_connection_is_closed(one):
+    data = await exchange_bytes(one, b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+    assert data.startswith(b"HTTP/1.1 200")
+
+
+async def break_off(exchange):
+    exchange.start(200, (), None)
+    await exchange.send(b"half")
+    exchange.abort()
+
+
+@serve(break_off)
+async def test_broken_answer_lacks_its_end(one):
+    reader, writer = await asyncio.open_connection("127.0.0.1", one.port)
+    writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+    data = b""
+    try:
+        data = await reader.read(-1)
+    except ConnectionResetError:
+        pass
+    writer.close()
+    assert b"0\r\n\r\n" not in data
+
+
+async def fail(exchange):
+    raise ValueError("a fault of ours")
+
+
+@serve(fail)
+async def test_fault_of_ours_is_answered(one):
+    data = await exchange_bytes(one, b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+    assert data.startswith(b"HTTP/1.1 500")
+
+
+LEFT = []
+
+
+async def wait_long(exchange):
+    try:
+        await asyncio.sleep(5)
+    except asyncio.CancelledError:
+        LEFT.append(exchange.request.target)
+        raise
+
+
+@serve(wait_long)
+async def test_application_is_cancelled_when_the_client_leaves(one):
+    _, writer = await asyncio.open_connection("127.0.0.1", one.port)
+    writer.write(b"GET /gone HTTP/1.1\r\nHost: h\r\n\r\n")
+    while not one.active:
+        await asyncio.sleep(0.01)
+    writer.close()
+    while b"/gone" not in LEFT:
+        await asyncio.sleep(0.01)
+
+
+@serve(echo)
+async def test_draining_server_tells_to_close(one):
+    one.is_draining = True
+    data = await exchange_bytes(one, b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+    assert b"connection: close" in data
--- /dev/null
+++ b/tests/platform/test_decoding.py
@@ -0,0 +1,67 @@
+import pytest
+
+from tests.gateway import harness
+from wayslip import errors
+from wayslip.decisions import manifest
+from wayslip.platform import decoding
+
+
+def test_manifest_is_decoded_with_units():
+    value = decoding.decode_manifest(harness.manifest(version=7))
+    assert value.version == 7
+    route = value.resolve(harness.HOST, "/gen/x")
+    assert route.kind is manifest.RequestKind.STREAM
+    assert (route.timeout, route.target) == (1.5, 0.8)
+    assert route.may_repeat
+    assert value.services["models"].pool.models["m1"].load_s == 0.4
+    assert value.limits.header_seconds == 0.5
+
+
+def test_route_may_be_split():
+    raw = harness.manifest()
+    raw["routes"][0]["traffic_split"] = [
+        {"service": "plain", "weight": 90},
+        {"service": "models", "weight": 10},
+    ]
+    route = decoding.decode_manifest(raw).routes[0]
+    assert route.choose_service(0.89) == "plain"
+    assert route.choose_service(0.91) == "models"
+
+
+def test_heartbeats_count_is_not_taken_for_orders():
+    spec = harness.entry("models", "127.0.0.1:1", ["m1"], seq=900)
+    endpoint = decoding.decode_endpoint("e1", spec)
+    assert not any(
+        getattr(endpoint, name) == 900 for name in endpoint.__slots__
+    )
+    state = decoding.decode_state({"seq": 3, "models": []})
+    assert state.orders == 3
+
+
+@pytest.mark.parametrize("spelling", ["a3", "m1/a3", "a3@2", "m1/a3@2"])
+def test_adapters_have_plain_names(spelling):
+    models = [{"name": "m1", "version": 1, "adapters": [spelling]}]
+    state = decoding.decode_state({"seq": 0, "models": models})
+    assert state.models == {"m1": frozenset({"a3"})}
+
+
+def test_adapters_on_their_way_are_told():
+    state = decoding.decode_state(
+        {"seq": 1, "models": [], "coming": ["m1/a2@1"]}
+    )
+    assert state.coming == {("m1", "a2")}
+
+
+@pytest.mark.parametrize(
+    "raw", [{}, {"version": 1}, {"version": 1, "routes": [{}], "services": []}]
+)
+def test_malformed_configuration_names_a_remedy(raw):
+    with pytest.raises(errors.ObjectError, match="correct it"):
+        decoding.decode_manifest(raw)
+
+
+def test_malformed_entry_and_report():
+    with pytest.raises(errors.ObjectError):
+        decoding.decode_endpoint("e1", {"address": 1})
+    with pytest.raises(errors.EndpointError):
+        decoding.decode_state({"models": []})
--- /dev/null
+++ b/tests/platform/test_dialect.py
@@ -0,0 +1,101 @@
+from wayslip.decisions import fleet
+from wayslip.gateway import dialect
+from wayslip.http1 import messages
+from wayslip.platform import dialect as platform_dialect
+
+DIALECT = platform_dialect.PlatformDialect()
+
+
+def request(**headers):
+    pairs = [(b"host", b"Shop.Example:80")]
+    pairs += [
+        (k.replace("_", "-").encode(), v.encode()) for k, v in headers.items()
+    ]
+    return messages.Request(b"POST", b"/a/b?c=1", tuple(pairs), b"body", True)
+
+
+def head(status=200, **headers):
+    pairs = tuple(
+        (k.replace("_", "-").encode(), v.encode()) for k, v in headers.items()
+    )
+    return messages.Head(status, pairs, True, 0, True)
+
+
+def test_traits_are_read():
+    traits = DIALECT.read_request(
+        request(
+            wayslip_request_id="r1",
+            wayslip_deadline_ms="2500",
+            wayslip_model="m1/a2",
+            wayslip_token_count="1460,80",
+            wayslip_prompt_prefix="5c:800,91:410,zz",
+            last_event_id="4",
+        )
+    )
+    assert traits.host == "shop.example"
+    assert traits.path == "/a/b"
+    assert traits.deadline == 2.5
+    assert (traits.model, traits.adapter) == ("m1", "a2")
+    assert (traits.prompt_tokens, traits.output_tokens) == (1460, 80)
+    assert traits.parts == (dialect.Part("5c", 800), dialect.Part("91", 410))
+    assert traits.last_event_id == "4"
+
+
+def test_request_without_an_id_has_no_traits():
+    assert DIALECT.read_request(request()) is None
+
+
+def test_request_is_formatted_for_one_endpoint():
+    order = dialect.Order("i-7", 1.25, 2, "9")
+    data = DIALECT.format_request(
+        request(
+            wayslip_request_id="r1",
+            wayslip_deadline_ms="2500",
+            wayslip_target_instance="forged",
+            connection="x-hop",
+            x_hop="1",
+            x_kept="2",
+            content_length="4",
+        ),
+        order,
+    )
+    text, _, body = data.partition(b"\r\n\r\n")
+    lines = text.split(b"\r\n")
+    assert lines[0] == b"POST /a/b?c=1 HTTP/1.1"
+    assert b"wayslip-deadline-ms: 1250" in lines
+    assert b"wayslip-target-instance: i-7" in lines
+    assert b"wayslip-request-priority: 2" in lines
+    assert b"last-event-id: 9" in lines
+    assert b"x-kept: 2" in lines
+    assert b"content-length: 4" in lines
+    assert not any(b"forged" in x or b"x-hop" in x for x in lines)
+    assert body == b"body"
+
+
+def test_answers_are_matched_by_id():
+    fresh = DIALECT.match_answer("r1", is_reused=False)
+    reused = DIALECT.match_answer("r1", is_reused=True)
+    assert fresh(head(wayslip_request_id="r1"))
+    assert not fresh(head(wayslip_request_id="r0"))
+    assert fresh(head())
+    # On a kept connection it may be an answer to somebody before us.
+    assert not reused(head())
+
+
+def test_answer_is_read():
+    answer = DIALECT.read_answer(
+        head(
+            wayslip_server_seal="s",
+            wayslip_server_load="3,1,8",
+            content_type="text/event-stream; charset=utf-8",
+        )
+    )
+    assert answer.is_genuine and answer.is_stream and not answer.is_refusal
+    assert answer.load == fleet.Load(3, 1, 8)
+
+
+def test_refusals_are_told_apart_from_failures():
+    assert DIALECT.read_answer(head(503, wayslip_not_executed="1")).is_refusal
+    misdirected = DIALECT.read_answer(head(421))
+    assert misdirected.is_refusal and misdirected.is_misdirected
+    assert not DIALECT.read_answer(head(503)).is_refusal
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,120 @@
+import asyncio
+
+import pytest
+
+from standins import platform_store
+from tests.gateway import harness
+from wayslip import addresses
+from wayslip import errors
+from wayslip.decisions import lease
+from wayslip.gateway import records
+from wayslip.gateway import store as store_module
+from wayslip.platform import kinds
+from wayslip.platform import store
+
+
+def with_store(test):
+    def wrapper():
+        async def body():
+            standin = platform_store.PlatformStore()
+            address = await standin.start()
+            client = store.PlatformStore(addresses.split_address(address))
+            try:
+                async with asyncio.timeout(20):
+                    await test(standin, client)
+            finally:
+                client.close()
+                standin.stop()
+
+        asyncio.run(body())
+
+    wrapper.__name__ = test.__name__
+    return wrapper
+
+
+def add_endpoints(standin, count):
+    for number in range(count):
+        spec = harness.entry("plain", f"127.0.0.1:{number + 1}")
+        standin.put("servers", f"e{number}", spec)
+
+
+@with_store
+async def test_list_goes_through_all_pages(standin, client):
+    standin.faults.page = 2
+    add_endpoints(standin, 5)
+    listing = await client.list(kinds.ENDPOINTS)
+    assert [s.name for s in listing.items] == ["e0", "e1", "e2", "e3", "e4"]
+
+
+@with_store
+async def test_watch_tells_changes_and_removals(standin, client):
+    add_endpoints(standin, 2)
+    listing = await client.list(kinds.ENDPOINTS)
+    standin.remove("servers", "e0")
+    changes = await client.watch(kinds.ENDPOINTS, listing.revision, 1.0)
+    assert changes.items == (store_module.Change("e0", None),)
+
+
+@with_store
+async def test_forgotten_history_is_told(standin, client):
+    listing = await client.list(kinds.ENDPOINTS)
+    add_endpoints(standin, 1)
+    standin.forget_history()
+    with pytest.raises(errors.WatchExpiredError):
+        await client.watch(kinds.ENDPOINTS, listing.revision, 1.0)
+
+
+@with_store
+async def test_conditional_writes(standin, client):
+    value = lease.Lease("g1", "127.0.0.1:1", 1)
+    made = await client.create(records.LEASE, "x", value)
+    with pytest.raises(errors.ObjectConflictError):
+        await client.create(records.LEASE, "x", value)
+    renewed = store_module.Stored("x", made.revision, value.renew())
+    after = await client.replace(records.LEASE, renewed)
+    assert after.value.beat == 1
+    with pytest.raises(errors.ObjectConflictError):
+        await client.replace(records.LEASE, renewed)
+    with pytest.raises(errors.ObjectConflictError):
+        await client.remove(records.LEASE, "x", made.revision)
+    await client.remove(records.LEASE, "x", after.revision)
+    assert await client.get(records.LEASE, "x") is None
+
+
+@with_store
+async def test_lost_answer_leaves_the_write_open(standin, client):
+    standin.faults.loses_writes = 1
+    value = lease.Lease("g1", "127.0.0.1:1", 1)
+    with pytest.raises(errors.ObjectUnavailableError):
+        await client.create(records.LEASE, "x", value)
+    # The connection that lost it says nothing more; another one does.
+    found = await client.get(records.LEASE, "x")
+    assert found.value == value
+
+
+@with_store
+async def test_outage_and_silence_are_told(standin, client):
+    standin.faults.is_down = True
+    with pytest.raises(errors.ObjectUnavailableError):
+        await client.list(kinds.ENDPOINTS)
+    standin.faults.is_down = False
+    standin.faults.is_silent = True
+    with pytest.raises(errors.ObjectUnavailableError):
+        await client.list(kinds.ENDPOINTS)
+    standin.faults.is_silent = False
+    assert (await client.list(kinds.ENDPOINTS)).items == ()
+
+
+@with_store
+async def test_claims_keep_their_open_order(standin, client):
+    pending = lease.Pending("e1", 4, lease.Action.LOAD, "m1", "a2")
+    claim = lease.Claim("e1", "g1", 17, pending)
+    stored = await client.create(records.CLAIM, "e1", claim)
+    assert stored.value == claim
+
+
+@with_store
+async def test_malformed_object_is_told(standin, client):
+    standin.put("wayslip-claims", "e1", {"holder": 3})
+    with pytest.raises(errors.ObjectError, match="malformed"):
+        await client.get(records.CLAIM, "e1")
