Load adapters ahead into free places; keep connections for orders

Cause: an engine that loads a model takes no adapter meanwhile, so requests for adapters that were not there were refused for seconds.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -1,5 +1,6 @@
 #!/bin/sh
-# Puts the gateway's libraries and the package into target/deps.
+# Puts the gateway's libraries and the package into target/deps. What is there
+# already and the same is left alone: other runs may be using it.
 set -eu
 stamp=target/deps/.requirements
 if ! cmp -s deploy/requirements.txt "$stamp"; then
@@ -9,5 +10,13 @@
     -r deploy/requirements.txt
   cp deploy/requirements.txt "$stamp"
 fi
-rm -rf target/deps/wayslip
-cp -r src/wayslip target/deps/wayslip
+if ! diff -rq -x __pycache__ src/wayslip target/deps/wayslip >/dev/null 2>&1
+then
+  rm -rf target/wayslip.new target/wayslip.old
+  cp -r src/wayslip target/wayslip.new
+  if [ -d target/deps/wayslip ]; then
+    mv target/deps/wayslip target/wayslip.old
+  fi
+  mv target/wayslip.new target/deps/wayslip
+  rm -rf target/wayslip.old
+fi
--- a/src/wayslip/cli/gateway.py
+++ b/src/wayslip/cli/gateway.py
@@ -62,7 +62,7 @@
     if arguments["--check"]:
         print(f"{path}: the settings are valid")
         return 0
-    logs.configure_logging("info", sys.stdout)
+    writer = logs.configure_bounded("info", sys.stdout)
     try:
         asyncio.run(_run(options))
     except OSError as e:
@@ -71,6 +71,8 @@
             file=sys.stderr,
         )
         return EXIT_SETTINGS
+    finally:
+        writer.close()
     return 0
 
 
--- a/src/wayslip/decisions/manifest.py
+++ b/src/wayslip/decisions/manifest.py
@@ -25,7 +25,7 @@
     Attributes:
         weights_mb: Accelerator memory of the weights.
         adapter_mb: Accelerator memory of each of its adapters.
-        adapters: How many adapters it has.
+        adapters: The names of its adapters.
         load_s: Time to load from the weight store.
         disk_s: Time to load from the engine's own disk.
         warm_s: Time to load from the engine's host memory.
@@ -34,7 +34,7 @@
     name: str
     weights_mb: float
     adapter_mb: float = 0.0
-    adapters: int = 0
+    adapters: tuple[str, ...] = ()
     load_s: float = 10.0
     disk_s: float = 10.0
     warm_s: float = 10.0
--- a/src/wayslip/gateway/adapters.py
+++ b/src/wayslip/gateway/adapters.py
@@ -1,4 +1,8 @@
-"""Loads adapters when requests wait for them."""
+"""Loads adapters when requests wait for them, and ahead where there is room.
+
+While an engine loads a model it takes no order for an adapter, so what is
+there before spares a refusal.
+"""
 
 from collections.abc import Callable
 from collections.abc import Coroutine
@@ -61,6 +65,58 @@
         self._coming.add(wish)
         self._start(self._carry_out(wish, book, pool, spec))
 
+    def fill(
+        self,
+        service: str,
+        pool: manifest.Pool,
+        books: list[ordering_module.Book],
+    ) -> None:
+        """Loads adapters that are nowhere into free places, one an engine."""
+        now = time.monotonic()
+        anywhere = set().union(*(b.charged() for b in books)) | {
+            (model, adapter)
+            for name, model, adapter in self._coming
+            if name == service
+        }
+        for book in books:
+            may_claim = self._ordering.may_claim(book.endpoint.name)
+            if (
+                not charges.is_free(book, may_claim, now)
+                or book.lock.locked()
+                or charges.count_adapters(book) >= pool.adapter_slots
+            ):
+                continue
+            item = self._find_missing(service, pool, book, anywhere)
+            if item is None:
+                continue
+            anywhere.add(item)
+            wish = (service, *item)
+            self._coming.add(wish)
+            self._start(
+                self._carry_out(wish, book, pool, pool.models[item[0]], False)
+            )
+
+    def _find_missing(
+        self,
+        service: str,
+        pool: manifest.Pool,
+        book: ordering_module.Book,
+        anywhere: set[tuple[str, str]],
+    ) -> tuple[str, str] | None:
+        """Returns the adapter that an engine should load ahead."""
+        missing = [
+            (model, adapter)
+            for model, held in book.usable()
+            if not held and model in pool.models
+            for adapter in pool.models[model].adapters
+            if (model, adapter) not in anywhere
+        ]
+        return max(
+            missing,
+            key=lambda item: (self._members.adapter_rate(service, item), item),
+            default=None,
+        )
+
     def _choose(
         self,
         pool: manifest.Pool,
@@ -91,9 +147,10 @@
         book: ordering_module.Book,
         pool: manifest.Pool,
         spec: manifest.Model,
+        may_drop: bool = True,
     ) -> None:
         try:
-            await self._load(book, pool, spec, wish[2])
+            await self._load(book, pool, spec, wish[2], may_drop)
         finally:
             self._coming.discard(wish)
 
@@ -103,6 +160,7 @@
         pool: manifest.Pool,
         spec: manifest.Model,
         adapter: str,
+        may_drop: bool,
     ) -> None:
         item = (spec.name, adapter)
 
@@ -111,7 +169,7 @@
             has_place = charges.count_adapters(book) < pool.adapter_slots
             return has_place and total + spec.adapter_mb <= pool.weights_mb
 
-        if not fits() and not await self._drop_one(book):
+        if not fits() and not (may_drop and await self._drop_one(book)):
             return
         outcome = await self._ordering.order(
             book, lease.Action.LOAD, item, fits
--- a/src/wayslip/gateway/following.py
+++ b/src/wayslip/gateway/following.py
@@ -18,7 +18,7 @@
 _RETURN_SECONDS = 2.0
 # Engines' entries change with every adapter; a leaving endpoint is heard of
 # this much later, of two seconds that are allowed.
-_REST_SECONDS = 0.4
+_REST_SECONDS = 0.7
 # For so long after an outage a missing entry may have lapsed in it, seconds.
 _AFTERMATH_SECONDS = 3.0
 
--- a/src/wayslip/gateway/planner.py
+++ b/src/wayslip/gateway/planner.py
@@ -306,6 +306,7 @@
                     self._adapters.wish(name, pool, books, (model, adapter))
             while self._plan_one(service.name, pool):
                 pass
+            self._adapters.fill(service.name, pool, books)
 
     def _books_of(self, service: str) -> list[ordering_module.Book]:
         return [
@@ -364,7 +365,7 @@
         demand = {}
         for model, r in rates.items():
             spec = pool.models.get(model)
-            count = spec.adapters if spec else 0
+            count = len(spec.adapters) if spec else 0
             misses = max(1 - pool.adapter_slots / count, 0.0) if count else 0.0
             demand[model] = loading.Demand(
                 rate=r,
--- a/src/wayslip/gateway/requests.py
+++ b/src/wayslip/gateway/requests.py
@@ -561,14 +561,17 @@
     ) -> None:
         seconds = time.monotonic() - began
         self._metrics.latency("request").observe(seconds)
+        # A warning is the last to be left out when the reader is slow.
+        level = logging.INFO if outcome == "answered" else logging.WARNING
         logs.event(
             _LOG,
             "ended",
+            level,
             request=request_id,
             outcome=outcome,
             status=status,
             seconds=f"{seconds:.3f}",
-            **fields,  # type: ignore[arg-type]
+            **fields,
         )
 
 
--- a/src/wayslip/http1/pool.py
+++ b/src/wayslip/http1/pool.py
@@ -6,8 +6,9 @@
 from wayslip.http1 import client
 
 # An idle connection that its endpoint gave no limit for is kept this long,
-# seconds: the shortest idle time common among servers is 5.
-_IDLE_SECONDS = 4.0
+# seconds. An endpoint that closes it sooner is seen to; one that fell silent
+# costs a request, so it is not kept for ever.
+_IDLE_SECONDS = 12.0
 # The endpoint may close at its limit; we stop using it this much earlier.
 _IDLE_MARGIN = 0.7
 _KEPT_PER_ENDPOINT = 64
@@ -69,6 +70,45 @@
         connection.idle_limit = _parse_keep_alive(keep_alive)
         idle.append(connection)
 
+    async def fetch(
+        self,
+        endpoint: str,
+        address: tuple[str, int],
+        data: bytes,
+        timeout: float,
+    ) -> tuple[int, bytes]:
+        """Sends a small request and reads its whole answer.
+
+        Returns:
+            The status and the body.
+
+        Raises:
+            NotSentError: No connection was made.
+            EndpointUnclearError: The answer broke off or was late.
+        """
+        connection = self.take(endpoint)
+        if connection is None:
+            connection = await self.open(address)
+        try:
+            async with asyncio.timeout(timeout):
+                connection.send(data, lambda head: True)
+                head = await connection.read_head()
+                parts = []
+                while part := await connection.read():
+                    parts.append(part)
+        except TimeoutError as e:
+            raise errors.EndpointUnclearError(
+                f"{address[0]}:{address[1]} did not answer in {timeout:g} s",
+                "see its log; the call may have taken effect",
+            ) from e
+        else:
+            connection.is_kept = True
+            self.give_back(endpoint, connection, head.header(b"keep-alive"))
+        finally:
+            if not connection.is_kept:
+                connection.close()
+        return head.status, b"".join(parts)
+
     def drop(self, endpoint: str) -> None:
         """Closes an endpoint's idle connections."""
         for connection in self._idle.pop(endpoint, []):
@@ -94,33 +134,3 @@
             except ValueError:
                 return None
     return None
-
-
-async def fetch(
-    address: tuple[str, int], data: bytes, timeout: float
-) -> tuple[int, bytes]:
-    """Sends a small request on a connection of its own.
-
-    Returns:
-        The status and the body.
-
-    Raises:
-        NotSentError: No connection was made.
-        EndpointUnclearError: The answer broke off or was late.
-    """
-    connection = await client.connect(address, timeout)
-    try:
-        async with asyncio.timeout(timeout):
-            connection.send(data, lambda head: True)
-            head = await connection.read_head()
-            parts = []
-            while part := await connection.read():
-                parts.append(part)
-    except TimeoutError as e:
-        raise errors.EndpointUnclearError(
-            f"{address[0]}:{address[1]} did not answer in {timeout:g} s",
-            "see its log; the call may have taken effect",
-        ) from e
-    finally:
-        connection.close()
-    return head.status, b"".join(parts)
--- a/src/wayslip/logs.py
+++ b/src/wayslip/logs.py
@@ -5,13 +5,25 @@
 look like secrets are masked here, in one place.
 """
 
+import collections
 import logging
 import sys
+import threading
+import time
 from typing import Any
 from typing import TextIO
 
 _SECRET_WORDS = ("key", "token", "secret", "authorization", "password")
 _MASK = "***"
+# Lines that wait for a slow reader: about a megabyte.
+BUFFER_LINES = 4_000
+# Between writes, seconds; each costs a wake-up of its own.
+FLUSH_SECONDS = 0.25
+# Longest wait for the reader at the end, seconds.
+CLOSE_SECONDS = 0.5
+# Lines of one event a second: some times what an instance decides at its
+# expected load of 20 requests a second.
+RATE = 300
 
 
 def event(
@@ -56,13 +68,137 @@
     return '"' + escaped.replace("\n", "\\n") + '"'
 
 
-def configure_logging(level: str, stream: TextIO = sys.stderr) -> None:
-    """Sends all of the process's logs to a stream as key=value lines."""
-    handler = logging.StreamHandler(stream)
-    handler.setFormatter(KeyValueFormatter())
+class LineWriter:
+    """Writes lines in a thread of its own, so that no request waits for it.
+
+    A reader that stops reading fills the buffer; then lines are left out and
+    counted, those below WARNING from half of the buffer on, so that plain
+    successes go before what went wrong.
+
+    Args:
+        stream: Where lines go.
+        limit: Lines that wait at most.
+    """
+
+    def __init__(self, stream: TextIO, limit: int = BUFFER_LINES) -> None:
+        self._stream = stream
+        self._limit = limit
+        self._lines: collections.deque[str] = collections.deque()
+        self._left_out: collections.Counter[str] = collections.Counter()
+        self._lock = threading.Lock()
+        self._wake = threading.Event()
+        self._is_closed = False
+        self._thread = threading.Thread(
+            target=self._run, name="logs", daemon=True
+        )
+        self._thread.start()
+
+    def add(self, name: str, level: int, line: str) -> None:
+        """Takes a line in, or counts it as left out."""
+        limit = self._limit if level >= logging.WARNING else self._limit // 2
+        with self._lock:
+            if len(self._lines) >= limit:
+                self._left_out[name] += 1
+                return
+            self._lines.append(line)
+
+    def take_left_out(self) -> dict[str, int]:
+        """Returns how many lines of each event were left out since."""
+        with self._lock:
+            left_out = dict(self._left_out)
+            self._left_out.clear()
+        return left_out
+
+    def _take(self) -> str:
+        with self._lock:
+            text = "".join(self._lines)
+            self._lines.clear()
+        for name, count in self.take_left_out().items():
+            text += f"event=lines_left_out of={_quote(name)} count={count}\n"
+        return text
+
+    def _run(self) -> None:
+        while not self._is_closed:
+            self._wake.wait(FLUSH_SECONDS)
+            text = self._take()
+            if not text:
+                continue
+            try:
+                self._stream.write(text)
+                self._stream.flush()
+            except (OSError, ValueError):
+                # Nobody reads any more; there is no other place to say so.
+                self._is_closed = True
+
+    def close(self) -> None:
+        """Writes what is left, if the reader takes it soon."""
+        self._is_closed = True
+        self._wake.set()
+        self._thread.join(timeout=CLOSE_SECONDS)
+        if self._thread.is_alive():
+            return
+        text = self._take()
+        if text:
+            self._stream.write(text)
+            self._stream.flush()
+
+
+class LineHandler(logging.Handler):
+    """Hands formatted records to a writer, within a rate for each event."""
+
+    def __init__(self, writer: LineWriter) -> None:
+        super().__init__()
+        self._writer = writer
+        self._second = 0
+        self._counts: collections.Counter[str] = collections.Counter()
+        self._over: collections.Counter[str] = collections.Counter()
+        self.setFormatter(KeyValueFormatter())
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Takes a record; one above its event's rate is only counted."""
+        name = str(record.msg)
+        second = int(time.monotonic())
+        if second != self._second:
+            self._report_over()
+            self._second = second
+        self._counts[name] += 1
+        most = RATE if record.levelno < logging.WARNING else RATE * 2
+        if self._counts[name] > most:
+            self._over[name] += 1
+            return
+        try:
+            line = self.format(record) + "\n"
+        except Exception:
+            self.handleError(record)
+            return
+        self._writer.add(name, record.levelno, line)
+
+    def _report_over(self) -> None:
+        self._counts.clear()
+        for name, count in self._over.items():
+            line = f"event=lines_left_out of={_quote(name)} count={count}\n"
+            self._writer.add("lines_left_out", logging.WARNING, line)
+        self._over.clear()
+
+
+def _install(handler: logging.Handler, level: str) -> None:
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(level.upper())
     # Libraries report each connection at INFO; that would drown our events.
     for noisy in ("urllib3", "websockets", "cheroot"):
         logging.getLogger(noisy).setLevel(logging.ERROR)
+
+
+def configure_logging(level: str, stream: TextIO = sys.stderr) -> None:
+    """Sends all of the process's logs to a stream as key=value lines."""
+    handler = logging.StreamHandler(stream)
+    handler.setFormatter(KeyValueFormatter())
+    _install(handler, level)
+
+
+def configure_bounded(level: str, stream: TextIO) -> LineWriter:
+    """Does the same through a bounded buffer that never blocks the caller."""
+    writer = LineWriter(stream)
+    _install(LineHandler(writer), level)
+    return writer
--- a/src/wayslip/platform/decoding.py
+++ b/src/wayslip/platform/decoding.py
@@ -85,7 +85,10 @@
         name=raw["name"],
         weights_mb=float(raw["weights_mb"]),
         adapter_mb=float(raw.get("adapter_mb") or 0),
-        adapters=int(raw.get("adapters") or 0),
+        # A count; they are named a1, a2 and so on.
+        adapters=tuple(
+            f"a{n}" for n in range(1, int(raw.get("adapters") or 0) + 1)
+        ),
         load_s=load_s,
         disk_s=float(raw.get("disk_s") or load_s),
         warm_s=float(raw.get("warm_s") or load_s),
--- a/src/wayslip/platform/engines.py
+++ b/src/wayslip/platform/engines.py
@@ -24,11 +24,19 @@
 
 
 class PlatformEngines:
-    """Implements `wayslip.gateway.engines.EngineClient`."""
+    """Implements `wayslip.gateway.engines.EngineClient`.
+
+    Its connections are its own: a surplus answer to a client's request must
+    not be taken for the answer to an order.
+    """
+
+    def __init__(self) -> None:
+        self._pool = pool.Pool(_CALL_SECONDS)
 
     async def report(self, endpoint: fleet.Endpoint) -> fleet.EngineState:
         """Returns what an engine says of itself."""
-        status, data = await pool.fetch(
+        status, data = await self._pool.fetch(
+            endpoint.name,
             addresses.split_address(endpoint.address),
             _format(endpoint, "GET", _REPORT_PATH, b""),
             _CALL_SECONDS,
@@ -65,8 +73,11 @@
             body["adapter"] = order.adapter
         data = _format(endpoint, "POST", _ORDER_PATH, json.dumps(body).encode())
         try:
-            status, _ = await pool.fetch(
-                addresses.split_address(endpoint.address), data, _CALL_SECONDS
+            status, _ = await self._pool.fetch(
+                endpoint.name,
+                addresses.split_address(endpoint.address),
+                data,
+                _CALL_SECONDS,
             )
         except errors.NotSentError:
             return engines.OrderOutcome.REFUSED
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -159,6 +159,9 @@
         status = self.order_status
         if order["expected_count"] != self.taken:
             status = 409
+        if status == 202 and order["operation"] == "unload":
+            # An adapter goes at once, a model after its runs.
+            status = 200 if order.get("adapter") else 202
         if status in (200, 202, 0):
             self.taken += 1
             self._carry_out(order)
--- a/tests/decisions/test_loading.py
+++ b/tests/decisions/test_loading.py
@@ -4,7 +4,7 @@
 from wayslip.decisions import manifest
 
 
-def make_pool(*names, adapters=0):
+def make_pool(*names, adapters=()):
     models = {
         n: manifest.Model(
             n, 70.0, 1.0, adapters, load_s=9.0, disk_s=2.0, warm_s=0.8
@@ -123,7 +123,7 @@
 
 
 def test_load_waits_where_adapters_would_be_missed():
-    pool = make_pool("a", "b", "c", adapters=24)
+    pool = make_pool("a", "b", "c", adapters=tuple(f"a{n}" for n in range(24)))
     engine = make_engine("e1", "a", "b")
     demand = {
         "a": loading.Demand(5.0, missing_adapter=3.0),
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -40,9 +40,14 @@
         "e1", "models", ["m1"], test_requests.stream_whole
     )
     await system.until(lambda: system.gateway.leadership.is_valid)
-    answer = await ask(system, "m1/a2", "r1")
-    assert answer.status == 200
-    assert engine.models == {"m1": ["a2"]}
+    for name in ("a1", "a2", "a3"):
+        answer = await ask(system, f"m1/{name}", f"r-{name}")
+        assert answer.status == 200
+        assert name in engine.models["m1"]
+        # Two places; others are loaded ahead and make way.
+        assert len(engine.models["m1"]) <= 2
+    actions = [(o["operation"], o.get("adapter")) for o in engine.orders]
+    assert ("unload", None) not in actions
 
 
 @harness.run
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -1,5 +1,6 @@
 import io
 import logging
+import threading
 
 from wayslip import logs
 
@@ -26,3 +27,53 @@
     line = line_of(key="hush-1", resume_token="hush-2", authorization="hush-3")
     assert "hush" not in line
     assert "key=***" in line
+
+
+class StuckStream:
+    """A reader that takes nothing until it is let go."""
+
+    def __init__(self):
+        self.go = threading.Event()
+        self.text = ""
+
+    def write(self, text):
+        self.go.wait(10)
+        self.text += text
+
+    def flush(self):
+        pass
+
+
+def fill(logger, level, count):
+    for number in range(count):
+        logs.event(logger, f"event-{number % 50}", level, number=number)
+
+
+def test_reader_that_stops_never_blocks_and_is_told_what_is_missing():
+    stream = StuckStream()
+    writer = logs.LineWriter(stream, limit=100)
+    logger = logging.Logger("test")
+    logger.addHandler(logs.LineHandler(writer))
+    fill(logger, logging.INFO, 1000)
+    fill(logger, logging.WARNING, 30)
+    stream.go.set()
+    writer.close()
+    # All warnings are there, only some of the rest, and the rest is counted.
+    assert stream.text.count("level=warning") == 30
+    assert stream.text.count("level=info") < 1000
+    assert "event=lines_left_out of=event-1 count=" in stream.text
+
+
+def test_rate_of_one_event_is_bounded():
+    stream = StuckStream()
+    stream.go.set()
+    writer = logs.LineWriter(stream)
+    logger = logging.Logger("test")
+    handler = logs.LineHandler(writer)
+    logger.addHandler(handler)
+    for number in range(3 * logs.RATE):
+        logs.event(logger, "often", number=number)
+    handler._report_over()
+    writer.close()
+    assert stream.text.count("event=often") <= 2 * logs.RATE
+    assert "event=lines_left_out of=often" in stream.text
