Let a doubtful holder yield; share the list with blind instances

Cause: after the planner lost the store it took two seconds until another planned, its members asked the store one by one, and instances that could not read the store served from an old list. A holder without an answer for 0.45 s says so; the next one tells all instances at once; blind ones get the list with their answers. Wishes for adapters are tried until they are met and end then (a test found them evicting each other).

--- a/src/wayslip/gateway/adapters.py
+++ b/src/wayslip/gateway/adapters.py
@@ -22,6 +22,9 @@
 _SECONDS = 0.035
 _SECONDS_PER_MB = 0.0025
 _HELD_BEFORE = 0.1
+# An adapter that was loaded for a request is not taken away before that
+# request and its like were counted, seconds: some reports.
+_SETTLE_SECONDS = 1.0
 # An adapter in use at least so often is not taken away, requests a second.
 _IN_USE = 0.5
 
@@ -51,19 +54,25 @@
         pool: manifest.Pool,
         books: list[ordering_module.Book],
         item: tuple[str, str],
-    ) -> None:
-        """Starts to load an adapter where its model is, if it is nowhere."""
+    ) -> bool:
+        """Starts to load an adapter where its model is.
+
+        Returns:
+            Whether nothing more has to be done for it: it is there, on its
+            way, or of a model that nobody knows.
+        """
         wish = (service, *item)
         spec = pool.models.get(item[0])
         if spec is None or wish in self._coming:
-            return
+            return True
         if any(item in b.charged() - set(b.removed) for b in books):
-            return
+            return True
         book = self._choose(pool, books, item[0])
         if book is None:
-            return
+            return False
         self._coming.add(wish)
         self._start(self._carry_out(wish, book, pool, spec))
+        return True
 
     def fill(
         self,
@@ -129,9 +138,8 @@
             b.endpoint.name: b
             for b in books
             if (model, "") in b.usable()
-            and charges.is_free(
-                b, self._ordering.may_claim(b.endpoint.name), now
-            )
+            and charges.is_resting(b, now)
+            and self._ordering.may_claim(b.endpoint.name)
         }
         usages = self._members.total_usages()
         name = loading.choose_adapter_engine(
@@ -180,6 +188,8 @@
         if item in book.had:
             seconds *= _HELD_BEFORE
         book.had.add(item)
+        if may_drop:
+            book.adapter_at[item] = time.monotonic()
         if item in book.added:
             book.added[item] = time.monotonic() + seconds
         self._tell_all()
@@ -187,10 +197,11 @@
     async def _drop_one(self, book: ordering_module.Book) -> bool:
         """Unloads the adapter that is used least; returns whether it went."""
         service = book.endpoint.service
+        limit = time.monotonic() - _SETTLE_SECONDS
         rates = sorted(
             (self._members.adapter_rate(service, item), item)
             for item in book.charged() - set(book.removed)
-            if item[1]
+            if item[1] and book.adapter_at.get(item, limit) <= limit
         )
         if not rates or rates[0][0] > _IN_USE:
             return False
--- a/src/wayslip/gateway/charges.py
+++ b/src/wayslip/gateway/charges.py
@@ -30,14 +30,14 @@
     return total, adapters
 
 
+def is_resting(book: ordering.Book, now: float) -> bool:
+    """Whether no series of orders is under way and none failed just now."""
+    return (book.task is None or book.task.done()) and now >= book.rests_until
+
+
 def is_free(book: ordering.Book, may_claim: bool, now: float) -> bool:
-    """Whether an engine can be ordered now."""
-    return (
-        (book.task is None or book.task.done())
-        and book.pending is None
-        and now >= book.rests_until
-        and may_claim
-    )
+    """Whether an engine can be ordered at once."""
+    return is_resting(book, now) and book.pending is None and may_claim
 
 
 def make_engine(
--- a/src/wayslip/gateway/daemon.py
+++ b/src/wayslip/gateway/daemon.py
@@ -81,7 +81,12 @@
             self.holder, self.view, self.leadership, self._ordering, self._hub
         )
         self._placement = placement_module.Placement(
-            options, self.view, self._hub, self.leadership, self._ordering
+            options,
+            self.view,
+            self._hub,
+            self.leadership,
+            self._ordering,
+            lambda: self._endpoints.watcher.lost_since is not None,
         )
         self._requests = requests_module.Requests(
             options,
@@ -216,7 +221,7 @@
         self, message: facts.Message, source: hub_module.Address
     ) -> None:
         if isinstance(message, facts.State):
-            self._placement.take(message)
+            self._placement.take(message, source)
         self._planner.take(message, source)
 
     # Answers to the balancer and to operators
--- a/src/wayslip/gateway/facts.py
+++ b/src/wayslip/gateway/facts.py
@@ -41,17 +41,36 @@
     work: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Listed:
+    """An endpoint's entry, for an instance that can not read the list.
+
+    Attributes:
+        items: Models and adapters that it holds, "MODEL" or "MODEL/ADAPTER".
+    """
+
+    endpoint: str
+    service: str
+    address: str
+    data_hall: str
+    slots: int
+    is_leaving: bool
+    items: tuple[str, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Report:
     """What an instance tells the lease's holder now and then.
 
     Attributes:
         number: Rises with every report of a process.
+        is_blind: Whether it can not read the platform's list now.
     """
 
     instance: str
     process: str
     number: int
+    is_blind: bool
     usages: tuple[Usage, ...]
     demands: tuple[Demand, ...]
 
@@ -130,19 +149,20 @@
         term: The holder's term.
         revision: Of its last renewal of the lease.
         is_holder: Whether its lease is valid.
-        instances: Instances that it hears of.
+        instances: Instances that it hears of, as "IP:PORT".
         usages: Totals over all instances.
     """
 
     term: int
     revision: int
     is_holder: bool
-    instances: int
+    instances: tuple[str, ...]
     usages: tuple[Usage, ...]
     words: tuple[Word, ...]
     arrivals: tuple[Arrival, ...]
     claims: tuple[ClaimRevision, ...]
     rates: tuple[Rate, ...]
+    listed: tuple[Listed, ...] = ()
 
 
 Message = Report | Want | State
@@ -155,9 +175,14 @@
     "arrivals": Arrival,
     "claims": ClaimRevision,
     "rates": Rate,
+    "listed": Listed,
 }
 
 
+def _freeze(value: Any) -> Any:
+    return tuple(value) if isinstance(value, list) else value
+
+
 def encode(message: Message) -> bytes:
     """Returns a message as a datagram."""
     fields = []
@@ -184,9 +209,9 @@
         named: dict[str, Any] = {}
         for field, value in zip(fields, values, strict=True):
             part = _PARTS.get(field.name)
-            named[field.name] = (
-                tuple(part(*item) for item in value) if part else value
-            )
+            if part is not None:
+                value = tuple(part(*map(_freeze, item)) for item in value)
+            named[field.name] = _freeze(value)
         return kind(**named)  # type: ignore[no-any-return]
     except (cbor2.CBORDecodeError, ValueError, TypeError, KeyError) as e:
         raise errors.FrameError(
--- a/src/wayslip/gateway/leadership.py
+++ b/src/wayslip/gateway/leadership.py
@@ -18,6 +18,9 @@
 _LOOK_SECONDS = 0.6
 # Between writes of a holder whose last one had no answer, seconds.
 _REPEAT_SECONDS = 0.15
+# A renewal without an answer for so long lets another instance plan, seconds:
+# above what the store takes when it is a hundred times as slow as usual.
+_DOUBT_SECONDS = 0.45
 # Instances that see a free lease together try at different times, seconds.
 _SPREAD_SECONDS = 0.4
 
@@ -47,6 +50,9 @@
         self._asked.set()
         self._lock = asyncio.Lock()
         self._is_held = False
+        # Whether the holder itself said that it can not renew the lease.
+        self._has_yielded = False
+        self._is_doubtful = False
         self._own_term = 0
         self._is_stopping = False
         self._valid_until = 0.0
@@ -78,10 +84,29 @@
         if self.sight is None or self._is_held:
             return
         if revision > self.sight.revision:
+            self._has_yielded = False
             self.sight = lease.Sight(
                 self.sight.lease, revision, time.monotonic()
             )
 
+    def hear_yield(self) -> None:
+        """Takes in that the holder says it can not go on."""
+        if self.sight is not None and not self._is_held:
+            self._has_yielded = True
+        self._asked.set()
+
+    def hear_holder(self, term: int, revision: int, address: str) -> None:
+        """Takes in from a new holder that it has the lease.
+
+        This spares a read of the store, and it reaches a holder before that
+        is cut off from the store.
+        """
+        if self._is_held:
+            self._lose("a holder with a higher term is heard")
+        told = lease.Lease("", address, term)
+        self.sight = lease.Sight(told, revision, time.monotonic())
+        self._has_yielded = False
+
     @property
     def holder_address(self) -> str | None:
         """Where the holder hears its peers, None if nobody is known."""
@@ -90,7 +115,11 @@
     @property
     def is_valid(self) -> bool:
         """Whether we hold the lease and may rely on that now."""
-        return self._is_held and time.monotonic() < self._valid_until
+        return (
+            self._is_held
+            and not self._is_doubtful
+            and time.monotonic() < self._valid_until
+        )
 
     def ask(self) -> None:
         """Has the lease looked at, because its holder is silent."""
@@ -119,6 +148,11 @@
         await asyncio.sleep(lease.RENEWAL if self.is_valid else _REPEAT_SECONDS)
         await self.renew()
 
+    def _doubt(self) -> None:
+        """Yields the lease when its renewal is not answered soon."""
+        self._is_doubtful = True
+        logs.event(_LOG, "lease_doubtful", logging.WARNING)
+
     async def _note_outage(self, error: errors.ObjectError) -> None:
         logs.event(
             _LOG,
@@ -163,12 +197,19 @@
     async def _look(self) -> None:
         if self._is_stopping:
             return
+        before = self.sight
         sight = await self._read()
+        if before and sight and sight.lease.term != before.lease.term:
+            # Somebody else was faster.
+            self._has_yielded = False
         if sight is None:
             await asyncio.sleep(random.uniform(0, _SPREAD_SECONDS))
             await self._take(None)
             return
-        if not lease.may_take(sight, self._options.name, time.monotonic()):
+        is_free = self._has_yielded or lease.may_take(
+            sight, self._options.name, time.monotonic()
+        )
+        if not is_free:
             await asyncio.sleep(_LOOK_SECONDS)
             # Unless the holder was heard meanwhile, it is looked at again by
             # the next report that goes unanswered.
@@ -192,7 +233,9 @@
             )
         self.sight = lease.Sight(mine, stored.revision, time.monotonic())
         self._own_term = mine.term
+        self._is_doubtful = False
         self._is_held = True
+        self._has_yielded = False
         self._valid_until = began + lease.HOLD
         logs.event(_LOG, "lease_taken", term=mine.term)
         self._on_taken()
@@ -208,10 +251,16 @@
             assert self.sight is not None
             began = time.monotonic()
             mine = self.sight.lease.renew()
-            stored = await self._store.replace(
-                self._kind,
-                store_module.Stored(NAME, self.sight.revision, mine),
-            )
+            loop = asyncio.get_running_loop()
+            timer = loop.call_later(_DOUBT_SECONDS, self._doubt)
+            try:
+                stored = await self._store.replace(
+                    self._kind,
+                    store_module.Stored(NAME, self.sight.revision, mine),
+                )
+            finally:
+                timer.cancel()
+            self._is_doubtful = False
             self.sight = lease.Sight(mine, stored.revision, time.monotonic())
             self._valid_until = began + lease.HOLD
 
--- a/src/wayslip/gateway/members.py
+++ b/src/wayslip/gateway/members.py
@@ -8,6 +8,7 @@
 import dataclasses
 import time
 
+from wayslip import addresses
 from wayslip.decisions import demand
 from wayslip.gateway import facts
 from wayslip.gateway import hub as hub_module
@@ -40,6 +41,7 @@
 
     def __init__(self) -> None:
         self._members: dict[str, _Member] = {}
+        self._told: tuple[hub_module.Address, ...] = ()
         self._models: demand.Rates[tuple[str, str]] = demand.Rates(_FADING)
         self._work: demand.Rates[tuple[str, str]] = demand.Rates(_FADING)
         self._misses: dict[tuple[str, str], int] = {}
@@ -146,13 +148,21 @@
                 )
         return totals
 
+    def adopt_addresses(self, addresses_told: tuple[str, ...]) -> None:
+        """Takes over which instances there are, as the holder tells it."""
+        self._told = tuple(addresses.split_address(a) for a in addresses_told)
+
     def addresses(self) -> list[hub_module.Address]:
-        """Returns where the instances hear us, forgetting silent ones."""
+        """Returns where the instances hear us, forgetting silent ones.
+
+        Until they report, those count that the holder before us knew.
+        """
         now = time.monotonic()
         for name, member in list(self._members.items()):
             if now - member.heard > _SILENCE:
                 del self._members[name]
-        return [m.address for m in self._members.values()]
+        found = [m.address for m in self._members.values()]
+        return found or list(self._told)
 
     def clear(self) -> None:
         """Forgets the instances, not the demand."""
--- a/src/wayslip/gateway/ordering.py
+++ b/src/wayslip/gateway/ordering.py
@@ -58,6 +58,7 @@
         ready_at: When models that are loading are expected to serve.
         loaded_at: When models finished loading.
         had: Adapters that it has held before.
+        adapter_at: When adapters were loaded for a request.
         rests_until: When it may be planned for again after a failure.
         pending: The order whose effect is not known yet.
         task: The series of orders that is under way.
@@ -75,6 +76,7 @@
     ready_at: dict[str, float] = dataclasses.field(default_factory=dict)
     loaded_at: dict[str, float] = dataclasses.field(default_factory=dict)
     had: set[Item] = dataclasses.field(default_factory=set)
+    adapter_at: dict[Item, float] = dataclasses.field(default_factory=dict)
     rests_until: float = 0.0
     pending: lease.Pending | None = None
     task: asyncio.Task[None] | None = None
--- a/src/wayslip/gateway/placement.py
+++ b/src/wayslip/gateway/placement.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import collections
+from collections.abc import Callable
 import logging
 import os
 import time
 
 from wayslip import addresses
 from wayslip import logs
+from wayslip.decisions import fleet
 from wayslip.gateway import dialect
 from wayslip.gateway import facts
 from wayslip.gateway import hub as hub_module
@@ -40,12 +42,14 @@
         hub: hub_module.Hub,
         leadership: leadership_module.Leadership,
         ordering: ordering_module.Ordering,
+        is_blind: Callable[[], bool],
     ) -> None:
         self._options = options
         self._view = view
         self._hub = hub
         self._leadership = leadership
         self._ordering = ordering
+        self._is_blind = is_blind
         self._process = f"{options.name}-{os.getpid()}-{time.monotonic_ns()}"
         self._number = 0
         self._demand: collections.Counter[tuple[str, str, str]] = (
@@ -136,6 +140,7 @@
             self._options.name,
             self._process,
             self._number,
+            self._is_blind(),
             tuple(
                 facts.Usage(name, t.in_flight, round(t.unread, 3))
                 for name, t in self._view.tracked.items()
@@ -150,24 +155,30 @@
         self._work.clear()
         self._hub.send(report, addresses.split_address(holder))
 
-    def take(self, state: facts.State) -> None:
+    def take(self, state: facts.State, source: hub_module.Address) -> None:
         """Takes in what the holder tells."""
-        if state.term != self._leadership.seen_term:
-            if state.term > self._leadership.seen_term:
-                self._leadership.ask()
+        known = self._leadership.seen_term
+        if state.term < known:
             return
-        self._leadership.hear(state.revision)
+        if state.term > known and state.is_holder:
+            self._leadership.hear_holder(
+                state.term, state.revision, f"{source[0]}:{source[1]}"
+            )
         if not state.is_holder:
-            self._leadership.ask()
+            self._leadership.hear_yield()
             return
+        self._leadership.hear(state.revision)
         self._heard = time.monotonic()
         for claim in state.claims:
             self._ordering.hear_claim(claim.endpoint, claim.revision)
-        self.instances = max(state.instances, 1)
+        self.instances = max(len(state.instances), 1)
         self._take_usages(state)
         for word in state.words:
             self._take_word(word)
         self._take_arrivals(state)
+        if state.listed and self._is_blind():
+            self._view.replace_all(_decode_listed(e) for e in state.listed)
+            self.notify()
 
     def _take_arrivals(self, state: facts.State) -> None:
         now = time.monotonic()
@@ -215,3 +226,21 @@
             held=word.is_held,
         )
         self.notify()
+
+
+def _decode_listed(listed: facts.Listed) -> fleet.Endpoint:
+    models: dict[str, set[str]] = {}
+    for item in listed.items:
+        model, _, adapter = item.partition("/")
+        models.setdefault(model, set())
+        if adapter:
+            models[model].add(adapter)
+    return fleet.Endpoint(
+        name=listed.endpoint,
+        service=listed.service,
+        address=listed.address,
+        data_hall=listed.data_hall,
+        slots=listed.slots,
+        is_leaving=listed.is_leaving,
+        models={m: frozenset(a) for m, a in models.items()},
+    )
--- a/src/wayslip/gateway/planner.py
+++ b/src/wayslip/gateway/planner.py
@@ -8,6 +8,7 @@
 
 from wayslip import errors
 from wayslip import logs
+from wayslip.decisions import fleet
 from wayslip.decisions import lease
 from wayslip.decisions import loading
 from wayslip.decisions import manifest as manifest_module
@@ -43,6 +44,9 @@
 # A load that the holder before us ordered is taken to last so much longer,
 # seconds: half of a load from the weight store.
 _ADOPTED_SECONDS = 5.0
+# How long a request's wish for an adapter is tried again, seconds; the request
+# repeats it while it waits.
+_WISH_SECONDS = 0.2
 # Demand is told to every instance this often, seconds; it fades in 4.
 _RATES_SECONDS = 0.8
 
@@ -68,7 +72,8 @@
             ordering, self.members, self._start, self._tell_all
         )
         self._buckets: dict[str, rate.Bucket] = {}
-        self._wishes: set[adapters_module.Wish] = set()
+        # Adapters that requests wait for, and until when.
+        self._wishes: dict[adapters_module.Wish, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         # Loads that the holder before us told of, by endpoint and model.
         self._heard_arrivals: dict[tuple[str, str], float] = {}
@@ -85,6 +90,9 @@
         self._ordering.least_token = self._leadership.revision
         self._buckets.clear()
         self._is_prepared = False
+        # Everybody hears at once whom to report to, the holder before us too:
+        # it may be cut off from the store.
+        self._tell_all()
         self._start(self._prepare())
 
     async def _prepare(self) -> None:
@@ -155,6 +163,7 @@
 
     def _end_task(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
+        self._soon.set()
         if not task.cancelled() and task.exception() is not None:
             _LOG.error("order_series_failed", exc_info=task.exception())
 
@@ -169,9 +178,13 @@
             return
         if isinstance(message, facts.Report):
             self.members.take(message, source, self._find_held())
-            self._hub.send(self._make_state(), source)
+            listed = self._list_endpoints() if message.is_blind else ()
+            self._hub.send(self._make_state(listed=listed), source)
         else:
-            self._wishes.add((message.service, message.model, message.adapter))
+            if not message.adapter:
+                return
+            wish = (message.service, message.model, message.adapter)
+            self._wishes[wish] = time.monotonic() + _WISH_SECONDS
             self._soon.set()
 
     def _take_state(self, state: facts.State) -> None:
@@ -179,6 +192,7 @@
         if self._leadership.is_held or not state.is_holder:
             return
         self.members.adopt(state.rates)
+        self.members.adopt_addresses(state.instances)
         now = time.monotonic()
         self._heard_arrivals = {
             (a.endpoint, a.model): now + a.seconds
@@ -195,13 +209,35 @@
             if not adapter
         }
 
-    def _make_state(self, rates: tuple[facts.Rate, ...] = ()) -> facts.State:
+    def _list_endpoints(self) -> tuple[facts.Listed, ...]:
+        """Returns the list for an instance that can not read it."""
+        return tuple(
+            facts.Listed(
+                t.endpoint.name,
+                t.endpoint.service,
+                t.endpoint.address,
+                t.endpoint.data_hall,
+                t.endpoint.slots,
+                t.endpoint.is_leaving,
+                tuple(
+                    f"{m}/{a}" if a else m
+                    for m, a in fleet.list_items(t.endpoint.models)
+                ),
+            )
+            for t in self._view.tracked.values()
+        )
+
+    def _make_state(
+        self,
+        rates: tuple[facts.Rate, ...] = (),
+        listed: tuple[facts.Listed, ...] = (),
+    ) -> facts.State:
         now = time.monotonic()
         return facts.State(
             term=self._leadership.seen_term,
             revision=self._leadership.revision,
             is_holder=self._leadership.is_valid,
-            instances=len(self.members.addresses()),
+            instances=tuple(f"{h}:{p}" for h, p in self.members.addresses()),
             usages=tuple(self.members.total_usages().values()),
             words=tuple(self._list_words(now)),
             arrivals=tuple(self._list_arrivals(now)),
@@ -210,6 +246,7 @@
                 for name, seen in self._ordering.claims.items()
             ),
             rates=rates,
+            listed=listed,
         )
 
     def _list_words(self, now: float) -> list[facts.Word]:
@@ -295,15 +332,16 @@
         manifest = self._holder.manifest
         if manifest is None:
             return
-        wishes, self._wishes = self._wishes, set()
+        now = time.monotonic()
+        self._wishes = {w: at for w, at in self._wishes.items() if at > now}
         for service in manifest.services.values():
             pool = service.pool
             if pool is None:
                 continue
             books = self._books_of(service.name)
-            for name, model, adapter in wishes:
-                if adapter and name == service.name:
-                    self._adapters.wish(name, pool, books, (model, adapter))
+            for wish in [w for w in self._wishes if w[0] == service.name]:
+                if self._adapters.wish(wish[0], pool, books, wish[1:]):
+                    del self._wishes[wish]
             while self._plan_one(service.name, pool):
                 pass
             self._adapters.fill(service.name, pool, books)
