--- a/src/wayslip/gateway/leadership.py
+++ b/src/wayslip/gateway/leadership.py
@@ -50,8 +50,8 @@
         self._asked.set()
         self._lock = asyncio.Lock()
         self._is_held = False
-        # Whether the holder itself said that it can not renew the lease.
-        self._has_yielded = False
+        # The term whose holder said that it can not renew the lease.
+        self._yielded_term = 0
         self._is_doubtful = False
         self._own_term = 0
         self._is_stopping = False
@@ -84,15 +84,13 @@
         if self.sight is None or self._is_held:
             return
         if revision > self.sight.revision:
-            self._has_yielded = False
             self.sight = lease.Sight(
                 self.sight.lease, revision, time.monotonic()
             )
 
-    def hear_yield(self) -> None:
-        """Takes in that the holder says it can not go on."""
-        if self.sight is not None and not self._is_held:
-            self._has_yielded = True
+    def hear_yield(self, term: int) -> None:
+        """Takes in that the holder of a term says it can not go on."""
+        self._yielded_term = term
         self._asked.set()
 
     def hear_holder(self, term: int, revision: int, address: str) -> None:
@@ -105,7 +103,6 @@
             self._lose("a holder with a higher term is heard")
         told = lease.Lease("", address, term)
         self.sight = lease.Sight(told, revision, time.monotonic())
-        self._has_yielded = False
 
     @property
     def holder_address(self) -> str | None:
@@ -197,16 +194,12 @@
     async def _look(self) -> None:
         if self._is_stopping:
             return
-        before = self.sight
         sight = await self._read()
-        if before and sight and sight.lease.term != before.lease.term:
-            # Somebody else was faster.
-            self._has_yielded = False
         if sight is None:
             await asyncio.sleep(random.uniform(0, _SPREAD_SECONDS))
             await self._take(None)
             return
-        is_free = self._has_yielded or lease.may_take(
+        is_free = self._yielded_term == sight.lease.term or lease.may_take(
             sight, self._options.name, time.monotonic()
         )
         if not is_free:
@@ -235,7 +228,6 @@
         self._own_term = mine.term
         self._is_doubtful = False
         self._is_held = True
-        self._has_yielded = False
         self._valid_until = began + lease.HOLD
         logs.event(_LOG, "lease_taken", term=mine.term)
         self._on_taken()
--- a/src/wayslip/gateway/placement.py
+++ b/src/wayslip/gateway/placement.py
@@ -165,7 +165,7 @@
                 state.term, state.revision, f"{source[0]}:{source[1]}"
             )
         if not state.is_holder:
-            self._leadership.hear_yield()
+            self._leadership.hear_yield(state.term)
             return
         self._leadership.hear(state.revision)
         self._heard = time.monotonic()
--- /dev/null
+++ b/tests/gateway/test_leadership.py
@@ -0,0 +1,129 @@
+"""Who plans, with the store's answers and what holders say of themselves."""
+
+import asyncio
+
+from standins import platform_store
+from wayslip import addresses
+from wayslip.decisions import lease
+from wayslip.gateway import leadership as leadership_module
+from wayslip.gateway import options as options_module
+from wayslip.gateway import records
+from wayslip.platform import store
+
+
+class Member:
+    def __init__(self, name, address, port):
+        self.taken = 0
+        options = options_module.Options(
+            name, "127.0.0.1", "h", "", "", address, f"127.0.0.1:{port}", 0
+        )
+        self.store = store.PlatformStore(addresses.split_address(address))
+        self.leadership = leadership_module.Leadership(
+            options, self.store, records.LEASE, self.take, lambda: None
+        )
+        self.task = asyncio.create_task(self.leadership.run())
+
+    def take(self):
+        self.taken += 1
+
+    async def stop(self):
+        self.task.cancel()
+        self.store.close()
+
+
+def with_members(test):
+    def wrapper():
+        async def body():
+            standin = platform_store.PlatformStore()
+            address = await standin.start()
+            members = [Member(f"g{n}", address, n) for n in (1, 2, 3)]
+            try:
+                async with asyncio.timeout(30):
+                    await test(standin, members)
+            finally:
+                for member in members:
+                    await member.stop()
+                standin.stop()
+
+        asyncio.run(body())
+
+    wrapper.__name__ = test.__name__
+    return wrapper
+
+
+async def until(check):
+    while not check():
+        await asyncio.sleep(0.01)
+
+
+def holders(members):
+    return [m for m in members if m.leadership.is_valid]
+
+
+@with_members
+async def test_one_of_all_takes_the_lease(standin, members):
+    await until(lambda: holders(members))
+    await asyncio.sleep(lease.HOLD)
+    assert len(holders(members)) == 1
+    assert sum(m.taken for m in members) == 1
+
+
+@with_members
+async def test_yielded_term_is_taken_once(standin, members):
+    # Two instances took the lease one after the other on one word of the
+    # holder before, and nobody planned for seconds.
+    await until(lambda: holders(members))
+    holder = holders(members)[0]
+    holder.task.cancel()
+    others = [m for m in members if m is not holder]
+    term = holder.leadership.seen_term
+    for _ in range(60):
+        for member in others:
+            member.leadership.hear_yield(term)
+        await asyncio.sleep(0.02)
+    assert sum(m.taken for m in others) == 1
+    assert len(holders(others)) == 1
+
+
+@with_members
+async def test_holder_without_an_answer_is_doubtful(standin, members):
+    await until(lambda: holders(members))
+    holder = holders(members)[0]
+    standin.faults.is_silent = True
+    await until(lambda: not holder.leadership.is_valid)
+    assert holder.leadership.is_held
+    standin.faults.is_silent = False
+    await until(lambda: holder.leadership.is_valid)
+    assert holder.taken == 1
+
+
+@with_members
+async def test_holder_that_is_cut_off_hears_of_its_successor(standin, members):
+    await until(lambda: holders(members))
+    holder = holders(members)[0]
+    term = holder.leadership.seen_term
+    holder.leadership.hear_holder(term + 1, 99_999, "127.0.0.1:9")
+    assert not holder.leadership.is_held
+    assert holder.leadership.holder_address == "127.0.0.1:9"
+
+
+@with_members
+async def test_lost_answer_does_not_cost_the_lease(standin, members):
+    await until(lambda: holders(members))
+    holder = holders(members)[0]
+    standin.faults.loses_writes = 1
+    await until(lambda: not standin.faults.loses_writes)
+    await until(lambda: holder.leadership.is_valid)
+    assert sum(m.taken for m in members) == 1
+
+
+@with_members
+async def test_released_lease_is_free_at_once(standin, members):
+    await until(lambda: holders(members))
+    holder = holders(members)[0]
+    await holder.leadership.release()
+    others = [m for m in members if m is not holder]
+    for member in others:
+        member.leadership.ask()
+    async with asyncio.timeout(lease.EXPIRY):
+        await until(lambda: holders(others))
