--- a/src/wayslip/gateway/planner.py
+++ b/src/wayslip/gateway/planner.py
@@ -274,6 +274,10 @@
         ]
 
     def _tell_all(self, rates: tuple[facts.Rate, ...] = ()) -> None:
+        if not self._leadership.is_held:
+            # Series that end because the lease was lost come here too; their
+            # word would be taken for the next holder's.
+            return
         state = self._make_state(rates)
         for address in self.members.addresses():
             self._hub.send(state, address)
