--- a/src/wayslip/cli/ctl.py
+++ b/src/wayslip/cli/ctl.py
@@ -11,6 +11,7 @@
   wayslipctl [options] endpoints
   wayslipctl [options] dump INSTANCE
   wayslipctl [options] drain INSTANCE
+  wayslipctl [options] explain REQUEST [LOG ...]
   wayslipctl --help
 
 Commands:
@@ -24,6 +25,8 @@
   endpoints  Endpoints with their memory, phase and load.
   dump       The whole state of both daemons of an instance.
   drain      Begin the planned stop of an instance.
+  explain    Tell from instances' logs what happened to a request; reads files,
+             or standard input. The line that decided is marked with *.
 
 Options:
   --url=URL        Operators' port of any control [default: http://127.0.0.1:9080].
@@ -40,6 +43,7 @@
      wrong                      5  not done within --wait
 """
 
+import dataclasses
 import json
 import os
 import pathlib
@@ -51,6 +55,7 @@
 import urllib3
 
 from wayslip import errors
+from wayslip import story
 
 EXIT_FAILED = 1
 EXIT_USAGE = 2
@@ -139,6 +144,8 @@
         raise errors.BadRequestError(
             "--timeout or --wait is no number", "give seconds"
         ) from e
+    if options["explain"]:
+        return _explain(options)
     control = Control(options["--url"], _read_key(options), timeout)
     method, path, body = _choose_call(options)
     reply = control.call(method, path, body)
@@ -154,6 +161,25 @@
     return EXIT_WAITED if unfinished else 0
 
 
+def _explain(options: Any) -> int:
+    """Prints the story of a request from logs."""
+    texts = [_read(path).decode(errors="replace") for path in options["LOG"]]
+    lines = [x for text in texts for x in text.splitlines()]
+    if not options["LOG"]:
+        lines = sys.stdin.read().splitlines()
+    told = story.tell(options["REQUEST"], lines)
+    if told is None:
+        raise errors.BadRequestError(
+            f"no line names request {options['REQUEST']}",
+            "give the logs of all instances around its time",
+        )
+    if options["--json"]:
+        print(json.dumps(dataclasses.asdict(told), indent=1))
+    else:
+        print(story.format_story(told))
+    return 0
+
+
 def _read_key(options: Any) -> str:
     path = options["--key-file"]
     if not path:
--- a/src/wayslip/decisions/loading.py
+++ b/src/wayslip/decisions/loading.py
@@ -25,7 +25,7 @@
 RESERVE = 0.03
 # What an engine loses by being busy with a load, requests a second, besides
 # its adapters: another model may be wanted more a moment later.
-BUSY_LOSS = 0.04
+BUSY_LOSS = 0.12
 # What a load has to gain at least, requests. Its price is a third of one; the
 # rest is against loads for a single request, which in trials cost the busier
 # models more than they served (docs/design/platform.md).
--- /dev/null
+++ b/tests/test_story.py
@@ -0,0 +1,69 @@
+from tests import test_cli
+from wayslip import story
+
+
+def line(source, at, name, **fields):
+    pairs = " ".join(f"{k}={v}" for k, v in fields.items())
+    return f"  1.0 {source} time={at} level=info logger=x event={name} {pairs}"
+
+
+LINES = [
+    line("i-1", 101.000, "chosen", request="r1", model="m1", endpoint="e1"),
+    line("i-1", 101.050, "chosen", request="r2", model="m2", endpoint="e2"),
+    line(
+        "i-2", 100.900, "load_planned", endpoint="e9", model="m3", victims="m1"
+    ),
+    line("i-2", 100.950, "load_planned", endpoint="e9", model="m8"),
+    line("i-1", 101.100, "endpoint_refused", request="r1", endpoint="e1"),
+    line(
+        "i-1", 101.101, "ended", request="r1", outcome="not_taken", model="m1"
+    ),
+    line("i-3", 101.000, "store_lost", kind="config"),
+    line("i-1", 101.020, "store_lost", reason='"a \\"b\\""'),
+    "some line that is not ours",
+]
+LOG = "\n".join(LINES)
+
+
+def test_line_is_parsed_with_its_source():
+    event = story.parse_line(LINES[7])
+    assert event.source.split()[-1] == "i-1"
+    assert event.fields["reason"] == 'a "b"'
+    assert story.parse_line("some line that is not ours") is None
+
+
+def test_story_has_own_events_and_what_touched_them():
+    told = story.tell("r1", LINES)
+    assert [e.name for e in told.events] == [
+        "chosen",
+        "endpoint_refused",
+        "ended",
+    ]
+    assert told.outcome == "not_taken"
+    # The eviction of its model and the outage of its own instance, no other.
+    assert [(e.name, e.fields.get("model")) for e in told.context] == [
+        ("load_planned", "m3"),
+        ("store_lost", None),
+    ]
+    assert story.find_decision(told).name == "endpoint_refused"
+
+
+def test_story_says_in_words_how_it_ended():
+    text = story.format_story(story.tell("r1", LINES))
+    assert "* " in text and "endpoint_refused" in text
+    assert text.endswith("the endpoint turned it away; it was not run")
+
+
+def test_unknown_request_has_no_story():
+    assert story.tell("r9", LINES) is None
+
+
+def test_command_reads_files(tmp_path):
+    path = tmp_path / "log"
+    path.write_text(LOG)
+    done = test_cli.run("ctl", "explain", "r1", str(path))
+    assert done.returncode == 0, done.stderr
+    assert "outcome: not_taken" in done.stdout
+    done = test_cli.run("ctl", "explain", "r9", str(path))
+    assert done.returncode == 2
+    assert "give the logs of all instances" in done.stderr
