--- a/src/wayslip/gateway/adapters.py
+++ b/src/wayslip/gateway/adapters.py
@@ -12,6 +12,7 @@
 from wayslip.decisions import lease
 from wayslip.decisions import loading
 from wayslip.decisions import manifest
+from wayslip.gateway import books as books_module
 from wayslip.gateway import charges
 from wayslip.gateway import engines
 from wayslip.gateway import members as members_module
@@ -52,7 +53,7 @@
         self,
         service: str,
         pool: manifest.Pool,
-        books: list[ordering_module.Book],
+        books: list[books_module.Book],
         item: tuple[str, str],
     ) -> bool:
         """Starts to load an adapter where its model is.
@@ -78,7 +79,7 @@
         self,
         service: str,
         pool: manifest.Pool,
-        books: list[ordering_module.Book],
+        books: list[books_module.Book],
     ) -> None:
         """Loads adapters that are nowhere into free places, one an engine."""
         now = time.monotonic()
@@ -109,7 +110,7 @@
         self,
         service: str,
         pool: manifest.Pool,
-        book: ordering_module.Book,
+        book: books_module.Book,
         anywhere: set[tuple[str, str]],
     ) -> tuple[str, str] | None:
         """Returns the adapter that an engine should load ahead."""
@@ -129,9 +130,9 @@
     def _choose(
         self,
         pool: manifest.Pool,
-        books: list[ordering_module.Book],
+        books: list[books_module.Book],
         model: str,
-    ) -> ordering_module.Book | None:
+    ) -> books_module.Book | None:
         # While it loads a model, an engine takes no order for an adapter.
         now = time.monotonic()
         found = {
@@ -152,7 +153,7 @@
     async def _carry_out(
         self,
         wish: Wish,
-        book: ordering_module.Book,
+        book: books_module.Book,
         pool: manifest.Pool,
         spec: manifest.Model,
         may_drop: bool = True,
@@ -164,7 +165,7 @@
 
     async def _load(
         self,
-        book: ordering_module.Book,
+        book: books_module.Book,
         pool: manifest.Pool,
         spec: manifest.Model,
         adapter: str,
@@ -194,7 +195,7 @@
             book.added[item] = time.monotonic() + seconds
         self._tell_all()
 
-    async def _drop_one(self, book: ordering_module.Book) -> bool:
+    async def _drop_one(self, book: books_module.Book) -> bool:
         """Unloads the adapter that is used least; returns whether it went."""
         service = book.endpoint.service
         limit = time.monotonic() - _SETTLE_SECONDS
--- /dev/null
+++ b/src/wayslip/gateway/books.py
@@ -0,0 +1,134 @@
+"""What the planner knows of each engine: its orders, and what it may hold."""
+
+import asyncio
+import dataclasses
+
+from wayslip.decisions import fleet
+from wayslip.decisions import lease
+
+Item = fleet.Item
+
+
+@dataclasses.dataclass
+class Book:
+    """What the lease's holder knows of one engine.
+
+    Neither the list nor a report is ever ahead of the engine, and either may
+    lag behind the other. So an item counts as held while any of them shows
+    it, and only what was seen to be dropped no longer counts.
+
+    Attributes:
+        endpoint: The engine's entry in the list.
+        orders: Orders that it has taken, None if that is not certain.
+        least_orders: Orders that it has taken at least; a report that tells
+            of fewer is an old one.
+        reported: What its last report showed.
+        is_known: Whether a report told all that it holds; not so while it
+            loads something that a holder before us ordered.
+        added: Items ordered to load that nothing shows yet, and when they
+            can serve.
+        removed: Items ordered to unload, and whether they are seen gone.
+        ready_at: When models that are loading are expected to serve.
+        loaded_at: When models finished loading.
+        had: Adapters that it has held before.
+        adapter_at: When adapters were loaded for a request.
+        rests_until: When it may be planned for again after a failure.
+        pending: The order whose effect is not known yet.
+        task: The series of orders that is under way.
+        lock: Held while an order is given.
+        changed: Set by every new entry.
+    """
+
+    endpoint: fleet.Endpoint
+    orders: int | None = None
+    least_orders: int = 0
+    reported: set[Item] = dataclasses.field(default_factory=set)
+    is_known: bool = False
+    added: dict[Item, float] = dataclasses.field(default_factory=dict)
+    removed: dict[Item, bool] = dataclasses.field(default_factory=dict)
+    ready_at: dict[str, float] = dataclasses.field(default_factory=dict)
+    loaded_at: dict[str, float] = dataclasses.field(default_factory=dict)
+    had: set[Item] = dataclasses.field(default_factory=set)
+    adapter_at: dict[Item, float] = dataclasses.field(default_factory=dict)
+    rests_until: float = 0.0
+    pending: lease.Pending | None = None
+    task: asyncio.Task[None] | None = None
+    lock: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
+    changed: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+
+    def charged(self) -> set[Item]:
+        """Returns all items that take memory or may."""
+        items = self.listed() | self.reported | set(self.added)
+        if self.pending is not None and self.pending.action is (
+            lease.Action.LOAD
+        ):
+            items.add((self.pending.model, self.pending.adapter))
+        return items - {i for i, is_gone in self.removed.items() if is_gone}
+
+    def usable(self) -> set[Item]:
+        """Returns the items that can serve now; adapters, or in moments."""
+        coming = {i for i in self.added if i[1]}
+        items = (self.listed() | self.reported | coming) - set(self.removed)
+        return {i for i in items if i[0] not in self.ready_at}
+
+    def listed(self) -> set[Item]:
+        """Returns the items in the engine's entry."""
+        return fleet.list_items(self.endpoint.models)
+
+    def take_entry(self, endpoint: fleet.Endpoint) -> None:
+        """Takes in the engine's entry in the list."""
+        before = self.listed()
+        self.endpoint = endpoint
+        listed = self.listed()
+        self.had |= {i for i in listed if i[1]}
+        for item in [i for i in self.added if i in listed]:
+            del self.added[item]
+        for item in [i for i in self.removed if i not in listed]:
+            # Either the entry follows the unload, or a report has shown it.
+            if item in before or self.removed[item]:
+                del self.removed[item]
+                self.reported.discard(item)
+        self.changed.set()
+
+    def take_state(self, state: fleet.EngineState) -> bool:
+        """Takes in a report; returns whether it was new enough."""
+        if state.orders < self.least_orders:
+            return False
+        self.orders = state.orders
+        self.least_orders = state.orders
+        self.reported = fleet.list_items(state.models) | state.coming
+        for item in self.removed:
+            self.removed[item] = item not in self.reported
+        for item in [i for i in self.added if i in self.reported]:
+            del self.added[item]
+        if not state.is_busy:
+            self.is_known = True
+        return True
+
+    def note_load(self, item: Item, now: float) -> None:
+        """Charges an item that the engine loads by our order."""
+        self.removed.pop(item, None)
+        self.added[item] = now
+
+    def note_unload(self, item: Item) -> None:
+        """Notes an unload by our order; a model takes its adapters along."""
+        model, adapter = item
+        for one in self.charged():
+            if one == item or (not adapter and one[0] == model):
+                self.added.pop(one, None)
+                self.removed[one] = False
+
+    def note_gone(self, item: Item) -> None:
+        """Notes that the engine has dropped an item."""
+        self.reported.discard(item)
+        self.removed[item] = True
+
+    def describe(self) -> dict[str, object]:
+        """Returns what the state dump shows."""
+        return {
+            "endpoint": self.endpoint,
+            "orders": self.orders,
+            "charged": sorted(self.charged()),
+            "removed": sorted(self.removed),
+            "pending": self.pending,
+        }
--- a/src/wayslip/gateway/charges.py
+++ b/src/wayslip/gateway/charges.py
@@ -4,16 +4,16 @@
 
 from wayslip.decisions import loading
 from wayslip.decisions import manifest
-from wayslip.gateway import ordering
+from wayslip.gateway import books as books_module
 
 
-def count_adapters(book: ordering.Book) -> int:
+def count_adapters(book: books_module.Book) -> int:
     """Returns the places for adapters that are or may be taken."""
     return sum(1 for _, adapter in book.charged() if adapter)
 
 
 def sum_charges(
-    book: ordering.Book, pool: manifest.Pool
+    book: books_module.Book, pool: manifest.Pool
 ) -> tuple[float, dict[str, float]]:
     """Returns the memory that is or may be taken, and adapters' by model."""
     total = 0.0
@@ -30,18 +30,18 @@
     return total, adapters
 
 
-def is_resting(book: ordering.Book, now: float) -> bool:
+def is_resting(book: books_module.Book, now: float) -> bool:
     """Whether no series of orders is under way and none failed just now."""
     return (book.task is None or book.task.done()) and now >= book.rests_until
 
 
-def is_free(book: ordering.Book, may_claim: bool, now: float) -> bool:
+def is_free(book: books_module.Book, may_claim: bool, now: float) -> bool:
     """Whether an engine can be ordered at once."""
     return is_resting(book, now) and book.pending is None and may_claim
 
 
 def make_engine(
-    book: ordering.Book, pool: manifest.Pool, may_claim: bool
+    book: books_module.Book, pool: manifest.Pool, may_claim: bool
 ) -> loading.Engine:
     """Returns an engine as the planner sees it."""
     now = time.monotonic()
--- a/src/wayslip/gateway/daemon.py
+++ b/src/wayslip/gateway/daemon.py
@@ -259,8 +259,5 @@
             "holds_lease": self.leadership.is_valid,
             "endpoints": self.view.dump(),
             "active": self._callers.active,
-            "engines": [
-                planner_module.describe_book(b)
-                for b in self._ordering.books.values()
-            ],
+            "engines": [b.describe() for b in self._ordering.books.values()],
         }
--- /dev/null
+++ b/src/wayslip/gateway/jobs.py
@@ -0,0 +1,155 @@
+"""A request under way, and how it can end without an endpoint's answer."""
+
+import dataclasses
+import logging
+import time
+
+from wayslip import logs
+from wayslip import metrics as metrics_module
+from wayslip.decisions import manifest as manifest_module
+from wayslip.decisions import retry
+from wayslip.gateway import dialect as dialect_module
+from wayslip.gateway import events
+from wayslip.http1 import messages
+from wayslip.http1 import server
+
+_LOG = logging.getLogger(__name__)
+# The shortest time that a client is told to stay away, seconds: some round
+# trips, so that what refused it can have changed.
+SHORTEST_RETRY_AFTER = 0.1
+
+
+@dataclasses.dataclass
+class Job:
+    """A request under way.
+
+    Attributes:
+        deadline: When the answer is due, steady seconds.
+        relayed: Whether a part of an answer went to the client.
+        sent_after: Seconds from its arrival until it was first sent.
+        first_after: The same until the first part of its answer.
+        fallback: An endpoint's own failure, passed on if no retry helps.
+    """
+
+    exchange: server.Exchange
+    traits: dialect_module.Traits
+    route: manifest_module.Route
+    service: manifest_module.Service
+    began: float
+    deadline: float
+    progress: retry.Progress
+    splitter: events.EventSplitter
+    misses: int = 0
+    tried: frozenset[str] = frozenset()
+    endpoint: str = ""
+    relayed: bool = False
+    sent_after: float | None = None
+    first_after: float | None = None
+    fallback: tuple[messages.Head, bytes] | None = None
+
+
+class Endings:
+    """Ends requests, with a log line each."""
+
+    def __init__(
+        self,
+        dialect: dialect_module.Dialect,
+        metrics: metrics_module.Metrics,
+    ) -> None:
+        self._dialect = dialect
+        self._metrics = metrics
+
+    def answer_verdict(self, job: Job, verdict: retry.Verdict) -> None:
+        """Answers a request that no further attempt is made at."""
+        if job.relayed:
+            self.end_job(job, "broken_off", 0)
+            job.exchange.abort()
+            return
+        if job.fallback is not None:
+            head, body = job.fallback
+            self.end_job(job, "endpoint_failed", head.status)
+            job.exchange.answer(
+                head.status, messages.find_end_to_end(head.headers), body
+            )
+            return
+        if verdict is retry.Verdict.NOT_RUN:
+            self.refuse_job(job, "not_taken", SHORTEST_RETRY_AFTER)
+            return
+        self.end_job(job, "unclear", 502)
+        job.exchange.answer(502, (), b"the endpoint broke off\n")
+
+    def time_out(self, job: Job) -> None:
+        """Answers a request whose time is over."""
+        if job.exchange.is_finished:
+            return
+        if job.exchange.is_started:
+            self.end_job(job, "stream_timed_out", 0)
+            job.exchange.abort()
+        elif job.endpoint:
+            self.end_job(job, "timed_out", 504)
+            job.exchange.answer(504, (), b"no answer in time\n")
+        else:
+            self.refuse_job(job, "timed_out_waiting", SHORTEST_RETRY_AFTER)
+
+    def refuse_job(self, job: Job, reason: str, wait: float) -> None:
+        """Says that a request was not run, and when to come back."""
+        self.end_job(job, reason, 503, f"{wait:.2f}")
+        self._metrics.count("refused", reason=reason)
+        headers = self._dialect.make_retry_after(
+            max(wait, SHORTEST_RETRY_AFTER)
+        )
+        job.exchange.answer(503, headers, b"not run, come back later\n")
+
+    def refuse(
+        self, exchange: server.Exchange, reason: str, wait: float
+    ) -> None:
+        """Refuses a request that has no job yet."""
+        self._metrics.count("refused", reason=reason)
+        headers = self._dialect.make_retry_after(wait)
+        exchange.answer(503, headers, b"not run, come back later\n")
+
+    def end_job(
+        self, job: Job, outcome: str, status: int, retry_after: str = ""
+    ) -> None:
+        """Logs and counts the end of a job."""
+        self.end(
+            job.traits.request_id,
+            outcome,
+            status,
+            job.began,
+            endpoint=job.endpoint,
+            route=job.route.name,
+            model=job.traits.model,
+            adapter=job.traits.adapter,
+            sent_after=_format_seconds(job.sent_after),
+            first_after=_format_seconds(job.first_after),
+            retry_after=retry_after,
+        )
+
+    def end(
+        self,
+        request_id: str,
+        outcome: str,
+        status: int,
+        began: float,
+        **fields: str,
+    ) -> None:
+        """Logs and counts the end of a request."""
+        seconds = time.monotonic() - began
+        self._metrics.latency("request").observe(seconds)
+        # A warning is the last to be left out when the reader is slow.
+        level = logging.INFO if outcome == "answered" else logging.WARNING
+        logs.event(
+            _LOG,
+            "ended",
+            level,
+            request=request_id,
+            outcome=outcome,
+            status=status,
+            seconds=f"{seconds:.3f}",
+            **fields,
+        )
+
+
+def _format_seconds(seconds: float | None) -> str:
+    return "" if seconds is None else f"{seconds:.3f}"
--- a/src/wayslip/gateway/ordering.py
+++ b/src/wayslip/gateway/ordering.py
@@ -8,7 +8,6 @@
 
 import asyncio
 from collections.abc import Callable
-import dataclasses
 import logging
 import time
 
@@ -17,6 +16,7 @@
 from wayslip import metrics as metrics_module
 from wayslip.decisions import fleet
 from wayslip.decisions import lease
+from wayslip.gateway import books as books_module
 from wayslip.gateway import engines as engines_module
 from wayslip.gateway import options as options_module
 from wayslip.gateway import records
@@ -33,122 +33,6 @@
 # seconds; reports are some hundred milliseconds old.
 _LEARN_SECONDS = 0.15
 _LEARN_TRIES = 5
-Item = fleet.Item
-
-
-@dataclasses.dataclass
-class Book:
-    """What the lease's holder knows of one engine.
-
-    Neither the list nor a report is ever ahead of the engine, and either may
-    lag behind the other. So an item counts as held while any of them shows
-    it, and only what was seen to be dropped no longer counts.
-
-    Attributes:
-        endpoint: The engine's entry in the list.
-        orders: Orders that it has taken, None if that is not certain.
-        least_orders: Orders that it has taken at least; a report that tells
-            of fewer is an old one.
-        reported: What its last report showed.
-        is_known: Whether a report told all that it holds; not so while it
-            loads something that a holder before us ordered.
-        added: Items ordered to load that nothing shows yet, and when they
-            can serve.
-        removed: Items ordered to unload, and whether they are seen gone.
-        ready_at: When models that are loading are expected to serve.
-        loaded_at: When models finished loading.
-        had: Adapters that it has held before.
-        adapter_at: When adapters were loaded for a request.
-        rests_until: When it may be planned for again after a failure.
-        pending: The order whose effect is not known yet.
-        task: The series of orders that is under way.
-        lock: Held while an order is given.
-        changed: Set by every new entry.
-    """
-
-    endpoint: fleet.Endpoint
-    orders: int | None = None
-    least_orders: int = 0
-    reported: set[Item] = dataclasses.field(default_factory=set)
-    is_known: bool = False
-    added: dict[Item, float] = dataclasses.field(default_factory=dict)
-    removed: dict[Item, bool] = dataclasses.field(default_factory=dict)
-    ready_at: dict[str, float] = dataclasses.field(default_factory=dict)
-    loaded_at: dict[str, float] = dataclasses.field(default_factory=dict)
-    had: set[Item] = dataclasses.field(default_factory=set)
-    adapter_at: dict[Item, float] = dataclasses.field(default_factory=dict)
-    rests_until: float = 0.0
-    pending: lease.Pending | None = None
-    task: asyncio.Task[None] | None = None
-    lock: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
-    changed: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
-
-    def charged(self) -> set[Item]:
-        """Returns all items that take memory or may."""
-        items = self.listed() | self.reported | set(self.added)
-        if self.pending is not None and self.pending.action is (
-            lease.Action.LOAD
-        ):
-            items.add((self.pending.model, self.pending.adapter))
-        return items - {i for i, is_gone in self.removed.items() if is_gone}
-
-    def usable(self) -> set[Item]:
-        """Returns the items that can serve now; adapters, or in moments."""
-        coming = {i for i in self.added if i[1]}
-        items = (self.listed() | self.reported | coming) - set(self.removed)
-        return {i for i in items if i[0] not in self.ready_at}
-
-    def listed(self) -> set[Item]:
-        """Returns the items in the engine's entry."""
-        return fleet.list_items(self.endpoint.models)
-
-    def take_entry(self, endpoint: fleet.Endpoint) -> None:
-        """Takes in the engine's entry in the list."""
-        before = self.listed()
-        self.endpoint = endpoint
-        listed = self.listed()
-        self.had |= {i for i in listed if i[1]}
-        for item in [i for i in self.added if i in listed]:
-            del self.added[item]
-        for item in [i for i in self.removed if i not in listed]:
-            # Either the entry follows the unload, or a report has shown it.
-            if item in before or self.removed[item]:
-                del self.removed[item]
-                self.reported.discard(item)
-        self.changed.set()
-
-    def take_state(self, state: fleet.EngineState) -> bool:
-        """Takes in a report; returns whether it was new enough."""
-        if state.orders < self.least_orders:
-            return False
-        self.orders = state.orders
-        self.least_orders = state.orders
-        self.reported = fleet.list_items(state.models) | state.coming
-        for item in self.removed:
-            self.removed[item] = item not in self.reported
-        for item in [i for i in self.added if i in self.reported]:
-            del self.added[item]
-        if not state.is_busy:
-            self.is_known = True
-        return True
-
-    def note_load(self, item: Item, now: float) -> None:
-        """Charges an item that the engine loads by our order."""
-        self.removed.pop(item, None)
-        self.added[item] = now
-
-    def note_unload(self, item: Item) -> None:
-        """Notes an unload by our order; a model takes its adapters along."""
-        model, adapter = item
-        for one in self.charged():
-            if one == item or (not adapter and one[0] == model):
-                self.added.pop(one, None)
-                self.removed[one] = False
-
-    def note_gone(self, item: Item) -> None:
-        """Notes that the engine has dropped an item."""
-        self.reported.discard(item)
-        self.removed[item] = True
 
 
 class Ordering:
@@ -165,7 +49,7 @@
         self._store = store
         self._client = client
         self._metrics = metrics
-        self.books: dict[str, Book] = {}
+        self.books: dict[str, books_module.Book] = {}
         # The store's revision at which this instance took the lease.
         self.least_token = 0
         # Claims as they were read, written, or told by another holder.
@@ -268,7 +152,7 @@
 
     # Orders
 
-    async def sync(self, book: Book) -> fleet.EngineState | None:
+    async def sync(self, book: books_module.Book) -> fleet.EngineState | None:
         """Asks an engine for its count of orders and what it holds."""
         try:
             state = await self._client.report(book.endpoint)
@@ -282,7 +166,7 @@
             return None
         return state if book.take_state(state) else None
 
-    async def learn(self, book: Book) -> bool:
+    async def learn(self, book: books_module.Book) -> bool:
         """Sees to it that an engine's count and content are known."""
         for attempt in range(_LEARN_TRIES):
             if book.orders is not None and book.is_known:
@@ -294,9 +178,9 @@
 
     async def order(
         self,
-        book: Book,
+        book: books_module.Book,
         action: lease.Action,
-        item: Item,
+        item: fleet.Item,
         may_send: Callable[[], bool] = lambda: True,
     ) -> engines_module.OrderOutcome:
         """Gives an order; returns once its effect is certain.
@@ -321,7 +205,7 @@
             )
             return await self._give(book, pending)
 
-    async def settle(self, book: Book) -> None:
+    async def settle(self, book: books_module.Book) -> None:
         """Settles an order that a holder before us left open."""
         async with book.lock:
             pending = book.pending
@@ -331,7 +215,7 @@
             self._note(book, pending, outcome)
 
     async def _give(
-        self, book: Book, pending: lease.Pending
+        self, book: books_module.Book, pending: lease.Pending
     ) -> engines_module.OrderOutcome:
         book.pending = pending
         outcome = await self._send(book, pending)
@@ -345,7 +229,7 @@
         return outcome
 
     async def _send(
-        self, book: Book, pending: lease.Pending
+        self, book: books_module.Book, pending: lease.Pending
     ) -> engines_module.OrderOutcome | None:
         """Claims the engine and sends an order; None if it was not sent."""
         began = time.monotonic()
@@ -357,7 +241,7 @@
         return await self._client.order(book.endpoint, pending, authority)
 
     async def _repeat(
-        self, book: Book, pending: lease.Pending
+        self, book: books_module.Book, pending: lease.Pending
     ) -> engines_module.OrderOutcome:
         """Repeats an order until the engine's count tells what came of it."""
         while self.books.get(pending.endpoint) is book:
@@ -378,7 +262,7 @@
 
     def _note(
         self,
-        book: Book,
+        book: books_module.Book,
         pending: lease.Pending,
         outcome: engines_module.OrderOutcome,
     ) -> None:
@@ -405,7 +289,7 @@
         ):
             self._apply(book, pending)
 
-    def _apply(self, book: Book, pending: lease.Pending) -> None:
+    def _apply(self, book: books_module.Book, pending: lease.Pending) -> None:
         item = (pending.model, pending.adapter)
         if pending.action is lease.Action.LOAD:
             book.note_load(item, time.monotonic())
@@ -413,7 +297,7 @@
             book.note_unload(item)
 
     async def wait_for_model(
-        self, book: Book, model: str, is_held: bool, seconds: float
+        self, book: books_module.Book, model: str, is_held: bool, seconds: float
     ) -> bool:
         """Waits until an engine holds a model, or does not.
 
@@ -434,7 +318,9 @@
                 await self.sync(book)
         return False
 
-    def _is_settled(self, book: Book, model: str, is_held: bool) -> bool:
+    def _is_settled(
+        self, book: books_module.Book, model: str, is_held: bool
+    ) -> bool:
         item = (model, "")
         if is_held:
             return item in book.listed() or item in book.reported
--- a/src/wayslip/gateway/planner.py
+++ b/src/wayslip/gateway/planner.py
@@ -8,12 +8,12 @@
 
 from wayslip import errors
 from wayslip import logs
-from wayslip.decisions import fleet
 from wayslip.decisions import lease
 from wayslip.decisions import loading
 from wayslip.decisions import manifest as manifest_module
 from wayslip.decisions import rate
 from wayslip.gateway import adapters as adapters_module
+from wayslip.gateway import books as books_module
 from wayslip.gateway import charges
 from wayslip.gateway import configuration
 from wayslip.gateway import engines
@@ -22,6 +22,7 @@
 from wayslip.gateway import leadership as leadership_module
 from wayslip.gateway import members as members_module
 from wayslip.gateway import ordering as ordering_module
+from wayslip.gateway import telling
 from wayslip.gateway import view as view_module
 
 _LOG = logging.getLogger(__name__)
@@ -47,8 +48,6 @@
 # How long a request's wish for an adapter is tried again, seconds; the request
 # repeats it while it waits.
 _WISH_SECONDS = 0.2
-# Demand is told to every instance this often, seconds; it fades in 4.
-_RATES_SECONDS = 0.8
 
 
 class Planner:
@@ -66,10 +65,12 @@
         self._view = view
         self._leadership = leadership
         self._ordering = ordering
-        self._hub = hub
         self.members = members_module.Members()
+        self._teller = telling.Teller(
+            view, leadership, ordering, self.members, hub
+        )
         self._adapters = adapters_module.Adapters(
-            ordering, self.members, self._start, self._tell_all
+            ordering, self.members, self._start, self._teller.tell_all
         )
         self._buckets: dict[str, rate.Bucket] = {}
         # Adapters that requests wait for, and until when.
@@ -78,7 +79,6 @@
         # Loads that the holder before us told of, by endpoint and model.
         self._heard_arrivals: dict[tuple[str, str], float] = {}
         self._missing_since: dict[str, float] = {}
-        self._rates_told = 0.0
         self._is_prepared = False
         self._soon = asyncio.Event()
 
@@ -92,7 +92,7 @@
         self._is_prepared = False
         # Everybody hears at once whom to report to, the holder before us too:
         # it may be cut off from the store.
-        self._tell_all()
+        self._teller.tell_all()
         self._start(self._prepare())
 
     async def _prepare(self) -> None:
@@ -124,7 +124,7 @@
             book.task = self._start(self._see_loaded(book, model, at - now))
 
     async def _settle(
-        self, book: ordering_module.Book, pending: lease.Pending
+        self, book: books_module.Book, pending: lease.Pending
     ) -> None:
         """Settles an order that the holder before us left open."""
         await self._ordering.settle(book)
@@ -134,7 +134,7 @@
             await self._see_loaded(book, pending.model, _ADOPTED_SECONDS)
 
     async def _see_loaded(
-        self, book: ordering_module.Book, model: str, seconds: float
+        self, book: books_module.Book, model: str, seconds: float
     ) -> None:
         """Waits for a load that was ordered by the holder before us."""
         try:
@@ -146,7 +146,7 @@
             )
         finally:
             book.ready_at.pop(model, None)
-            self._tell_all()
+            self._teller.tell_all()
 
     def end(self) -> None:
         """Stops giving orders; what was sent stays in the claims."""
@@ -178,8 +178,7 @@
             return
         if isinstance(message, facts.Report):
             self.members.take(message, source, self._find_held())
-            listed = self._list_endpoints() if message.is_blind else ()
-            self._hub.send(self._make_state(listed=listed), source)
+            self._teller.answer(source, message.is_blind)
         else:
             if not message.adapter:
                 return
@@ -209,85 +208,6 @@
             if not adapter
         }
 
-    def _list_endpoints(self) -> tuple[facts.Listed, ...]:
-        """Returns the list for an instance that can not read it."""
-        return tuple(
-            facts.Listed(
-                t.endpoint.name,
-                t.endpoint.service,
-                t.endpoint.address,
-                t.endpoint.data_hall,
-                t.endpoint.slots,
-                t.endpoint.is_leaving,
-                tuple(
-                    f"{m}/{a}" if a else m
-                    for m, a in fleet.list_items(t.endpoint.models)
-                ),
-            )
-            for t in self._view.tracked.values()
-        )
-
-    def _make_state(
-        self,
-        rates: tuple[facts.Rate, ...] = (),
-        listed: tuple[facts.Listed, ...] = (),
-    ) -> facts.State:
-        now = time.monotonic()
-        return facts.State(
-            term=self._leadership.seen_term,
-            revision=self._leadership.revision,
-            is_holder=self._leadership.is_valid,
-            instances=tuple(f"{h}:{p}" for h, p in self.members.addresses()),
-            usages=tuple(self.members.total_usages().values()),
-            words=tuple(self._list_words(now)),
-            arrivals=tuple(self._list_arrivals(now)),
-            claims=tuple(
-                facts.ClaimRevision(name, seen.revision)
-                for name, seen in self._ordering.claims.items()
-            ),
-            rates=rates,
-            listed=listed,
-        )
-
-    def _list_words(self, now: float) -> list[facts.Word]:
-        words = []
-        for name, book in self._ordering.books.items():
-            for model, adapter in book.removed:
-                words.append(facts.Word(name, model, adapter, False, 0.0))
-            listed = book.listed()
-            for item in book.usable() - listed:
-                seconds = max(book.added.get(item, now) - now, 0.0)
-                words.append(facts.Word(name, *item, True, seconds))
-        return words
-
-    def _list_arrivals(self, now: float) -> list[facts.Arrival]:
-        return [
-            facts.Arrival(
-                book.endpoint.name,
-                book.endpoint.service,
-                model,
-                max(at - now, 0.0),
-                (model, "") in book.charged(),
-            )
-            for book in self._ordering.books.values()
-            for model, at in book.ready_at.items()
-        ]
-
-    def _tell_all(self, rates: tuple[facts.Rate, ...] = ()) -> None:
-        if not self._leadership.is_held:
-            # Series that end because the lease was lost come here too; their
-            # word would be taken for the next holder's.
-            return
-        state = self._make_state(rates)
-        for address in self.members.addresses():
-            self._hub.send(state, address)
-
-    def _tell_rates(self) -> None:
-        now = time.monotonic()
-        if now - self._rates_told >= _RATES_SECONDS:
-            self._rates_told = now
-            self._tell_all(self.members.list_rates())
-
     # Planning
 
     async def run(self) -> None:
@@ -303,7 +223,7 @@
             if self._leadership.is_valid and self._is_prepared:
                 self._plan()
                 self._drop_claims()
-                self._tell_rates()
+                self._teller.tell_rates()
 
     def _follow_list(self) -> None:
         books = self._ordering.books
@@ -314,7 +234,7 @@
             self._missing_since.pop(name, None)
             book = books.get(name)
             if book is None:
-                book = ordering_module.Book(tracked.endpoint)
+                book = books_module.Book(tracked.endpoint)
                 books[name] = book
                 book.take_entry(tracked.endpoint)
             elif book.endpoint is not tracked.endpoint:
@@ -350,7 +270,7 @@
                 pass
             self._adapters.fill(service.name, pool, books)
 
-    def _books_of(self, service: str) -> list[ordering_module.Book]:
+    def _books_of(self, service: str) -> list[books_module.Book]:
         return [
             b
             for b in self._ordering.books.values()
@@ -420,7 +340,7 @@
 
     async def _carry_out(
         self,
-        book: ordering_module.Book,
+        book: books_module.Book,
         step: loading.Step,
         pool: manifest_module.Pool,
     ) -> None:
@@ -432,17 +352,17 @@
             if not is_loaded:
                 book.rests_until = time.monotonic() + _FAILED_REST
             book.ready_at.pop(step.model, None)
-            self._tell_all()
+            self._teller.tell_all()
 
     async def _make_room(
-        self, book: ordering_module.Book, step: loading.Step
+        self, book: books_module.Book, step: loading.Step
     ) -> bool:
         """Unloads the victims; returns whether all are gone."""
         if not await self._ordering.learn(book):
             return False
         for victim in step.victims:
             book.removed[(victim, "")] = False
-            self._tell_all()
+            self._teller.tell_all()
             outcome = await self._ordering.order(
                 book, lease.Action.UNLOAD, (victim, "")
             )
@@ -457,7 +377,7 @@
 
     async def _load(
         self,
-        book: ordering_module.Book,
+        book: books_module.Book,
         step: loading.Step,
         pool: manifest_module.Pool,
     ) -> bool:
@@ -473,7 +393,7 @@
         if outcome not in engines.DONE:
             return False
         book.ready_at[step.model] = time.monotonic() + step.seconds
-        self._tell_all()
+        self._teller.tell_all()
         limit = step.seconds * _LOAD_FACTOR + _LOAD_EXTRA
         await asyncio.sleep(step.seconds * 0.9)
         is_done = await self._ordering.wait_for_model(
@@ -488,14 +408,3 @@
             loaded=is_done,
         )
         return is_done
-
-
-def describe_book(book: ordering_module.Book) -> dict[str, object]:
-    """Returns a book for the state dump."""
-    return {
-        "endpoint": book.endpoint,
-        "orders": book.orders,
-        "charged": sorted(book.charged()),
-        "removed": sorted(book.removed),
-        "pending": book.pending,
-    }
--- a/tests/gateway/test_ordering.py
+++ b/tests/gateway/test_ordering.py
@@ -7,6 +7,7 @@
 from wayslip import metrics
 from wayslip.decisions import fleet
 from wayslip.decisions import lease
+from wayslip.gateway import books as books_module
 from wayslip.gateway import engines as engines_module
 from wayslip.gateway import options as options_module
 from wayslip.gateway import ordering
@@ -20,7 +21,7 @@
     entry = fleet.Endpoint(
         "e1", "s", "127.0.0.1:1", "h", models={m: frozenset() for m in models}
     )
-    return ordering.Book(entry, **fields)
+    return books_module.Book(entry, **fields)
 
 
 def state(orders, *models, **fields):
@@ -120,7 +121,7 @@
             "h",
             models={m: frozenset(a) for m, a in engine.models.items()},
         )
-        self.book = ordering.Book(entry)
+        self.book = books_module.Book(entry)
         self.ordering.books[engine.name] = self.book
 
     def connect(self, address):
@@ -216,7 +217,7 @@
     other.connect(fixture.address)
     await other.ordering.read_claims()
     assert not other.ordering.may_claim("e1")
-    book = ordering.Book(fixture.book.endpoint)
+    book = books_module.Book(fixture.book.endpoint)
     other.ordering.books["e1"] = book
     outcome = await other.ordering.order(book, lease.Action.LOAD, M3)
     assert outcome is engines_module.OrderOutcome.REFUSED
