--- /dev/null
+++ b/bench/gateway.py
@@ -0,0 +1,102 @@
+"""What the gateway's decisions and messages cost at several sizes.
+
+Usage:
+  python -m bench.gateway
+
+Prints processor time a decision and bytes a datagram; single-threaded.
+"""
+
+import random
+import time
+
+from wayslip.decisions import loading
+from wayslip.decisions import manifest
+from wayslip.decisions import selection
+from wayslip.gateway import facts
+
+# Engines and models: the Authority, the Association, both after growth, and a
+# data hall of the size of two years from now.
+SIZES = ((6, 26), (9, 39), (30, 111), (70, 305), (1_200, 290))
+_SECONDS = 0.5
+
+
+def measure(work):
+    """Returns the seconds of processor time that one call takes."""
+    count = 0
+    began = time.process_time()
+    while time.process_time() - began < _SECONDS:
+        work()
+        count += 1
+    return (time.process_time() - began) / count
+
+
+def make_pool(models):
+    """Returns a pool of equal models."""
+    found = {
+        f"m{n}": manifest.Model(f"m{n}", 70_000.0, 60.0, ("a1",), 9.0, 2.0, 0.8)
+        for n in range(models)
+    }
+    return manifest.Pool(64, 130_000, 220_000.0, 8, 1.4, found)
+
+
+def make_world(engines, models, rng):
+    """Returns engines with three models each and a skewed demand."""
+    names = [f"m{n}" for n in range(models)]
+    world = {
+        f"i-{n:08x}": loading.Engine(
+            name=f"i-{n:08x}",
+            models=frozenset(rng.sample(names, 3)),
+            coming={},
+            charged_mb=210_000.0,
+            adapters_mb={},
+            is_free=True,
+        )
+        for n in range(engines)
+    }
+    demand = {
+        name: loading.Demand(4.0 / (1 + n), 0.6 / (1 + n))
+        for n, name in enumerate(names)
+    }
+    return world, demand
+
+
+def make_state(engines):
+    """Returns a statement of the planner with some work everywhere."""
+    names = [f"i-{n:08x}" for n in range(engines)]
+    return facts.State(
+        1,
+        1,
+        True,
+        tuple(f"10.0.0.{n % 250}:7380" for n in range(engines)),
+        tuple(facts.Usage(n, 12, 0.4) for n in names),
+        (),
+        (),
+        tuple(facts.ClaimRevision(n, 123_456) for n in names),
+        (),
+    )
+
+
+def main():
+    """Prints the table."""
+    rng = random.Random(7)
+    print("engines models  plan ms  choose us  state bytes  encode us")
+    for engines, models in SIZES:
+        pool = make_pool(models)
+        world, demand = make_world(engines, models, rng)
+        plan = measure(lambda: loading.plan_load(world, pool, demand, True))
+        candidates = [
+            selection.Candidate(n, rng.randrange(40), 64, rng.random())
+            for n in world
+        ]
+        choose = measure(lambda: selection.choose(candidates, rng.random()))
+        state = make_state(engines)
+        encode = measure(lambda: facts.encode(state))
+        size = len(facts.encode(state))
+        print(
+            f"{engines:7} {models:6} {plan * 1e3:8.2f} {choose * 1e6:10.1f}"
+            f" {size:12} {encode * 1e6:10.1f}"
+        )
+
+
+if __name__ == "__main__":
+    main()
