--- a/bench/gateway.py
+++ b/bench/gateway.py
@@ -76,26 +76,30 @@
     )
 
 
+def measure_size(engines, models):
+    """Prints one line of the table."""
+    rng = random.Random(7)
+    pool = make_pool(models)
+    world, demand = make_world(engines, models, rng)
+    plan = measure(lambda: loading.plan_load(world, pool, demand, True))
+    candidates = [
+        selection.Candidate(n, rng.randrange(40), 64, rng.random())
+        for n in world
+    ]
+    choose = measure(lambda: selection.choose(candidates, rng.random()))
+    state = make_state(engines)
+    encode = measure(lambda: facts.encode(state))
+    print(
+        f"{engines:7} {models:6} {plan * 1e3:8.2f} {choose * 1e6:10.1f}"
+        f" {len(facts.encode(state)):12} {encode * 1e6:10.1f}"
+    )
+
+
 def main():
     """Prints the table."""
-    rng = random.Random(7)
     print("engines models  plan ms  choose us  state bytes  encode us")
     for engines, models in SIZES:
-        pool = make_pool(models)
-        world, demand = make_world(engines, models, rng)
-        plan = measure(lambda: loading.plan_load(world, pool, demand, True))
-        candidates = [
-            selection.Candidate(n, rng.randrange(40), 64, rng.random())
-            for n in world
-        ]
-        choose = measure(lambda: selection.choose(candidates, rng.random()))
-        state = make_state(engines)
-        encode = measure(lambda: facts.encode(state))
-        size = len(facts.encode(state))
-        print(
-            f"{engines:7} {models:6} {plan * 1e3:8.2f} {choose * 1e6:10.1f}"
-            f" {size:12} {encode * 1e6:10.1f}"
-        )
+        measure_size(engines, models)
 
 
 if __name__ == "__main__":
--- a/src/wayslip/decisions/loading.py
+++ b/src/wayslip/decisions/loading.py
@@ -135,8 +135,10 @@
         self.engines = engines
         self.pool = pool
         self._demand = demand
-        self.copies = {m: _find_copies(engines, m) for m in pool.models}
+        self.copies = _find_copies(engines, pool)
         self._busy = {e.name: self._sum_work(e) for e in engines.values()}
+        self._losses: dict[str, list[tuple[float, str]]] = {}
+        self._excess: dict[str, float] = {}
 
     def demand(self, model: str) -> Demand:
         """Returns the demand for a model."""
@@ -155,6 +157,13 @@
 
     def _find_excess(self, model: str) -> float:
         """Returns the work for a model that its engines can not do in time."""
+        known = self._excess.get(model)
+        if known is None:
+            known = self._sum_excess(model)
+            self._excess[model] = known
+        return known
+
+    def _sum_excess(self, model: str) -> float:
         part = self._part(model)
         excess = 0.0
         for name in self.copies[model].held:
@@ -187,12 +196,28 @@
         late = self._count_requests(model, moved) * SPREAD_WORTH
         return gain + late * max(HORIZON - max(seconds, copies.soonest), 0.0)
 
-    def most_gain(self, model: str) -> float:
-        """Returns the most that a further copy could gain."""
-        return max(
-            (self.gain_of_copy(model, name, 0.0) for name in self.engines),
-            default=0.0,
-        )
+    def bound_gain(self, model: str) -> float:
+        """Returns what a further copy can gain at most, on any engine."""
+        copies = self.copies[model]
+        asked = self.demand(model)
+        gain = copies.soonest * asked.rate
+        if not copies.held and not copies.coming:
+            gain += asked.owed
+        moved = min(self._find_excess(model), BUSY_SHARE)
+        late = self._count_requests(model, moved) * SPREAD_WORTH
+        return gain + late * HORIZON
+
+    def list_losses(self, engine: Engine) -> list[tuple[float, str]]:
+        """Returns what is lost with each copy on an engine, least first."""
+        known = self._losses.get(engine.name)
+        if known is None:
+            known = sorted(
+                (self.loss_of_copy(m, engine.name), m)
+                for m in engine.models
+                if m not in engine.fresh and m in self.copies
+            )
+            self._losses[engine.name] = known
+        return known
 
     def loss_of_copy(self, model: str, engine: str) -> float:
         """Returns the requests that are lost with a copy in the horizon."""
@@ -214,15 +239,20 @@
 ) -> Step | None:
     """Returns the load that gains most, None if none pays."""
     world = _World(engines, pool, demand)
+    bounds = sorted(
+        ((world.bound_gain(m), m) for m in demand if m in pool.models),
+        reverse=True,
+    )
+    free = [e for e in engines.values() if e.is_free]
     best: Step | None = None
-    for name in demand:
-        model = pool.models.get(name)
-        if model is None or world.most_gain(name) <= LEAST_GAIN:
-            continue
-        for engine in engines.values():
-            if not engine.is_free or name in engine.models:
+    for bound, name in bounds:
+        # No later model can gain more than this one could at most.
+        if bound <= max(best.gain if best else 0.0, LEAST_GAIN):
+            break
+        for engine in free:
+            if name in engine.models:
                 continue
-            step = _plan_on(world, engine, model)
+            step = _plan_on(world, engine, pool.models[name])
             if step is None or (step.is_cold and not may_load_cold):
                 continue
             if best is None or step.gain > best.gain:
@@ -230,10 +260,24 @@
     return best
 
 
-def _find_copies(engines: Mapping[str, Engine], model: str) -> _Copies:
-    held = tuple(e.name for e in engines.values() if model in e.models)
-    coming = [e.coming[model] for e in engines.values() if model in e.coming]
-    return _Copies(held, len(coming), min([*coming, HORIZON]))
+def _find_copies(
+    engines: Mapping[str, Engine], pool: manifest.Pool
+) -> dict[str, _Copies]:
+    held: dict[str, list[str]] = {m: [] for m in pool.models}
+    coming: dict[str, list[float]] = {m: [] for m in pool.models}
+    for engine in engines.values():
+        for model in engine.models:
+            held.setdefault(model, []).append(engine.name)
+        for model, seconds in engine.coming.items():
+            coming.setdefault(model, []).append(seconds)
+    return {
+        m: _Copies(
+            tuple(names),
+            len(coming.get(m, ())),
+            min([*coming.get(m, ()), HORIZON]),
+        )
+        for m, names in held.items()
+    }
 
 
 def _plan_on(
@@ -272,14 +316,9 @@
     """Returns the models that make way and the loss, cheapest first."""
     if missing <= 0:
         return (), 0.0
-    losses = sorted(
-        (world.loss_of_copy(m, engine.name), m)
-        for m in engine.models
-        if m not in engine.fresh and m in world.copies
-    )
     victims: list[str] = []
     total = 0.0
-    for loss, name in losses:
+    for loss, name in world.list_losses(engine):
         victims.append(name)
         total += loss
         missing -= world.pool.models[name].weights_mb
--- a/src/wayslip/gateway/daemon.py
+++ b/src/wayslip/gateway/daemon.py
@@ -101,6 +101,7 @@
             platform.configuration,
             self._take_configurations,
             self._take_configuration,
+            options.bounds.watch,
         )
         self._endpoints = following.EndpointFollower(
             platform.store,
@@ -108,6 +109,7 @@
             self.view,
             self._placement.notify,
             self._requests.drop_endpoint,
+            options.bounds.watch,
         )
         self._callers = server.Server(
             addresses.split_address(options.callers),
--- a/src/wayslip/gateway/following.py
+++ b/src/wayslip/gateway/following.py
@@ -33,6 +33,7 @@
         view: view_module.EndpointView,
         on_change: Callable[[], None],
         on_gone: Callable[[str], None],
+        wait: float,
     ) -> None:
         self._view = view
         self._on_change = on_change
@@ -40,7 +41,12 @@
         self._listed: set[str] = set()
         self._outage_ended = -_AFTERMATH_SECONDS
         self.watcher = watching.Watcher(
-            store, kind, self._take_list, self._take_change, _REST_SECONDS
+            store,
+            kind,
+            self._take_list,
+            self._take_change,
+            wait,
+            _REST_SECONDS,
         )
 
     def _take_list(
--- a/src/wayslip/gateway/members.py
+++ b/src/wayslip/gateway/members.py
@@ -85,6 +85,12 @@
             if one.adapter:
                 self._adapters.add((*key, one.adapter), one.count, now)
 
+    def meet(self, instance: str, source: hub_module.Address) -> None:
+        """Takes in where an instance hears us before its first report."""
+        if instance not in self._members:
+            now = time.monotonic()
+            self._members[instance] = _Member(source, "", 0, now, ())
+
     def adopt(self, rates: tuple[facts.Rate, ...]) -> None:
         """Takes over the demand as the holder tells it."""
         now = time.monotonic()
--- a/src/wayslip/gateway/options.py
+++ b/src/wayslip/gateway/options.py
@@ -6,6 +6,9 @@
 
 import dataclasses
 
+# For finding a watch silent, connecting anew and reading the list, seconds.
+_WATCH_MARGIN = 1.0
+
 
 @dataclasses.dataclass(frozen=True)
 class Bounds:
@@ -18,6 +21,8 @@
         budget_window: Window over which repeats are counted.
         budget_slack: Repeats allowed on top, over all instances.
         load_window: Window over which loads from the weight store count.
+        contact: An instance that was cut off counts again after this.
+        config_apply: A configuration is in force after this.
         load_over: Factor by which loads may exceed the store's rate.
     """
 
@@ -28,6 +33,17 @@
     budget_slack: float = 50.0
     load_window: float = 5.0
     load_over: float = 1.0
+    contact: float = 3.0
+    config_apply: float = 2.0
+
+    @property
+    def watch(self) -> float:
+        """How long a watch may wait.
+
+        One that a cut has silenced is found out after it, and what it missed
+        must be in force when the instance counts again.
+        """
+        return max(self.contact + self.config_apply - _WATCH_MARGIN, 1.0)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/wayslip/gateway/planner.py
+++ b/src/wayslip/gateway/planner.py
@@ -180,6 +180,7 @@
             self.members.take(message, source, self._find_held())
             self._teller.answer(source, message.is_blind)
         else:
+            self.members.meet(message.instance, source)
             if not message.adapter:
                 return
             wish = (message.service, message.model, message.adapter)
--- a/src/wayslip/gateway/watching.py
+++ b/src/wayslip/gateway/watching.py
@@ -15,11 +15,8 @@
 _LOG = logging.getLogger(__name__)
 T = TypeVar("T")
 
-# How long a watch waits, seconds. One that a cut has silenced is found out
-# after it, so it is a little less than the operators allow between the end of
-# a cut and a configuration in force (3 s and 2 s).
-WATCH_SECONDS = 4.0
-# Between calls while the store does not answer: a tenth of that allowance.
+# Between calls while the store does not answer, seconds: a tenth of the time
+# after which a configuration must be in force again.
 _RETRY_SECONDS = 0.25
 _RETRY_MOST = 0.6
 
@@ -32,6 +29,7 @@
         kind: What to follow.
         take_list: Is given every whole list.
         take_change: Is given every change.
+        wait: How long a watch waits, seconds; see `Bounds.watch`.
         rest: Pause after changes, seconds, so that several come with one
             call; calls are priced.
 
@@ -46,12 +44,14 @@
         kind: store_module.Kind[T],
         take_list: Callable[[tuple[store_module.Stored[T], ...]], None],
         take_change: Callable[[store_module.Change[T]], None],
+        wait: float,
         rest: float = 0.0,
     ) -> None:
         self._store = store
         self._kind = kind
         self._take_list = take_list
         self._take_change = take_change
+        self._wait = wait
         self._rest = rest
         self.is_synced = False
         self.lost_since: float | None = None
@@ -82,7 +82,7 @@
         return listing.revision
 
     async def _watch(self, revision: int) -> int:
-        changes = await self._store.watch(self._kind, revision, WATCH_SECONDS)
+        changes = await self._store.watch(self._kind, revision, self._wait)
         for change in changes.items:
             self._take_change(change)
         if changes.items and self._rest:
--- a/src/wayslip/platform/settings.py
+++ b/src/wayslip/platform/settings.py
@@ -66,5 +66,10 @@
         budget_window=float(raw.get("budget_window_s", default.budget_window)),
         budget_slack=float(raw.get("retry_slack", default.budget_slack)),
         load_window=float(raw.get("ceiling_window_s", default.load_window)),
+        contact=float(raw.get("contact_ms", default.contact * 1000)) / 1000,
+        config_apply=float(
+            raw.get("config_apply_ms", default.config_apply * 1000)
+        )
+        / 1000,
         load_over=float(raw.get("origin_rate_over", default.load_over)),
     )
--- a/tests/decisions/test_loading.py
+++ b/tests/decisions/test_loading.py
@@ -150,3 +150,17 @@
     chosen = loading.choose_adapter_engine({"e1": 2, "e2": 3}, 8, {"e1": 9})
     assert chosen == "e2"
     assert loading.choose_adapter_engine({}, 8, {}) is None
+
+
+def test_best_of_many_models_is_found():
+    names = [f"m{n}" for n in range(12)]
+    pool = make_pool(*names)
+    engines = [make_engine("e1", "m0", "m1"), make_engine("e2", "m2", "m3")]
+    wanted = names[4:]
+    demand = {name: asked(1.0 + 0.1 * n) for n, name in enumerate(wanted)}
+    gains = {
+        name: step.gain
+        for name, one in demand.items()
+        if (step := plan(engines, pool, {name: one}))
+    }
+    assert plan(engines, pool, demand).model == max(gains, key=gains.get)
