--- a/src/wayslip/gateway/members.py
+++ b/src/wayslip/gateway/members.py
@@ -10,6 +10,8 @@
 
 from wayslip import addresses
 from wayslip.decisions import demand
+from wayslip.decisions import loading
+from wayslip.decisions import manifest
 from wayslip.gateway import facts
 from wayslip.gateway import hub as hub_module
 
@@ -117,6 +119,26 @@
         )
         return models + adapters
 
+    def find_demand(
+        self, service: str, pool: manifest.Pool
+    ) -> dict[str, loading.Demand]:
+        """Returns the demand for each model of a service."""
+        adapters: dict[str, float] = {}
+        for (model, _), rate in self.adapter_rates(service).items():
+            adapters[model] = adapters.get(model, 0.0) + rate
+        found = {}
+        for model, rate in self.model_rates(service).items():
+            spec = pool.models.get(model)
+            count = len(spec.adapters) if spec else 0
+            misses = max(1 - pool.adapter_slots / count, 0.0) if count else 0.0
+            found[model] = loading.Demand(
+                rate=rate,
+                work=self.work(service, model),
+                owed=self.owed(service, model),
+                missing_adapter=adapters.get(model, 0.0) * misses,
+            )
+        return found
+
     def model_rates(self, service: str) -> dict[str, float]:
         """Returns how often each model of a service is asked for."""
         rates = self._models.all(time.monotonic())
--- a/src/wayslip/gateway/planner.py
+++ b/src/wayslip/gateway/planner.py
@@ -286,7 +286,7 @@
             n: charges.make_engine(b, pool, self._ordering.may_claim(n))
             for n, b in books.items()
         }
-        demand = self._find_demand(service, pool)
+        demand = self.members.find_demand(service, pool)
         bucket = self._buckets.get(service)
         if bucket is None:
             bucket = rate.Bucket(pool.loads_per_s, _COLD_BURST, 0.0, now)
@@ -316,28 +316,6 @@
         book.task = self._start(self._carry_out(book, step, pool))
         return True
 
-    def _find_demand(
-        self,
-        service: str,
-        pool: manifest_module.Pool,
-    ) -> dict[str, loading.Demand]:
-        rates = self.members.model_rates(service)
-        adapters: dict[str, float] = {}
-        for (model, _), r in self.members.adapter_rates(service).items():
-            adapters[model] = adapters.get(model, 0.0) + r
-        demand = {}
-        for model, r in rates.items():
-            spec = pool.models.get(model)
-            count = len(spec.adapters) if spec else 0
-            misses = max(1 - pool.adapter_slots / count, 0.0) if count else 0.0
-            demand[model] = loading.Demand(
-                rate=r,
-                work=self.members.work(service, model),
-                owed=self.members.owed(service, model),
-                missing_adapter=adapters.get(model, 0.0) * misses,
-            )
-        return demand
-
     # Carrying out
 
     async def _carry_out(
--- a/src/wayslip/http1/server.py
+++ b/src/wayslip/http1/server.py
@@ -219,9 +219,7 @@
             return
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._refuse(400)
-        except httptools.HttpParserError:
+        except (httptools.HttpParserUpgrade, httptools.HttpParserError):
             self._refuse(400)
         else:
             self._check_open_head(len(data))
