--- a/src/wayslip/gateway/members.py
+++ b/src/wayslip/gateway/members.py
@@ -21,9 +21,11 @@
 # What a request that found its model nowhere adds to the gain of loading it,
 # requests, until one finds it. Rare models must be served too, however slowly
 # requests for them come: the sixth or so brings about a load from the weight
-# store.
+# store, and later ones go before the loads of busier models.
 _MISS_GAIN = 0.5
-_MISS_MOST = 8.0
+_LATE_MISS_GAIN = 1.5
+_FIRST_MISSES = 4
+_MISS_MOST = 20.0
 # An instance that was silent for this long is no longer counted, seconds.
 _SILENCE = 2.0
 
@@ -151,7 +153,9 @@
     def owed(self, service: str, model: str) -> float:
         """Returns what loading a model gains for those it was refused to."""
         count = self._misses.get((service, model), 0)
-        return min(count * _MISS_GAIN, _MISS_MOST)
+        late = max(count - _FIRST_MISSES, 0)
+        gain = (count - late) * _MISS_GAIN + late * _LATE_MISS_GAIN
+        return min(gain, _MISS_MOST)
 
     def work(self, service: str, model: str) -> float:
         """Returns the seconds a second that a model's prompts take to read."""
