--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -51,6 +51,30 @@
     assert ("unload", None) not in actions
 
 
+@harness.run
+async def test_third_adapter_waits_for_a_place_and_gets_it(system):
+    engine = await system.add(
+        "e1", "models", ["m1"], test_requests.stream_whole
+    )
+    await system.until(lambda: system.gateway.leadership.is_valid)
+    for name in ("a1", "a2"):
+        assert (await ask(system, f"m1/{name}", f"r-{name}")).status == 200
+    # Both were loaded for requests just now, so the third is refused, and
+    # taken in once one of them has settled.
+    statuses = []
+    for number in range(20):
+        answer = await ask(system, "m1/a3", f"r-{number}")
+        statuses.append(answer.status)
+        if answer.status == 200:
+            break
+        assert answer.status == 503
+        assert float(answer.headers["retry-after"]) > 0
+    assert statuses[0] == 503
+    assert statuses[-1] == 200
+    assert "a3" in engine.models["m1"]
+    assert len(engine.models["m1"]) == 2
+
+
 @harness.run
 async def test_missing_model_is_refused_with_a_time_and_then_loaded(system):
     engine = await system.add(
