--- a/src/wayslip/gateway/daemon.py
+++ b/src/wayslip/gateway/daemon.py
@@ -15,12 +15,14 @@
 from wayslip.decisions import fleet
 from wayslip.decisions import manifest
 from wayslip.gateway import configuration
+from wayslip.gateway import currency
 from wayslip.gateway import dialect as dialect_module
 from wayslip.gateway import engines as engines_module
 from wayslip.gateway import facts
 from wayslip.gateway import following
 from wayslip.gateway import hub as hub_module
 from wayslip.gateway import leadership as leadership_module
+from wayslip.gateway import members as members_module
 from wayslip.gateway import options as options_module
 from wayslip.gateway import ordering as ordering_module
 from wayslip.gateway import placement as placement_module
@@ -28,6 +30,7 @@
 from wayslip.gateway import records
 from wayslip.gateway import requests as requests_module
 from wayslip.gateway import store as store_module
+from wayslip.gateway import telling
 from wayslip.gateway import view as view_module
 from wayslip.gateway import watching
 from wayslip.http1 import server
@@ -71,21 +74,29 @@
             options,
             platform.store,
             records.LEASE,
-            lambda: self._planner.begin(),
-            lambda: self._planner.end(),
+            self._begin_term,
+            self._end_term,
         )
         self._ordering = ordering_module.Ordering(
             options, platform.store, platform.engines, self.metrics
         )
+        members = members_module.Members()
+        self._teller = telling.Teller(
+            options.peers, self.leadership, self._ordering, members, self._hub
+        )
         self._planner = planner_module.Planner(
-            self.holder, self.view, self.leadership, self._ordering, self._hub
+            self.holder,
+            self.view,
+            self.leadership,
+            self._ordering,
+            members,
+            self._teller,
         )
         self._placement = placement_module.Placement(
             options,
             self.view,
             self._hub,
             self.leadership,
-            self._ordering,
             lambda: self._endpoints.watcher.lost_since is not None,
         )
         self._requests = requests_module.Requests(
@@ -99,16 +110,20 @@
         self._configurations = watching.Watcher(
             platform.store,
             platform.configuration,
+            self._make_currency(),
             self._take_configurations,
-            self._take_configuration,
+            self._take_changes,
             options.bounds.watch,
+            lists_anew=True,
         )
         self._endpoints = following.EndpointFollower(
             platform.store,
             platform.endpoints,
+            self._make_currency(),
             self.view,
             self._placement.notify,
             self._requests.drop_endpoint,
+            self._teller.tell_changes,
             options.bounds.watch,
         )
         self._callers = server.Server(
@@ -129,6 +144,11 @@
         self._stopping = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
 
+    def _make_currency(self) -> currency.Currency:
+        return currency.Currency(
+            self._options.bounds.word, lambda: self.leadership.is_held
+        )
+
     # Running
 
     async def run(self) -> None:
@@ -148,6 +168,7 @@
             self.leadership.run(),
             self._placement.run(),
             self._planner.run(),
+            self._teller.run(self._find_sights),
         ):
             self._start_task(work)
         logs.event(
@@ -206,26 +227,64 @@
     # Configuration, lease and peers
 
     def _take_configurations(
-        self, items: tuple[store_module.Stored[manifest.Manifest], ...]
+        self, listing: store_module.Listing[manifest.Manifest]
     ) -> None:
-        for item in items:
+        for item in listing.items:
             if item.name == self._platform.configuration_name:
                 self.holder.offer(item.value)
 
-    def _take_configuration(
-        self, change: store_module.Change[manifest.Manifest]
+    def _take_changes(
+        self, changes: store_module.Changes[manifest.Manifest]
     ) -> None:
-        is_ours = change.name == self._platform.configuration_name
-        if is_ours and change.value is not None:
-            self.holder.offer(change.value)
+        for change in changes.items:
+            is_ours = change.name == self._platform.configuration_name
+            if is_ours and change.value is not None:
+                self.holder.offer(change.value)
+
+    def _begin_term(self) -> None:
+        self._configurations.currency.wake()
+        self._endpoints.watcher.currency.wake()
+        self._planner.begin()
+        # Everybody hears at once whom to report to, the holder before us too:
+        # it may be cut off from the store.
+        self._teller.tell_state(self._find_sights())
+
+    def _end_term(self) -> None:
+        self._planner.end()
+
+    def _find_sights(self) -> telling.Sights:
+        known = self.holder.manifest
+        return telling.Sights(
+            facts.Seen(known.version if known else 0, self._configurations.age),
+            facts.Seen(self._endpoints.changed_at, self._endpoints.watcher.age),
+        )
 
     def _take_message(
         self, message: facts.Message, source: hub_module.Address
     ) -> None:
         if isinstance(message, facts.State):
-            self._placement.take(message, source)
+            self._placement.take(message)
+            self._take_sights(message)
+        elif isinstance(message, facts.News):
+            self._placement.take_news(message)
+        elif isinstance(message, facts.Changes):
+            self._endpoints.take_told(message)
+        elif isinstance(message, facts.Report) and message.is_blind:
+            self._teller.send_list(self._endpoints.list_all(), source)
         self._planner.take(message, source)
 
+    def _take_sights(self, state: facts.State) -> None:
+        if state.term < self.leadership.seen_term:
+            return
+        known = self.holder.manifest
+        version = known.version if known else 0
+        told = state.configuration
+        self._configurations.currency.hear(told.age, version >= told.revision)
+        told = state.endpoints
+        self._endpoints.watcher.currency.hear(
+            told.age, self._endpoints.has(told.revision)
+        )
+
     # Answers to the balancer and to operators
 
     def is_ready(self) -> bool:
--- a/src/wayslip/gateway/facts.py
+++ b/src/wayslip/gateway/facts.py
@@ -11,6 +11,7 @@
 import cbor2
 
 from wayslip import errors
+from wayslip.decisions import fleet
 
 # Larger datagrams are sent in parts, bytes: below what a network fragments
 # badly and what one receive buffer takes.
@@ -43,10 +44,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Listed:
-    """An endpoint's entry, for an instance that can not read the list.
+    """An endpoint's entry in the platform's list.
 
     Attributes:
         items: Models and adapters that it holds, "MODEL" or "MODEL/ADAPTER".
+        in_memory: Models whose weights lie in its host memory.
+        on_disk: Models whose weights lie on its disk.
     """
 
     endpoint: str
@@ -56,6 +59,46 @@
     slots: int
     is_leaving: bool
     items: tuple[str, ...]
+    in_memory: tuple[str, ...] = ()
+    on_disk: tuple[str, ...] = ()
+
+    @classmethod
+    def of(cls, endpoint: fleet.Endpoint) -> "Listed":
+        """Returns the entry of an endpoint."""
+        return cls(
+            endpoint.name,
+            endpoint.service,
+            endpoint.address,
+            endpoint.data_hall,
+            endpoint.slots,
+            endpoint.is_leaving,
+            tuple(
+                f"{m}/{a}" if a else m
+                for m, a in sorted(fleet.list_items(endpoint.models))
+            ),
+            tuple(sorted(endpoint.in_memory)),
+            tuple(sorted(endpoint.on_disk)),
+        )
+
+    def restore(self) -> fleet.Endpoint:
+        """Returns the endpoint of an entry."""
+        models: dict[str, set[str]] = {}
+        for item in self.items:
+            model, _, adapter = item.partition("/")
+            held = models.setdefault(model, set())
+            if adapter:
+                held.add(adapter)
+        return fleet.Endpoint(
+            name=self.endpoint,
+            service=self.service,
+            address=self.address,
+            data_hall=self.data_hall,
+            slots=self.slots,
+            is_leaving=self.is_leaving,
+            models={m: frozenset(a) for m, a in models.items()},
+            in_memory=frozenset(self.in_memory),
+            on_disk=frozenset(self.on_disk),
+        )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -68,6 +111,7 @@
     """
 
     instance: str
+    data_hall: str
     process: str
     number: int
     is_blind: bool
@@ -80,6 +124,7 @@
     """A request waits for a model or adapter that no endpoint holds."""
 
     instance: str
+    data_hall: str
     service: str
     model: str
     adapter: str
@@ -141,33 +186,118 @@
     revision: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Seen:
+    """How far the lease's holder follows a kind of objects.
+
+    Attributes:
+        revision: Up to which it has told all changes.
+        age: Seconds since the store last answered its watch.
+    """
+
+    revision: int
+    age: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class State:
-    """What the lease's holder tells every instance.
+    """What the lease's holder tells every instance all the time.
 
     Attributes:
         term: The holder's term.
         revision: Of its last renewal of the lease.
+        address: Where the holder hears its peers, "IP:PORT".
         is_holder: Whether its lease is valid.
-        instances: Instances that it hears of, as "IP:PORT".
+        instances: How many instances it hears of.
+        configuration: How far it follows the configuration; the revision is
+            the configuration's own version.
+        endpoints: How far it follows the list of endpoints.
         usages: Totals over all instances.
     """
 
     term: int
     revision: int
+    address: str
     is_holder: bool
-    instances: tuple[str, ...]
+    instances: int
+    configuration: Seen
+    endpoints: Seen
     usages: tuple[Usage, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class News:
+    """What is loaded or taken away, and what comes.
+
+    Attributes:
+        term: The holder's term.
+        is_whole: Whether this is all there is; else only what changed.
+    """
+
+    term: int
+    is_whole: bool
     words: tuple[Word, ...]
     arrivals: tuple[Arrival, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Handover:
+    """What a successor of the holder has to know; a part of it.
+
+    Attributes:
+        peers: Instances as (address, data hall), empty if not in this part.
+    """
+
+    term: int
+    peers: tuple[tuple[str, str], ...]
     claims: tuple[ClaimRevision, ...]
     rates: tuple[Rate, ...]
-    listed: tuple[Listed, ...] = ()
 
 
-Message = Report | Want | State
-_KINDS: dict[int, type] = {1: Report, 2: Want, 3: State}
+@dataclasses.dataclass(frozen=True, slots=True)
+class Changes:
+    """What changed in the platform's list of endpoints.
+
+    Attributes:
+        since: The store's revision that these changes follow on.
+        revision: Up to which these are all changes; 0 for a part that others
+            follow.
+        gone: Endpoints that left the list.
+        lapsed: Endpoints that may have lapsed from it in an outage and come
+            back.
+        names: All endpoints in the list, where this ends a whole one.
+    """
+
+    term: int
+    since: int
+    revision: int
+    listed: tuple[Listed, ...]
+    gone: tuple[str, ...] = ()
+    lapsed: tuple[str, ...] = ()
+    names: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Relay:
+    """A message that its receiver takes and passes on."""
+
+    others: tuple[str, ...]
+    payload: bytes
+
+
+Message = Report | Want | State | News | Handover | Changes | Relay
+_KINDS: dict[int, type] = {
+    1: Report,
+    2: Want,
+    3: State,
+    4: News,
+    5: Handover,
+    6: Changes,
+    7: Relay,
+}
 _NUMBERS = {kind: number for number, kind in _KINDS.items()}
+# Fields that hold one such value.
+_SINGLE = {"configuration": Seen, "endpoints": Seen}
 _PARTS = {
     "usages": Usage,
     "demands": Demand,
@@ -180,7 +310,14 @@
 
 
 def _freeze(value: Any) -> Any:
-    return tuple(value) if isinstance(value, list) else value
+    if isinstance(value, list):
+        return tuple(_freeze(one) for one in value)
+    return value
+
+
+def _list_fields(part: Any) -> list[Any]:
+    """Returns a value's fields; dataclasses.astuple copies deeply, slowly."""
+    return [getattr(part, f.name) for f in dataclasses.fields(part)]
 
 
 def encode(message: Message) -> bytes:
@@ -189,7 +326,9 @@
     for field in dataclasses.fields(message):
         value = getattr(message, field.name)
         if field.name in _PARTS:
-            value = [list(dataclasses.astuple(part)) for part in value]
+            value = [_list_fields(part) for part in value]
+        elif field.name in _SINGLE:
+            value = _list_fields(value)
         fields.append(value)
     return cbor2.dumps([_NUMBERS[type(message)], *fields])
 
@@ -211,6 +350,8 @@
             part = _PARTS.get(field.name)
             if part is not None:
                 value = tuple(part(*map(_freeze, item)) for item in value)
+            elif field.name in _SINGLE:
+                value = _SINGLE[field.name](*value)
             named[field.name] = _freeze(value)
         return kind(**named)  # type: ignore[no-any-return]
     except (cbor2.CBORDecodeError, ValueError, TypeError, KeyError) as e:
--- a/src/wayslip/gateway/following.py
+++ b/src/wayslip/gateway/following.py
@@ -1,5 +1,9 @@
 """Follows the platform's list of endpoints into the view.
 
+The lease's holder watches the list and tells the other instances what
+changed. Every telling names the revision that it follows on, so that an
+instance which missed one knows it and reads the list itself.
+
 While the store is away, entries of endpoints that live may lapse. After it is
 back such an endpoint has some time to list itself again before it is taken as
 gone.
@@ -7,9 +11,12 @@
 
 import asyncio
 from collections.abc import Callable
+import dataclasses
 import time
 
 from wayslip.decisions import fleet
+from wayslip.gateway import currency as currency_module
+from wayslip.gateway import facts
 from wayslip.gateway import store as store_module
 from wayslip.gateway import view as view_module
 from wayslip.gateway import watching
@@ -18,72 +25,185 @@
 _RETURN_SECONDS = 2.0
 # Engines' entries change with every adapter; a leaving endpoint is heard of
 # this much later, of two seconds that are allowed.
-_REST_SECONDS = 0.7
+_REST_SECONDS = 0.25
 # For so long after an outage a missing entry may have lapsed in it, seconds.
 _AFTERMATH_SECONDS = 3.0
+# Entries told with one datagram; each takes 0.3 KB of the 30 KB it may have.
+_ENTRIES_MOST = 60
 
 
 class EndpointFollower:
-    """Keeps the view in line with the list."""
+    """Keeps the view in line with the list.
+
+    Args:
+        tell: Is given what changed; it is told to the others if we lead.
+    """
 
     def __init__(
         self,
         store: store_module.Store,
         kind: store_module.Kind[fleet.Endpoint],
+        currency: currency_module.Currency,
         view: view_module.EndpointView,
         on_change: Callable[[], None],
         on_gone: Callable[[str], None],
+        tell: Callable[[facts.Changes], None],
         wait: float,
     ) -> None:
         self._view = view
         self._on_change = on_change
         self._on_gone = on_gone
+        self._tell = tell
         self._listed: set[str] = set()
         self._outage_ended = -_AFTERMATH_SECONDS
+        # The store's revision once the last known change was made.
+        self.changed_at = 0
         self.watcher = watching.Watcher(
             store,
             kind,
+            currency,
             self._take_list,
-            self._take_change,
+            self._take_changes,
             wait,
             _REST_SECONDS,
         )
 
-    def _take_list(
-        self, items: tuple[store_module.Stored[fleet.Endpoint], ...]
-    ) -> None:
-        self._listed = {item.name for item in items}
-        for item in items:
+    # From the store
+
+    def _take_list(self, listing: store_module.Listing[fleet.Endpoint]) -> None:
+        self._listed = {item.name for item in listing.items}
+        for item in listing.items:
             self._view.take(item.value)
-        for name in [n for n in self._view.tracked if n not in self._listed]:
+        missing = [n for n in self._view.tracked if n not in self._listed]
+        # A whole list follows on whatever was known before.
+        self._tell_all(
+            0, listing.revision, [i.value for i in listing.items], missing
+        )
+        for name in missing:
             self._miss(name)
         self._on_change()
 
-    def _take_change(self, change: store_module.Change[fleet.Endpoint]) -> None:
-        if change.value is not None:
-            self._listed.add(change.name)
-            self._view.take(change.value)
-        else:
-            self._listed.discard(change.name)
-            self._miss(change.name)
+    def _take_changes(
+        self, changes: store_module.Changes[fleet.Endpoint]
+    ) -> None:
+        newest = {c.name: c.value for c in changes.items}
+        found = [e for e in newest.values() if e is not None]
+        missing = [n for n, e in newest.items() if e is None]
+        self._tell_all(self.changed_at, changes.revision, found, missing)
+        self._take_entries(found, missing)
+
+    def _take_entries(
+        self, found: list[fleet.Endpoint], missing: list[str]
+    ) -> None:
+        for endpoint in found:
+            self._listed.add(endpoint.name)
+            self._view.take(endpoint)
+        for name in missing:
+            self._listed.discard(name)
+            self._miss(name)
         self._on_change()
 
+    def _tell_all(
+        self,
+        since: int,
+        revision: int,
+        found: list[fleet.Endpoint],
+        missing: list[str],
+    ) -> None:
+        self._note_outage()
+        parts = _split(found)
+        for part in parts[:-1]:
+            self._tell(facts.Changes(0, 0, 0, part))
+        may_return = self._may_have_lapsed()
+        self.changed_at = max(self.changed_at, revision)
+        self._tell(
+            facts.Changes(
+                term=0,
+                since=since,
+                revision=revision,
+                listed=parts[-1],
+                gone=() if may_return else tuple(missing),
+                lapsed=tuple(missing) if may_return else (),
+            )
+        )
+
+    # From and to other instances
+
+    def take_told(self, told: facts.Changes) -> None:
+        """Takes in what the holder tells of the list."""
+        revision = self.watcher.revision
+        if told.revision and revision is not None and revision >= told.revision:
+            return
+        for listed in told.listed:
+            self._listed.add(listed.endpoint)
+            self._view.take(listed.restore())
+        for name in told.gone:
+            self._listed.discard(name)
+            self._remove(name)
+        for name in told.lapsed:
+            self._listed.discard(name)
+            self._remove_later(name)
+        if told.names:
+            self._keep_only(told.names)
+        # One that was missed shows in what the holder says of its revision.
+        if revision is not None and revision >= told.since and told.revision:
+            self.watcher.revision = told.revision
+            self.changed_at = max(self.changed_at, told.revision)
+        self._on_change()
+
+    def _keep_only(self, names: tuple[str, ...]) -> None:
+        for name in [n for n in self._view.tracked if n not in names]:
+            self._listed.discard(name)
+            self._remove(name)
+
+    def has(self, revision: int) -> bool:
+        """Whether all changes up to a revision were taken in."""
+        return (self.watcher.revision or 0) >= revision
+
+    def list_all(self) -> list[facts.Changes]:
+        """Returns the list in parts, for an instance that can not read it."""
+        endpoints = [t.endpoint for t in self._view.tracked.values()]
+        parts = [facts.Changes(0, 0, 0, p) for p in _split(endpoints)]
+        names = tuple(e.name for e in endpoints)
+        parts[-1] = dataclasses.replace(
+            parts[-1], revision=self.changed_at, names=names
+        )
+        return parts
+
+    # Entries that are missing
+
+    def _note_outage(self) -> None:
+        if self.watcher.lost_since is not None:
+            self._outage_ended = time.monotonic()
+
+    def _may_have_lapsed(self) -> bool:
+        return time.monotonic() - self._outage_ended < _AFTERMATH_SECONDS
+
     def _miss(self, name: str) -> None:
         """Takes an endpoint out, now or when it had time to come back."""
-        now = time.monotonic()
-        if self.watcher.lost_since is not None:
-            self._outage_ended = now
-        if now - self._outage_ended >= _AFTERMATH_SECONDS:
+        self._note_outage()
+        if self._may_have_lapsed():
+            self._remove_later(name)
+        else:
             self._remove(name)
-            return
+
+    def _remove_later(self, name: str) -> None:
         loop = asyncio.get_running_loop()
         loop.call_later(_RETURN_SECONDS, self._remove_if_missing, name)
 
     def _remove_if_missing(self, name: str) -> None:
         if name not in self._listed:
             self._remove(name)
+            self._on_change()
 
     def _remove(self, name: str) -> None:
         self._view.remove(name)
         self._on_gone(name)
-        self._on_change()
+
+
+def _split(endpoints: list[fleet.Endpoint]) -> list[tuple[facts.Listed, ...]]:
+    """Returns entries in parts, at least one, that fit into a datagram."""
+    return [
+        tuple(facts.Listed.of(e) for e in endpoints[i : i + _ENTRIES_MOST])
+        for i in range(0, max(len(endpoints), 1), _ENTRIES_MOST)
+    ]
--- a/src/wayslip/gateway/hub.py
+++ b/src/wayslip/gateway/hub.py
@@ -2,11 +2,15 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterable
 import logging
+import random
 from typing import cast
 
+from wayslip import addresses
 from wayslip import errors
 from wayslip import logs
+from wayslip.decisions import fanout
 from wayslip.gateway import facts
 
 _LOG = logging.getLogger(__name__)
@@ -15,11 +19,12 @@
 
 
 class Hub(asyncio.DatagramProtocol):
-    """Sends and hears datagrams."""
+    """Sends and hears datagrams, and passes statements on to peers."""
 
     def __init__(self, handler: Handler) -> None:
         self._handler = handler
         self._transport: asyncio.DatagramTransport | None = None
+        self._rng = random.Random()
 
     async def start(self, address: Address) -> None:
         """Listens.
@@ -39,22 +44,40 @@
         """Decodes a datagram and hands it on."""
         try:
             message = facts.decode(data)
-        except errors.FrameError as e:
-            logs.event(
-                _LOG, "datagram_dropped", logging.WARNING, reason=e.reason
-            )
+            if isinstance(message, facts.Relay):
+                self._pass_on(message)
+                message = facts.decode(message.payload)
+        except (errors.FrameError, ValueError) as e:
+            logs.event(_LOG, "datagram_dropped", logging.WARNING, reason=str(e))
             return
         self._handler(message, addr)
 
+    def _pass_on(self, message: facts.Relay) -> None:
+        for other in message.others:
+            self._send(message.payload, addresses.split_address(other))
+
     def error_received(self, exc: Exception) -> None:
         """Notes that a peer has no socket; its silence is noticed anyway."""
         _LOG.debug("peer_unreachable", exc_info=exc)
 
     def send(self, message: facts.Message, address: Address) -> None:
         """Sends a message; it may be lost."""
+        self._send(facts.encode(message), address)
+
+    def spread(
+        self, message: facts.Message, peers: Iterable[fanout.Peer]
+    ) -> None:
+        """Sends a message to many, encoded once; it may be lost on any way."""
+        payload = facts.encode(message)
+        for branch in fanout.plan(peers, self._rng):
+            data = payload
+            if branch.others:
+                data = facts.encode(facts.Relay(branch.others, payload))
+            self._send(data, addresses.split_address(branch.head))
+
+    def _send(self, data: bytes, address: Address) -> None:
         if self._transport is None or self._transport.is_closing():
             return
-        data = facts.encode(message)
         if len(data) > facts.DATAGRAM_LIMIT:
             logs.event(
                 _LOG,
--- a/src/wayslip/gateway/leadership.py
+++ b/src/wayslip/gateway/leadership.py
@@ -22,7 +22,11 @@
 # above what the store takes when it is a hundred times as slow as usual.
 _DOUBT_SECONDS = 0.45
 # Instances that see a free lease together try at different times, seconds.
-_SPREAD_SECONDS = 0.4
+_SPREAD_SECONDS = 0.3
+# One with little processor time leaves the lease to others for this long,
+# seconds divided by one and its cores: planning for a large fleet takes a good
+# part of a core, and requests there wait for it.
+_HANDICAP_SECONDS = 0.3
 
 
 class Leadership:
@@ -194,21 +198,34 @@
     async def _look(self) -> None:
         if self._is_stopping:
             return
+        await self._let_others_go_first()
+        if self._is_heard_again():
+            return
         sight = await self._read()
         if sight is None:
-            await asyncio.sleep(random.uniform(0, _SPREAD_SECONDS))
             await self._take(None)
             return
         is_free = self._yielded_term == sight.lease.term or lease.may_take(
             sight, self._options.name, time.monotonic()
         )
-        if not is_free:
-            await asyncio.sleep(_LOOK_SECONDS)
-            # Unless the holder was heard meanwhile, it is looked at again by
-            # the next report that goes unanswered.
+        if is_free:
+            await self._take(sight)
             return
-        await asyncio.sleep(random.uniform(0, _SPREAD_SECONDS))
-        await self._take(sight)
+        await asyncio.sleep(_LOOK_SECONDS)
+        # Unless the holder was heard meanwhile, it is looked at again by
+        # the next report that goes unanswered.
+
+    def _is_heard_again(self) -> bool:
+        """Whether a holder spoke while we let others go first."""
+        return (
+            self.sight is not None
+            and self._yielded_term != self.sight.lease.term
+            and time.monotonic() - self.sight.since < lease.HOLD
+        )
+
+    async def _let_others_go_first(self) -> None:
+        handicap = _HANDICAP_SECONDS / (1.0 + self._options.cores)
+        await asyncio.sleep(handicap + random.uniform(0, _SPREAD_SECONDS))
 
     async def _take(self, sight: lease.Sight | None) -> None:
         began = time.monotonic()
--- a/src/wayslip/gateway/members.py
+++ b/src/wayslip/gateway/members.py
@@ -8,8 +8,8 @@
 import dataclasses
 import time
 
-from wayslip import addresses
 from wayslip.decisions import demand
+from wayslip.decisions import fanout
 from wayslip.decisions import loading
 from wayslip.decisions import manifest
 from wayslip.gateway import facts
@@ -34,7 +34,7 @@
 class _Member:
     """An instance that reports to us."""
 
-    address: hub_module.Address
+    peer: fanout.Peer
     process: str
     number: int
     heard: float
@@ -46,10 +46,12 @@
 
     def __init__(self) -> None:
         self._members: dict[str, _Member] = {}
-        self._told: tuple[hub_module.Address, ...] = ()
+        self._told: tuple[fanout.Peer, ...] = ()
         self._models: demand.Rates[tuple[str, str]] = demand.Rates(_FADING)
         self._work: demand.Rates[tuple[str, str]] = demand.Rates(_FADING)
         self._misses: dict[tuple[str, str], int] = {}
+        # When our term began.
+        self._met = 0.0
         self._adapters: demand.Rates[tuple[str, str, str]] = demand.Rates(
             _FADING
         )
@@ -76,7 +78,11 @@
         ):
             return
         self._members[report.instance] = _Member(
-            source, report.process, report.number, now, report.usages
+            _make_peer(source, report.data_hall),
+            report.process,
+            report.number,
+            now,
+            report.usages,
         )
         for one in report.demands:
             key = (one.service, one.model)
@@ -89,11 +95,12 @@
             if one.adapter:
                 self._adapters.add((*key, one.adapter), one.count, now)
 
-    def meet(self, instance: str, source: hub_module.Address) -> None:
+    def meet(self, want: facts.Want, source: hub_module.Address) -> None:
         """Takes in where an instance hears us before its first report."""
-        if instance not in self._members:
+        if want.instance not in self._members:
+            peer = _make_peer(source, want.data_hall)
             now = time.monotonic()
-            self._members[instance] = _Member(source, "", 0, now, ())
+            self._members[want.instance] = _Member(peer, "", 0, now, ())
 
     def adopt(self, rates: tuple[facts.Rate, ...]) -> None:
         """Takes over the demand as the holder tells it."""
@@ -184,11 +191,11 @@
                 )
         return totals
 
-    def adopt_addresses(self, addresses_told: tuple[str, ...]) -> None:
+    def adopt_peers(self, peers: tuple[tuple[str, str], ...]) -> None:
         """Takes over which instances there are, as the holder tells it."""
-        self._told = tuple(addresses.split_address(a) for a in addresses_told)
+        self._told = tuple(fanout.Peer(*one) for one in peers)
 
-    def addresses(self) -> list[hub_module.Address]:
+    def peers(self) -> list[fanout.Peer]:
         """Returns where the instances hear us, forgetting silent ones.
 
         Until they report, those count that the holder before us knew.
@@ -197,9 +204,20 @@
         for name, member in list(self._members.items()):
             if now - member.heard > _SILENCE:
                 del self._members[name]
-        found = [m.address for m in self._members.values()]
-        return found or list(self._told)
+        found = [m.peer for m in self._members.values()]
+        if now - self._met >= _SILENCE:
+            return found or list(self._told)
+        # Just after the lease was taken not everybody has found us yet.
+        return list({*found, *self._told})
+
+    def begin(self) -> None:
+        """Begins a term: nobody has reported to us yet."""
+        self._met = time.monotonic()
 
     def clear(self) -> None:
         """Forgets the instances, not the demand."""
         self._members.clear()
+
+
+def _make_peer(source: hub_module.Address, data_hall: str) -> fanout.Peer:
+    return fanout.Peer(f"{source[0]}:{source[1]}", data_hall)
--- a/src/wayslip/gateway/options.py
+++ b/src/wayslip/gateway/options.py
@@ -6,8 +6,11 @@
 
 import dataclasses
 
-# For finding a watch silent, connecting anew and reading the list, seconds.
-_WATCH_MARGIN = 1.0
+# Shares of the time in which a configuration must be in force: how long the
+# lease holder's watch waits, and how old its word may get. What is left is
+# for an instance to read for itself.
+_WATCH_SHARE = 0.3
+_WORD_SHARE = 0.65
 
 
 @dataclasses.dataclass(frozen=True)
@@ -21,7 +24,6 @@
         budget_window: Window over which repeats are counted.
         budget_slack: Repeats allowed on top, over all instances.
         load_window: Window over which loads from the weight store count.
-        contact: An instance that was cut off counts again after this.
         config_apply: A configuration is in force after this.
         load_over: Factor by which loads may exceed the store's rate.
     """
@@ -33,17 +35,17 @@
     budget_slack: float = 50.0
     load_window: float = 5.0
     load_over: float = 1.0
-    contact: float = 3.0
     config_apply: float = 2.0
 
     @property
     def watch(self) -> float:
-        """How long a watch may wait.
+        """How long a watch may wait; one that a cut silenced ends then."""
+        return self.config_apply * _WATCH_SHARE
 
-        One that a cut has silenced is found out after it, and what it missed
-        must be in force when the instance counts again.
-        """
-        return max(self.contact + self.config_apply - _WATCH_MARGIN, 1.0)
+    @property
+    def word(self) -> float:
+        """How old the lease holder's word of the store may get."""
+        return self.config_apply * _WORD_SHARE
 
 
 @dataclasses.dataclass(frozen=True)
@@ -56,6 +58,7 @@
         store: The platform's store.
         peers: Where this instance hears its peers (UDP).
         metrics_port: Port for operators; 0 for none.
+        cores: Processor time that the instance has, cores of usual speed.
     """
 
     name: str
@@ -67,3 +70,4 @@
     peers: str
     metrics_port: int
     bounds: Bounds = Bounds()
+    cores: float = 1.0
--- a/src/wayslip/gateway/placement.py
+++ b/src/wayslip/gateway/placement.py
@@ -9,19 +9,20 @@
 
 from wayslip import addresses
 from wayslip import logs
-from wayslip.decisions import fleet
 from wayslip.gateway import dialect
 from wayslip.gateway import facts
 from wayslip.gateway import hub as hub_module
 from wayslip.gateway import leadership as leadership_module
 from wayslip.gateway import options as options_module
-from wayslip.gateway import ordering as ordering_module
 from wayslip.gateway import view as view_module
 
 _LOG = logging.getLogger(__name__)
 # Between reports to the holder, seconds. Load moves by a few requests in this
-# time; a report and its answer cost about 1 KB.
-REPORT_SECONDS = 0.25
+# time; a report takes some 200 bytes.
+_REPORT_SECONDS = 0.25
+# Reports that the holder takes a second, from all instances; each costs it
+# about 0.1 ms. A fleet that would send more reports less often.
+_REPORTS_MOST = 400
 # A holder that was silent for this long is asked after in the store, seconds:
 # five reports in a row without an answer.
 _SILENCE_SECONDS = 1.3
@@ -41,14 +42,12 @@
         view: view_module.EndpointView,
         hub: hub_module.Hub,
         leadership: leadership_module.Leadership,
-        ordering: ordering_module.Ordering,
         is_blind: Callable[[], bool],
     ) -> None:
         self._options = options
         self._view = view
         self._hub = hub
         self._leadership = leadership
-        self._ordering = ordering
         self._is_blind = is_blind
         self._process = f"{options.name}-{os.getpid()}-{time.monotonic_ns()}"
         self._number = 0
@@ -97,7 +96,9 @@
         now = time.monotonic()
         if now - self._wished.get(item, 0.0) > _WISH_SECONDS:
             self._wished[item] = now
-            wish = facts.Want(self._options.name, *item)
+            wish = facts.Want(
+                self._options.name, self._options.data_hall, *item
+            )
             self._hub.send(wish, addresses.split_address(holder))
         changed = self._changed
         try:
@@ -126,7 +127,8 @@
     async def run(self) -> None:
         """Reports until it is cancelled."""
         while True:
-            await asyncio.sleep(REPORT_SECONDS)
+            fewest = self.instances / _REPORTS_MOST
+            await asyncio.sleep(max(_REPORT_SECONDS, fewest))
             self._report()
             if time.monotonic() - self._heard > _SILENCE_SECONDS:
                 self._leadership.ask()
@@ -138,6 +140,7 @@
         self._number += 1
         report = facts.Report(
             self._options.name,
+            self._options.data_hall,
             self._process,
             self._number,
             self._is_blind(),
@@ -155,35 +158,33 @@
         self._work.clear()
         self._hub.send(report, addresses.split_address(holder))
 
-    def take(self, state: facts.State, source: hub_module.Address) -> None:
-        """Takes in what the holder tells."""
+    def take(self, state: facts.State) -> None:
+        """Takes in what the holder tells all the time."""
         known = self._leadership.seen_term
         if state.term < known:
             return
         if state.term > known and state.is_holder:
             self._leadership.hear_holder(
-                state.term, state.revision, f"{source[0]}:{source[1]}"
+                state.term, state.revision, state.address
             )
         if not state.is_holder:
             self._leadership.hear_yield(state.term)
             return
         self._leadership.hear(state.revision)
         self._heard = time.monotonic()
-        for claim in state.claims:
-            self._ordering.hear_claim(claim.endpoint, claim.revision)
-        self.instances = max(len(state.instances), 1)
+        self.instances = max(state.instances, 1)
         self._take_usages(state)
-        for word in state.words:
-            self._take_word(word)
-        self._take_arrivals(state)
-        if state.listed and self._is_blind():
-            self._view.replace_all(_decode_listed(e) for e in state.listed)
-            self.notify()
 
-    def _take_arrivals(self, state: facts.State) -> None:
+    def take_news(self, news: facts.News) -> None:
+        """Takes in what is loaded, taken away or coming."""
+        if news.term < self._leadership.seen_term:
+            return
+        for word in news.words:
+            self._take_word(word)
+        if news.is_whole:
+            self._arrivals = {}
         now = time.monotonic()
-        self._arrivals = {}
-        for one in state.arrivals:
+        for one in news.arrivals:
             key = (one.service, one.model)
             at = now + one.seconds
             self._arrivals[key] = min(self._arrivals.get(key, at), at)
@@ -226,21 +227,3 @@
             held=word.is_held,
         )
         self.notify()
-
-
-def _decode_listed(listed: facts.Listed) -> fleet.Endpoint:
-    models: dict[str, set[str]] = {}
-    for item in listed.items:
-        model, _, adapter = item.partition("/")
-        models.setdefault(model, set())
-        if adapter:
-            models[model].add(adapter)
-    return fleet.Endpoint(
-        name=listed.endpoint,
-        service=listed.service,
-        address=listed.address,
-        data_hall=listed.data_hall,
-        slots=listed.slots,
-        is_leaving=listed.is_leaving,
-        models={m: frozenset(a) for m, a in models.items()},
-    )
--- a/src/wayslip/gateway/planner.py
+++ b/src/wayslip/gateway/planner.py
@@ -59,16 +59,15 @@
         view: view_module.EndpointView,
         leadership: leadership_module.Leadership,
         ordering: ordering_module.Ordering,
-        hub: hub_module.Hub,
+        members: members_module.Members,
+        teller: telling.Teller,
     ) -> None:
         self._holder = holder
         self._view = view
         self._leadership = leadership
         self._ordering = ordering
-        self.members = members_module.Members()
-        self._teller = telling.Teller(
-            view, leadership, ordering, self.members, hub
-        )
+        self.members = members
+        self._teller = teller
         self._adapters = adapters_module.Adapters(
             ordering, self.members, self._start, self._teller.tell_all
         )
@@ -90,9 +89,7 @@
         self._ordering.least_token = self._leadership.revision
         self._buckets.clear()
         self._is_prepared = False
-        # Everybody hears at once whom to report to, the holder before us too:
-        # it may be cut off from the store.
-        self._teller.tell_all()
+        self.members.begin()
         self._start(self._prepare())
 
     async def _prepare(self) -> None:
@@ -171,34 +168,42 @@
 
     def take(self, message: facts.Message, source: hub_module.Address) -> None:
         """Takes in what an instance tells or asks for."""
-        if isinstance(message, facts.State):
-            self._take_state(message)
-            return
         if not self._leadership.is_held:
-            return
-        if isinstance(message, facts.Report):
+            self._take_statement(message)
+        elif isinstance(message, facts.Report):
             self.members.take(message, source, self._find_held())
-            self._teller.answer(source, message.is_blind)
-        else:
-            self.members.meet(message.instance, source)
-            if not message.adapter:
-                return
-            wish = (message.service, message.model, message.adapter)
-            self._wishes[wish] = time.monotonic() + _WISH_SECONDS
-            self._soon.set()
+        elif isinstance(message, facts.Want):
+            self._take_want(message, source)
 
-    def _take_state(self, state: facts.State) -> None:
-        """Remembers what a successor of the holder needs."""
-        if self._leadership.is_held or not state.is_holder:
+    def _take_want(self, want: facts.Want, source: hub_module.Address) -> None:
+        self.members.meet(want, source)
+        if not want.adapter:
             return
-        self.members.adopt(state.rates)
-        self.members.adopt_addresses(state.instances)
+        wish = (want.service, want.model, want.adapter)
+        self._wishes[wish] = time.monotonic() + _WISH_SECONDS
+        self._soon.set()
+
+    def _take_statement(self, message: facts.Message) -> None:
+        """Remembers what a successor of the holder needs."""
+        if isinstance(message, facts.Handover):
+            if message.term < self._leadership.seen_term:
+                return
+            self.members.adopt(message.rates)
+            if message.peers:
+                self.members.adopt_peers(message.peers)
+            for claim in message.claims:
+                self._ordering.hear_claim(claim.endpoint, claim.revision)
+        elif isinstance(message, facts.News):
+            self._take_arrivals(message)
+
+    def _take_arrivals(self, news: facts.News) -> None:
         now = time.monotonic()
-        self._heard_arrivals = {
-            (a.endpoint, a.model): now + a.seconds
-            for a in state.arrivals
-            if a.is_ordered
-        }
+        if news.is_whole:
+            self._heard_arrivals = {}
+        for one in news.arrivals:
+            if one.is_ordered:
+                key = (one.endpoint, one.model)
+                self._heard_arrivals[key] = now + one.seconds
 
     def _find_held(self) -> set[tuple[str, str]]:
         """Returns services with the models that can serve now."""
@@ -224,7 +229,6 @@
             if self._leadership.is_valid and self._is_prepared:
                 self._plan()
                 self._drop_claims()
-                self._teller.tell_rates()
 
     def _follow_list(self) -> None:
         books = self._ordering.books
--- a/src/wayslip/gateway/telling.py
+++ b/src/wayslip/gateway/telling.py
@@ -1,19 +1,39 @@
 """What the planner tells the instances, and how often."""
 
+import asyncio
+from collections.abc import Callable
 from collections.abc import Mapping
+import dataclasses
 import time
 
-from wayslip.decisions import fleet
 from wayslip.gateway import books as books_module
 from wayslip.gateway import facts
 from wayslip.gateway import hub as hub_module
 from wayslip.gateway import leadership as leadership_module
 from wayslip.gateway import members as members_module
 from wayslip.gateway import ordering as ordering_module
-from wayslip.gateway import view as view_module
 
-# Demand is told to every instance this often, seconds; it fades in 4.
-_RATES_SECONDS = 0.8
+# Between states of load, seconds: load moves by a few requests in this time.
+_STATE_SECONDS = 0.25
+# Between whole statements of what is loaded, which make up for lost news.
+_WHOLE_SECONDS = 1.0
+# What a successor has to know is told this often, seconds; demand fades in 4.
+_HANDOVER_SECONDS = 1.0
+# News waits for more of it, seconds for each instance, so that all of a fleet
+# hear at most some thousand datagrams a second.
+_COALESCE_SECONDS = 0.001
+_COALESCE_MOST = 0.15
+# Demand and claims told with one datagram; each takes some 40 bytes of the 30
+# KB that it may have.
+_PART = 400
+
+
+@dataclasses.dataclass(frozen=True)
+class Sights:
+    """How far this instance follows the store; see `facts.Seen`."""
+
+    configuration: facts.Seen
+    endpoints: facts.Seen
 
 
 class Teller:
@@ -21,84 +41,121 @@
 
     def __init__(
         self,
-        view: view_module.EndpointView,
+        address: str,
         leadership: leadership_module.Leadership,
         ordering: ordering_module.Ordering,
         members: members_module.Members,
         hub: hub_module.Hub,
     ) -> None:
-        self._view = view
+        self._address = address
         self._leadership = leadership
         self._ordering = ordering
         self._members = members
         self._hub = hub
-        self._rates_told = 0.0
+        self._whole_told = 0.0
+        self._handover_told = 0.0
+        self._told_words: set[facts.Word] = set()
+        self._told_arrivals: set[tuple[str, str]] = set()
+        self._flush: asyncio.TimerHandle | None = None
 
     @property
     def _books(self) -> Mapping[str, books_module.Book]:
         return self._ordering.books
 
-    def answer(self, source: hub_module.Address, is_blind: bool) -> None:
-        """Answers an instance's report."""
-        listed = self._list_endpoints() if is_blind else ()
-        self._hub.send(self._make_state(listed=listed), source)
+    def _spread(self, message: facts.Message) -> None:
+        self._hub.spread(message, self._members.peers())
 
-    def tell_all(self, rates: tuple[facts.Rate, ...] = ()) -> None:
-        """Tells all instances at once."""
-        if not self._leadership.is_held:
+    # All the time
+
+    async def run(self, find_sights: Callable[[], Sights]) -> None:
+        """Tells the state until it is cancelled, while we hold the lease."""
+        while True:
+            if self._leadership.is_held:
+                self.tell_state(find_sights())
+            await asyncio.sleep(_STATE_SECONDS)
+
+    def tell_state(self, sights: Sights) -> None:
+        """Tells the load, and how far the store is followed."""
+        peers = self._members.peers()
+        state = facts.State(
+            term=self._leadership.seen_term,
+            revision=self._leadership.revision,
+            address=self._address,
+            is_holder=self._leadership.is_valid,
+            instances=len(peers),
+            configuration=sights.configuration,
+            endpoints=sights.endpoints,
+            usages=tuple(self._members.total_usages().values()),
+        )
+        self._hub.spread(state, peers)
+        now = time.monotonic()
+        if now - self._whole_told >= _WHOLE_SECONDS:
+            self._whole_told = now
+            self._tell_whole()
+        if now - self._handover_told >= _HANDOVER_SECONDS:
+            self._handover_told = now
+            self._tell_handover()
+
+    def _tell_handover(self) -> None:
+        term = self._leadership.seen_term
+        peers = tuple((p.address, p.data_hall) for p in self._members.peers())
+        claims = [
+            facts.ClaimRevision(name, seen.revision)
+            for name, seen in self._ordering.claims.items()
+        ]
+        rates = self._members.list_rates()
+        self._spread(facts.Handover(term, peers, (), ()))
+        for i in range(0, max(len(claims), len(rates)), _PART):
+            part = facts.Handover(
+                term, (), tuple(claims[i : i + _PART]), rates[i : i + _PART]
+            )
+            self._spread(part)
+
+    # News
+
+    def tell_all(self) -> None:
+        """Tells soon what changed of what is loaded."""
+        if self._flush is not None or not self._leadership.is_held:
             # Series that end because the lease was lost come here too; their
             # word would be taken for the next holder's.
             return
-        state = self._make_state(rates)
-        for address in self._members.addresses():
-            self._hub.send(state, address)
+        count = len(self._members.peers())
+        delay = min(count * _COALESCE_SECONDS, _COALESCE_MOST)
+        loop = asyncio.get_running_loop()
+        self._flush = loop.call_later(delay, self._tell_news)
 
-    def tell_rates(self) -> None:
-        """Tells the demand, if it was not told lately."""
+    def _tell_news(self) -> None:
+        self._flush = None
+        if not self._leadership.is_held:
+            return
         now = time.monotonic()
-        if now - self._rates_told >= _RATES_SECONDS:
-            self._rates_told = now
-            self.tell_all(self._members.list_rates())
-
-    def _list_endpoints(self) -> tuple[facts.Listed, ...]:
-        """Returns the list for an instance that can not read it."""
-        return tuple(
-            facts.Listed(
-                t.endpoint.name,
-                t.endpoint.service,
-                t.endpoint.address,
-                t.endpoint.data_hall,
-                t.endpoint.slots,
-                t.endpoint.is_leaving,
-                tuple(
-                    f"{m}/{a}" if a else m
-                    for m, a in fleet.list_items(t.endpoint.models)
-                ),
-            )
-            for t in self._view.tracked.values()
+        words = self._list_words(now)
+        arrivals = self._list_arrivals(now)
+        # The seconds that are left change all the time and are no news.
+        fresh = tuple(w for w in words if _identify(w) not in self._told_words)
+        coming = tuple(
+            a
+            for a in arrivals
+            if (a.endpoint, a.model) not in self._told_arrivals
         )
+        self._remember(words, arrivals)
+        if fresh or coming:
+            term = self._leadership.seen_term
+            self._spread(facts.News(term, False, fresh, coming))
 
-    def _make_state(
-        self,
-        rates: tuple[facts.Rate, ...] = (),
-        listed: tuple[facts.Listed, ...] = (),
-    ) -> facts.State:
+    def _tell_whole(self) -> None:
         now = time.monotonic()
-        return facts.State(
-            term=self._leadership.seen_term,
-            revision=self._leadership.revision,
-            is_holder=self._leadership.is_valid,
-            instances=tuple(f"{h}:{p}" for h, p in self._members.addresses()),
-            usages=tuple(self._members.total_usages().values()),
-            words=tuple(self._list_words(now)),
-            arrivals=tuple(self._list_arrivals(now)),
-            claims=tuple(
-                facts.ClaimRevision(name, seen.revision)
-                for name, seen in self._ordering.claims.items()
-            ),
-            rates=rates,
-            listed=listed,
-        )
+        words = self._list_words(now)
+        arrivals = self._list_arrivals(now)
+        self._remember(words, arrivals)
+        term = self._leadership.seen_term
+        self._spread(facts.News(term, True, tuple(words), tuple(arrivals)))
+
+    def _remember(
+        self, words: list[facts.Word], arrivals: list[facts.Arrival]
+    ) -> None:
+        self._told_words = {_identify(w) for w in words}
+        self._told_arrivals = {(a.endpoint, a.model) for a in arrivals}
 
     def _list_words(self, now: float) -> list[facts.Word]:
         words = []
@@ -108,7 +165,7 @@
             listed = book.listed()
             for item in book.usable() - listed:
                 seconds = max(book.added.get(item, now) - now, 0.0)
-                words.append(facts.Word(name, *item, True, seconds))
+                words.append(facts.Word(name, *item, True, round(seconds, 3)))
         return words
 
     def _list_arrivals(self, now: float) -> list[facts.Arrival]:
@@ -117,9 +174,30 @@
                 book.endpoint.name,
                 book.endpoint.service,
                 model,
-                max(at - now, 0.0),
+                round(max(at - now, 0.0), 2),
                 (model, "") in book.charged(),
             )
             for book in self._books.values()
             for model, at in book.ready_at.items()
         ]
+
+    # The list of endpoints
+
+    def tell_changes(self, changes: facts.Changes) -> None:
+        """Tells what changed in the platform's list."""
+        if self._leadership.is_held:
+            term = self._leadership.seen_term
+            self._spread(dataclasses.replace(changes, term=term))
+
+    def send_list(
+        self, parts: list[facts.Changes], source: hub_module.Address
+    ) -> None:
+        """Sends the list to an instance that can not read it."""
+        term = self._leadership.seen_term
+        for part in parts:
+            self._hub.send(dataclasses.replace(part, term=term), source)
+
+
+def _identify(word: facts.Word) -> facts.Word:
+    """Returns a word without the seconds that are left."""
+    return dataclasses.replace(word, seconds=0.0)
--- a/src/wayslip/gateway/watching.py
+++ b/src/wayslip/gateway/watching.py
@@ -1,4 +1,7 @@
-"""Follows the objects of one kind: a list, then its changes, for ever."""
+"""Follows the objects of one kind: a list, then its changes, for ever.
+
+It reads only while its currency says that it has to.
+"""
 
 import asyncio
 from collections.abc import Callable
@@ -10,6 +13,7 @@
 
 from wayslip import errors
 from wayslip import logs
+from wayslip.gateway import currency as currency_module
 from wayslip.gateway import store as store_module
 
 _LOG = logging.getLogger(__name__)
@@ -27,67 +31,95 @@
     Args:
         store: Where to read.
         kind: What to follow.
+        currency: Says when reading is needed.
         take_list: Is given every whole list.
-        take_change: Is given every change.
+        take_changes: Is given changes.
         wait: How long a watch waits, seconds; see `Bounds.watch`.
         rest: Pause after changes, seconds, so that several come with one
             call; calls are priced.
+        lists_anew: Whether to read the list rather than all changes after a
+            time without reading.
 
     Attributes:
+        revision: Up to which everything was taken in, None before a list.
         is_synced: Whether a list was read.
         lost_since: When the store stopped answering, None while it does.
+        answered: When it answered last.
     """
 
     def __init__(
         self,
         store: store_module.Store,
         kind: store_module.Kind[T],
-        take_list: Callable[[tuple[store_module.Stored[T], ...]], None],
-        take_change: Callable[[store_module.Change[T]], None],
+        currency: currency_module.Currency,
+        take_list: Callable[[store_module.Listing[T]], None],
+        take_changes: Callable[[store_module.Changes[T]], None],
         wait: float,
         rest: float = 0.0,
+        lists_anew: bool = False,
     ) -> None:
         self._store = store
         self._kind = kind
+        self.currency = currency
         self._take_list = take_list
-        self._take_change = take_change
+        self._take_changes = take_changes
         self._wait = wait
         self._rest = rest
+        self._lists_anew = lists_anew
+        self._must_list = True
+        self.revision: int | None = None
         self.is_synced = False
         self.lost_since: float | None = None
+        self.answered = 0.0
+
+    @property
+    def age(self) -> float:
+        """Seconds since the store last answered."""
+        return time.monotonic() - self.answered
 
     async def run(self) -> None:
         """Follows until it is cancelled."""
-        revision: int | None = None
         pause = _RETRY_SECONDS
         while True:
+            if self.currency.is_fresh:
+                # Another instance reaches the store for us.
+                self._regain()
+                self._must_list |= self._lists_anew
+                await self.currency.wait_until_needed()
             try:
-                if revision is None:
-                    revision = await self._list()
-                else:
-                    revision = await self._watch(revision)
+                await self._read()
                 self._regain()
                 pause = _RETRY_SECONDS
             except errors.WatchExpiredError:
-                revision = None
+                self._must_list = True
             except errors.ObjectError as e:
                 self._lose(e)
                 await asyncio.sleep(pause * random.uniform(0.7, 1.0))
                 pause = min(pause * 1.5, _RETRY_MOST)
 
-    async def _list(self) -> int:
+    async def _read(self) -> None:
+        if self.revision is None or self._must_list:
+            await self._list()
+        else:
+            await self._watch(self.revision)
+        self.currency.is_behind = False
+        self.answered = time.monotonic()
+
+    async def _list(self) -> None:
         listing = await self._store.list(self._kind)
-        self._take_list(listing.items)
+        self._take_list(listing)
+        self.revision = listing.revision
+        self._must_list = False
         self.is_synced = True
-        return listing.revision
 
-    async def _watch(self, revision: int) -> int:
+    async def _watch(self, revision: int) -> None:
         changes = await self._store.watch(self._kind, revision, self._wait)
-        for change in changes.items:
-            self._take_change(change)
+        if changes.items:
+            self._take_changes(changes)
+        # What the holder told meanwhile may be newer than this answer.
+        self.revision = max(self.revision or 0, changes.revision)
         if changes.items and self._rest:
             await asyncio.sleep(self._rest)
-        return changes.revision
 
     def _lose(self, error: errors.ObjectError) -> None:
         if self.lost_since is not None:
--- a/src/wayslip/platform/settings.py
+++ b/src/wayslip/platform/settings.py
@@ -54,9 +54,15 @@
         peers=f"{ip}:{first + _PEERS_OFFSET}",
         metrics_port=first + _METRICS_OFFSET,
         bounds=_decode_bounds(values.get("bounds") or {}),
+        cores=_decode_cores(values.get("limits") or {}),
     )
 
 
+def _decode_cores(raw: dict[str, Any]) -> float:
+    """Returns an instance's processor time: a share of one, faster core."""
+    return float(raw.get("cpu_share", 1.0)) * float(raw.get("cores", 1))
+
+
 def _decode_bounds(raw: dict[str, Any]) -> options.Bounds:
     default = options.Bounds()
     return options.Bounds(
@@ -66,7 +72,6 @@
         budget_window=float(raw.get("budget_window_s", default.budget_window)),
         budget_slack=float(raw.get("retry_slack", default.budget_slack)),
         load_window=float(raw.get("ceiling_window_s", default.load_window)),
-        contact=float(raw.get("contact_ms", default.contact * 1000)) / 1000,
         config_apply=float(
             raw.get("config_apply_ms", default.config_apply * 1000)
         )
--- /dev/null
+++ b/tests/decisions/test_fanout.py
@@ -0,0 +1,53 @@
+"""Every instance hears a statement once, and no sender sends too often."""
+
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from wayslip.decisions import fanout
+
+
+def fleet(sizes):
+    return [
+        fanout.Peer(f"10.{hall}.0.{n}:7380", f"hall-{hall}")
+        for hall, size in enumerate(sizes)
+        for n in range(size)
+    ]
+
+
+@given(
+    st.lists(st.integers(0, 120), min_size=1, max_size=10), st.integers(0, 99)
+)
+def test_everybody_is_reached_exactly_once(sizes, seed):
+    peers = fleet(sizes)
+    branches = fanout.plan(peers, random.Random(seed))
+    reached = [a for b in branches for a in (b.head, *b.others)]
+    assert sorted(reached) == sorted(p.address for p in peers)
+
+
+@given(
+    st.lists(st.integers(0, 120), min_size=1, max_size=10), st.integers(0, 99)
+)
+def test_heads_pass_on_within_their_hall_and_few(sizes, seed):
+    peers = fleet(sizes)
+    halls = {p.address: p.data_hall for p in peers}
+    for branch in fanout.plan(peers, random.Random(seed)):
+        assert len(branch.others) <= fanout.BRANCH
+        assert all(halls[a] == halls[branch.head] for a in branch.others)
+
+
+def test_small_fleet_is_told_directly():
+    branches = fanout.plan(fleet([5, 4]), random.Random(1))
+    assert len(branches) == 9
+    assert not any(b.others for b in branches)
+
+
+def test_heads_change_from_one_statement_to_the_next():
+    peers = fleet([30, 30, 30])
+    rng = random.Random(5)
+    heads = [
+        frozenset(b.head for b in fanout.plan(peers, rng)) for _ in range(5)
+    ]
+    assert len(set(heads)) == 5
+    assert all(len(h) == 9 for h in heads)
--- /dev/null
+++ b/tests/gateway/test_telling.py
@@ -0,0 +1,127 @@
+"""One instance watches the store; the others go by its word."""
+
+import asyncio
+
+from tests.gateway import harness
+from wayslip.gateway import currency as currency_module
+from wayslip.gateway import options as options_module
+
+
+def find_roles(system, joined):
+    """Returns the lease's holder and the other gateway."""
+    pair = [system.gateway, joined]
+    pair.sort(key=lambda g: g.leadership.is_held, reverse=True)
+    return pair
+
+
+# Word of the holder counts for so long that a busy machine can not make it old
+# in the middle of a test.
+PATIENT = options_module.Bounds(config_apply=15.0)
+
+
+@harness.run
+async def test_follower_hears_of_endpoints_without_calls(system):
+    await system.add("e1", "plain")
+    await system.until(lambda: system.gateway.leadership.is_valid)
+    follower = await system.join("g2", PATIENT)
+    watcher = follower._endpoints.watcher
+    # A watch that was under way when it joined still waits.
+    await system.until(lambda: watcher.age > PATIENT.watch + 1.0)
+    answered = watcher.answered
+    await system.add("e2", "plain", ["m1"])
+    await system.until(lambda: "e2" in follower.view.tracked)
+    assert follower.view.tracked["e2"].endpoint.models == {"m1": frozenset()}
+    system.store.remove("servers", "e1")
+    await system.until(lambda: "e1" not in follower.view.tracked)
+    assert watcher.answered == answered
+
+
+@harness.run
+async def test_configuration_reaches_followers(system):
+    _, follower = find_roles(system, await system.join("g2"))
+    system.store.put("config", "main", harness.manifest(version=9))
+    await system.until(lambda: follower.holder.manifest.version == 9)
+
+
+@harness.run
+async def test_follower_that_missed_a_change_reads_for_itself(system):
+    holder, follower = find_roles(system, await system.join("g2"))
+    told = holder._teller.tell_changes
+    # As if the datagram with the change had been lost.
+    holder._endpoints._tell = lambda changes: None
+    await system.add("e1", "plain")
+    await system.until(lambda: "e1" in follower.view.tracked, 3.0)
+    holder._endpoints._tell = told
+
+
+@harness.run
+async def test_followers_read_when_the_holder_is_gone(system):
+    holder, follower = find_roles(system, await system.join("g2"))
+    await system.kill(holder)
+    system.store.put("config", "main", harness.manifest(version=9))
+    await system.until(lambda: follower.holder.manifest.version == 9)
+    await system.until(lambda: follower.leadership.is_valid, 5.0)
+
+
+@harness.run
+async def test_blind_follower_is_sent_the_list(system):
+    await system.add("e1", "plain")
+    holder, follower = find_roles(system, await system.join("g2"))
+    follower._endpoints.watcher.lost_since = 1.0
+    follower.view.remove("e1")
+    parts = holder._endpoints.list_all()
+    assert parts[-1].names == ("e1",)
+    for part in parts:
+        follower._endpoints.watcher.revision = 0
+        follower._endpoints.take_told(part)
+    assert "e1" in follower.view.tracked
+
+
+@harness.run
+async def test_long_list_is_told_in_parts(system):
+    follower = system.gateway._endpoints
+    for number in range(130):
+        spec = harness.entry("plain", f"127.0.0.1:{9000 + number}")
+        system.store.put("servers", f"e{number:03}", spec)
+    await system.until(lambda: len(system.gateway.view.tracked) == 130)
+    parts = follower.list_all()
+    assert [len(p.listed) for p in parts] == [60, 60, 10]
+    assert [p.revision for p in parts[:-1]] == [0, 0]
+    assert len(parts[-1].names) == 130
+
+
+def test_word_counts_until_it_is_too_old():
+    async def body():
+        currency = currency_module.Currency(0.3, lambda: False)
+        assert not currency.is_fresh
+        currency.hear(0.1, True)
+        assert currency.is_fresh
+        await asyncio.wait_for(currency.wait_until_needed(), 5.0)
+        assert not currency.is_fresh
+
+    asyncio.run(body())
+
+
+def test_missing_change_ends_the_wait_and_a_late_one_goes_on_with_it():
+    async def body():
+        currency = currency_module.Currency(60.0, lambda: False)
+        currency.hear(0.0, True)
+        waiting = asyncio.create_task(currency.wait_until_needed())
+        await asyncio.sleep(0)
+        currency.hear(0.0, False)
+        currency.hear(0.0, True)
+        await asyncio.sleep(0.4)
+        assert not waiting.done()
+        currency.hear(0.0, False)
+        await asyncio.wait_for(waiting, 5.0)
+
+    asyncio.run(body())
+
+
+def test_leader_always_reads():
+    async def body():
+        currency = currency_module.Currency(60.0, lambda: True)
+        currency.hear(0.0, True)
+        await asyncio.wait_for(currency.wait_until_needed(), 1.0)
+
+    asyncio.run(body())
