Take a replaced endpoint out at once; tell missed changes again

(3) Requests predicted at 1.0 to 1.25 targets were refused, of which four in five would have been in time.

Changes: a new entry with a known address takes the endpoint before it out, for good; the holder keeps the last changes and tells them again when asked, the store is read only if that fails; an own read counts as fresh word, and who does not lead looks instead of waiting in a watch; refusal from twice the target on; SIGHUP is ignored before anything else is loaded. Parts of a long list no longer count as all of it, since one may get lost.

--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak of real gateways under faults from outside."""
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,135 @@
+"""Real gateways under random faults, checked by oracles.
+
+Usage:
+  soak [--seconds=N] [--seed=N] [--seeds=N] [--gateways=N] [--clients=N]
+       [--keep=DIR]
+  soak --help
+
+The schedule of faults follows from the seed, which is printed. Faults come in
+series and overlap; when they are over, everything has to be served again.
+
+Options:
+  --seconds=N   Seconds of faults for each seed [default: 20].
+  --seed=N      The first seed; drawn if it is not given.
+  --seeds=N     How many seeds to play, one after the other [default: 1].
+  --gateways=N  Gateways, each a process [default: 4].
+  --clients=N   Clients [default: 16].
+  --keep=DIR    Where the logs of seeds that failed are kept [default: run].
+  --help        Show this text.
+
+Exit codes: 0 if nothing was broken, 1 if something was.
+"""
+
+import asyncio
+import pathlib
+import random
+import shutil
+import sys
+import tempfile
+import time
+
+import docopt
+
+from soak import clients
+from soak import faults
+from soak import world as world_module
+
+# Between the starts of two faults, seconds; they last up to 4 s, so some
+# overlap.
+_GAP_SECONDS = (0.3, 1.8)
+# After the last fault, until every kind of request is served again, seconds.
+_RECOVERY_SECONDS = 15.0
+_STEP_SECONDS = 0.2
+_KINDS = ("get", "once", "gen", "live")
+
+
+async def _play(
+    folder: pathlib.Path, seed: int, options: dict[str, str]
+) -> list[str]:
+    """Plays one seed; returns what was broken."""
+    # Connections that are open at the end are cancelled; that is no news.
+    asyncio.get_running_loop().set_exception_handler(_note_error)
+    rng = random.Random(seed)
+    tally = clients.Tally()
+    async with world_module.run_world(
+        folder, int(options["--gateways"])
+    ) as world:
+        asking = [
+            asyncio.create_task(clients.Client(world, tally, n, seed).run())
+            for n in range(int(options["--clients"]))
+        ]
+        await _wait_until_served(world, tally, "at the start")
+        await _harm(world, rng, float(options["--seconds"]))
+        await _wait_until_served(world, tally, "after the faults")
+        for task in asking:
+            task.cancel()
+        # What is under way may still run, and must not after a promise.
+        await asyncio.sleep(1.0)
+        clients.check_runs(world, tally)
+        print(f"seed {seed}: asked {tally.asked}, served {tally.served}")
+        return world.ledger.violations
+
+
+def _note_error(
+    loop: asyncio.AbstractEventLoop, context: dict[str, object]
+) -> None:
+    if not isinstance(context.get("exception"), asyncio.CancelledError):
+        loop.default_exception_handler(context)
+
+
+async def _harm(
+    world: world_module.World, rng: random.Random, seconds: float
+) -> None:
+    end = time.monotonic() + seconds
+    running: set[asyncio.Task[None]] = set()
+    while time.monotonic() < end:
+        name = rng.choice(sorted(faults.FAULTS))
+        print(f"  {end - time.monotonic():5.1f} {name}", flush=True)
+        work = faults.FAULTS[name](world, rng)
+        task = asyncio.ensure_future(work)
+        running.add(task)
+        task.add_done_callback(running.discard)
+        pause = rng.uniform(*_GAP_SECONDS)
+        for _ in range(int(pause / _STEP_SECONDS) + 1):
+            await asyncio.sleep(_STEP_SECONDS)
+            world.check_processes()
+    for task in list(running):
+        await task
+    world.check_processes()
+
+
+async def _wait_until_served(
+    world: world_module.World, tally: clients.Tally, when: str
+) -> None:
+    tally.served.clear()
+    end = time.monotonic() + _RECOVERY_SECONDS
+    while any(kind not in tally.served for kind in _KINDS):
+        if time.monotonic() > end:
+            missing = [k for k in _KINDS if k not in tally.served]
+            world.ledger.break_rule(f"RECOVER {missing} not served {when}")
+            return
+        await asyncio.sleep(_STEP_SECONDS)
+        world.check_processes()
+
+
+def main() -> int:
+    """Plays the seeds; returns the exit code."""
+    assert __doc__ is not None
+    options = docopt.docopt(__doc__)
+    first = int(options["--seed"] or random.randrange(1_000_000))
+    broken = 0
+    for seed in range(first, first + int(options["--seeds"])):
+        with tempfile.TemporaryDirectory() as name:
+            folder = pathlib.Path(name)
+            violations = asyncio.run(_play(folder, seed, options))
+            if violations:
+                broken += 1
+                kept = pathlib.Path(options["--keep"]) / f"soak-{seed}"
+                shutil.copytree(folder, kept, dirs_exist_ok=True)
+                print(f"seed {seed} broke {len(violations)}; logs in {kept}")
+    print(f"{options['--seeds']} seeds from {first}: {broken} broken")
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/wayslip/cli/gateway.py
+++ b/src/wayslip/cli/gateway.py
@@ -13,6 +13,10 @@
 Exit codes: 0 after a planned stop, 2 for settings that can not be used.
 """
 
+from wayslip.cli import hangup  # noqa: F401  # before what takes long
+
+# isort: split
+
 import asyncio
 import sys
 
--- a/src/wayslip/gateway/currency.py
+++ b/src/wayslip/gateway/currency.py
@@ -3,7 +3,8 @@
 Calls to the store are priced and limited, and they would grow with the fleet.
 So only the lease's holder watches the store, and tells the others what it
 sees and how old that is. An instance reads for itself as soon as that word
-is too old, or when it lacks a change that the holder has told.
+is too old, or when it lacks a change that the holder has told and does not
+tell again.
 """
 
 import asyncio
@@ -12,8 +13,11 @@
 import time
 
 # A change that was told may still be on its way, after the word that it
-# exists; what is this late was lost, seconds.
+# exists; what is this late was lost, and is asked for again, seconds.
 _BEHIND_SECONDS = 0.12
+# How long the holder's answer to that may take, seconds: two trips and a lost
+# packet's turn on a link that is full.
+_ANSWER_SECONDS = 0.2
 # Instances that miss the same change read at different times, seconds.
 _SPREAD_SECONDS = 0.15
 
@@ -24,14 +28,21 @@
     Args:
         limit: Word older than this is not enough, seconds.
         leads: Whether this instance is the one that watches.
+        ask: Asks the holder for what is missing; None where it can not tell.
 
     Attributes:
         is_behind: Whether a change was told of that did not arrive.
     """
 
-    def __init__(self, limit: float, leads: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        limit: float,
+        leads: Callable[[], bool],
+        ask: Callable[[], None] | None = None,
+    ) -> None:
         self._limit = limit
         self._leads = leads
+        self._ask = ask
         self._proof = float("-inf")
         self._woken = asyncio.Event()
         self.is_behind = False
@@ -50,10 +61,20 @@
             self.is_behind = True
             self._woken.set()
 
+    def note_read(self) -> None:
+        """Notes that this instance has read the store itself."""
+        self._proof = time.monotonic()
+        self.is_behind = False
+
     def wake(self) -> None:
         """Has the loop look again, because this instance may lead now."""
         self._woken.set()
 
+    @property
+    def leads(self) -> bool:
+        """Whether this instance is the one that watches."""
+        return self._leads()
+
     @property
     def is_fresh(self) -> bool:
         """Whether the holder's word is enough now."""
@@ -67,8 +88,7 @@
         """Returns when this instance has to read for itself."""
         while True:
             if self.is_behind and not self._leads():
-                late = _BEHIND_SECONDS + random.uniform(0, _SPREAD_SECONDS)
-                await asyncio.sleep(late)
+                await self._wait_for_missing()
             if not self.is_fresh:
                 return
             self._woken.clear()
@@ -78,3 +98,14 @@
                     await self._woken.wait()
             except TimeoutError:
                 pass
+
+    async def _wait_for_missing(self) -> None:
+        """Gives a change that is missing time to come, then asks for it."""
+        await asyncio.sleep(_BEHIND_SECONDS)
+        if not self.is_behind:
+            return
+        if self._ask is not None:
+            self._ask()
+            await asyncio.sleep(_ANSWER_SECONDS)
+        if self.is_behind:
+            await asyncio.sleep(random.uniform(0, _SPREAD_SECONDS))
--- a/src/wayslip/gateway/daemon.py
+++ b/src/wayslip/gateway/daemon.py
@@ -1,6 +1,7 @@
 """The gateway put together, with its planned stop."""
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Coroutine
 import dataclasses
 import json
@@ -119,7 +120,7 @@
         self._endpoints = following.EndpointFollower(
             platform.store,
             platform.endpoints,
-            self._make_currency(),
+            self._make_currency(self._ask_for_changes),
             self.view,
             self._placement.notify,
             self._requests.drop_endpoint,
@@ -144,11 +145,21 @@
         self._stopping = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
 
-    def _make_currency(self) -> currency.Currency:
+    def _make_currency(
+        self, ask: Callable[[], None] | None = None
+    ) -> currency.Currency:
         return currency.Currency(
-            self._options.bounds.word, lambda: self.leadership.is_held
+            self._options.bounds.word, lambda: self.leadership.is_held, ask
         )
 
+    def _ask_for_changes(self) -> None:
+        holder = self.leadership.holder_address
+        if holder is None:
+            return
+        revision = self._endpoints.watcher.revision or 0
+        address = addresses.split_address(holder)
+        self._hub.send(facts.Missing(revision), address)
+
     # Running
 
     async def run(self) -> None:
@@ -269,6 +280,8 @@
             self._placement.take_news(message)
         elif isinstance(message, facts.Changes):
             self._endpoints.take_told(message)
+        elif isinstance(message, facts.Missing):
+            self._teller.repeat_changes(message, source)
         elif isinstance(message, facts.Report) and message.is_blind:
             self._teller.send_list(self._endpoints.list_all(), source)
         self._planner.take(message, source)
--- a/src/wayslip/gateway/facts.py
+++ b/src/wayslip/gateway/facts.py
@@ -295,6 +295,13 @@
     names: tuple[str, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Missing:
+    """An instance lacks changes of the list after a revision."""
+
+    revision: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Relay:
     """A message that its receiver takes and passes on."""
@@ -303,7 +310,7 @@
     payload: bytes
 
 
-Message = Report | Want | State | News | Handover | Changes | Relay
+Message = Report | Want | State | News | Handover | Changes | Relay | Missing
 _KINDS: dict[int, type] = {
     1: Report,
     2: Want,
@@ -312,6 +319,7 @@
     5: Handover,
     6: Changes,
     7: Relay,
+    8: Missing,
 }
 _NUMBERS = {kind: number for number, kind in _KINDS.items()}
 # Fields that hold one such value.
--- a/src/wayslip/gateway/following.py
+++ b/src/wayslip/gateway/following.py
@@ -4,6 +4,10 @@
 changed. Every telling names the revision that it follows on, so that an
 instance which missed one knows it and reads the list itself.
 
+An address belongs to one endpoint at a time. So a new entry with the address
+of a known endpoint says that this one has ended, well before its own entry
+goes.
+
 While the store is away, entries of endpoints that live may lapse. After it is
 back such an endpoint has some time to list itself again before it is taken as
 gone.
@@ -55,6 +59,8 @@
         self._on_gone = on_gone
         self._tell = tell
         self._listed: set[str] = set()
+        # Endpoints that have ended though they are listed; bounded by those.
+        self._replaced: set[str] = set()
         self._outage_ended = -_AFTERMATH_SECONDS
         # The store's revision once the last known change was made.
         self.changed_at = 0
@@ -72,8 +78,8 @@
 
     def _take_list(self, listing: store_module.Listing[fleet.Endpoint]) -> None:
         self._listed = {item.name for item in listing.items}
-        for item in listing.items:
-            self._view.take(item.value)
+        self._replaced &= self._listed
+        self._take_all([item.value for item in listing.items])
         missing = [n for n in self._view.tracked if n not in self._listed]
         # A whole list follows on whatever was known before.
         self._tell_all(
@@ -95,14 +101,30 @@
     def _take_entries(
         self, found: list[fleet.Endpoint], missing: list[str]
     ) -> None:
-        for endpoint in found:
-            self._listed.add(endpoint.name)
-            self._view.take(endpoint)
+        self._listed.update(e.name for e in found)
+        self._take_all(found)
         for name in missing:
-            self._listed.discard(name)
+            self._forget(name)
             self._miss(name)
         self._on_change()
 
+    def _take_all(self, endpoints: list[fleet.Endpoint]) -> None:
+        """Takes entries into the view, and out what they replace."""
+        known = {t.endpoint.address: n for n, t in self._view.tracked.items()}
+        fresh = [e for e in endpoints if e.name not in self._replaced]
+        for endpoint in fresh:
+            before = known.get(endpoint.address, endpoint.name)
+            is_new = endpoint.name not in self._view.tracked
+            if is_new and before != endpoint.name:
+                self._replaced.add(before)
+                self._remove(before)
+        for endpoint in fresh:
+            self._view.take(endpoint)
+
+    def _forget(self, name: str) -> None:
+        self._listed.discard(name)
+        self._replaced.discard(name)
+
     def _tell_all(
         self,
         since: int,
@@ -114,6 +136,10 @@
         parts = _split(found)
         for part in parts[:-1]:
             self._tell(facts.Changes(0, 0, 0, part))
+        if len(parts) > 1:
+            # A part may get lost without anybody seeing it. So these follow
+            # on nothing, and whoever can reads the list.
+            since = revision
         may_return = self._may_have_lapsed()
         self.changed_at = max(self.changed_at, revision)
         self._tell(
@@ -134,14 +160,13 @@
         revision = self.watcher.revision
         if told.revision and revision is not None and revision >= told.revision:
             return
-        for listed in told.listed:
-            self._listed.add(listed.endpoint)
-            self._view.take(listed.restore())
+        self._listed.update(listed.endpoint for listed in told.listed)
+        self._take_all([listed.restore() for listed in told.listed])
         for name in told.gone:
-            self._listed.discard(name)
+            self._forget(name)
             self._remove(name)
         for name in told.lapsed:
-            self._listed.discard(name)
+            self._forget(name)
             self._remove_later(name)
         if told.names:
             self._keep_only(told.names)
@@ -153,7 +178,7 @@
 
     def _keep_only(self, names: tuple[str, ...]) -> None:
         for name in [n for n in self._view.tracked if n not in names]:
-            self._listed.discard(name)
+            self._forget(name)
             self._remove(name)
 
     def has(self, revision: int) -> bool:
--- a/src/wayslip/gateway/requests.py
+++ b/src/wayslip/gateway/requests.py
@@ -36,9 +36,10 @@
 # A request is refused if it would wait for more than this share of the time
 # that is left, or for more than this many times its latency target. A queue
 # that is longer makes everybody late; refused at once, most can be answered
-# in time when they come back.
+# in time when they come back. Waits are overestimated: of those predicted at
+# 1.0 to 1.25 targets a fifth was late, at 2.5 targets half.
 _WAIT_SHARE = 0.9
-_TARGET_SHARE = 1.25
+_TARGET_SHARE = 2.0
 # One that is refused so should find about half a target's queue, targets.
 _RETURN_SHARE = 0.5
 
--- a/src/wayslip/gateway/telling.py
+++ b/src/wayslip/gateway/telling.py
@@ -1,6 +1,7 @@
 """What the planner tells the instances, and how often."""
 
 import asyncio
+import collections
 from collections.abc import Callable
 from collections.abc import Mapping
 import dataclasses
@@ -26,6 +27,8 @@
 # Demand and claims told with one datagram; each takes some 40 bytes of the 30
 # KB that it may have.
 _PART = 400
+# Changes of the list that are kept to be told again: those of some seconds.
+_CHANGES_KEPT = 20
 
 
 @dataclasses.dataclass(frozen=True)
@@ -57,6 +60,9 @@
         self._told_words: set[facts.Word] = set()
         self._told_arrivals: set[tuple[str, str]] = set()
         self._flush: asyncio.TimerHandle | None = None
+        self._changes: collections.deque[facts.Changes] = collections.deque(
+            maxlen=_CHANGES_KEPT
+        )
 
     @property
     def _books(self) -> Mapping[str, books_module.Book]:
@@ -187,7 +193,19 @@
         """Tells what changed in the platform's list."""
         if self._leadership.is_held:
             term = self._leadership.seen_term
-            self._spread(dataclasses.replace(changes, term=term))
+            told = dataclasses.replace(changes, term=term)
+            if told.revision:
+                self._changes.append(told)
+            self._spread(told)
+
+    def repeat_changes(
+        self, missing: facts.Missing, source: hub_module.Address
+    ) -> None:
+        """Tells an instance again what it lacks, if that is still known."""
+        newer = [c for c in self._changes if c.revision > missing.revision]
+        if newer and newer[0].since <= missing.revision:
+            for changes in newer:
+                self._hub.send(changes, source)
 
     def send_list(
         self, parts: list[facts.Changes], source: hub_module.Address
--- a/src/wayslip/gateway/watching.py
+++ b/src/wayslip/gateway/watching.py
@@ -23,6 +23,8 @@
 # after which a configuration must be in force again.
 _RETRY_SECONDS = 0.25
 _RETRY_MOST = 0.6
+# How long a watch waits that should not wait, seconds.
+_LOOK_SECONDS = 0.001
 
 
 class Watcher(Generic[T]):
@@ -102,7 +104,7 @@
             await self._list()
         else:
             await self._watch(self.revision)
-        self.currency.is_behind = False
+        self.currency.note_read()
         self.answered = time.monotonic()
 
     async def _list(self) -> None:
@@ -113,7 +115,9 @@
         self.is_synced = True
 
     async def _watch(self, revision: int) -> None:
-        changes = await self._store.watch(self._kind, revision, self._wait)
+        # Only who leads waits for changes; the others look now and then.
+        wait = self._wait if self.currency.leads else _LOOK_SECONDS
+        changes = await self._store.watch(self._kind, revision, wait)
         if changes.items:
             self._take_changes(changes)
         # What the holder told meanwhile may be newer than this answer.
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -172,6 +172,8 @@
         status = self.order_status
         if order["expected_count"] != self.taken:
             status = 409
+        if status == 202 and not self._has_subject(order):
+            status = 421
         if status == 202 and order["operation"] == "unload":
             # An adapter goes at once, a model after its runs.
             status = 200 if order.get("adapter") else 202
@@ -184,6 +186,14 @@
             return
         await line.answer(request, b"{}", status)
 
+    def _has_subject(self, order: dict[str, Any]) -> bool:
+        """Whether the model, or the adapter to unload, is there."""
+        adapter = order.get("adapter")
+        held = self.models.get(order["model"])
+        if order["operation"] == "load":
+            return held is not None or not adapter
+        return held is not None and (not adapter or adapter in held)
+
     def _carry_out(self, order: dict[str, Any]) -> None:
         model, adapter = order["model"], order.get("adapter")
         if order["operation"] == "load" and adapter:
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -4,106 +4,26 @@
 import contextlib
 import dataclasses
 import functools
-import socket
 
+from standins import platform_client
 from standins import platform_engine
+from standins import platform_site
 from standins import platform_store
 from wayslip.cli import gateway as cli
 from wayslip.gateway import daemon
 from wayslip.gateway import options as options_module
 
-HOST = "shop.example"
-MODEL_SPEC = {
-    "weights_mb": 100.0,
-    "load_s": 0.4,
-    "disk_s": 0.2,
-    "warm_s": 0.1,
-    "adapters": 4,
-    "adapter_mb": 1.0,
-}
-
-
-def route(name, prefix, kind, service, **fields):
-    return {
-        "name": name,
-        "host": HOST,
-        "path_prefix": prefix,
-        "kind": kind,
-        "timeout_ms": 1500,
-        "target_latency_ms": 800,
-        "priority": 1,
-        "service": service,
-        "max_attempts": 2,
-        **fields,
-    }
-
-
-def manifest(version=1, **limits):
-    models = [{"name": n, **MODEL_SPEC} for n in ("m1", "m2", "m3")]
-    return {
-        "version": version,
-        "routes": [
-            route("get", "/get/", "idempotent", "plain"),
-            route("once", "/once/", "non_idempotent", "plain"),
-            route("gen", "/gen/", "streaming", "models", resumable=True),
-            route("live", "/live/", "streaming", "models", max_attempts=1),
-        ],
-        "services": [
-            {"name": "plain", "max_conns": 50},
-            {
-                "name": "models",
-                "max_conns": 50,
-                "engine": {
-                    "slots": 8,
-                    "kv_capacity": 100_000,
-                    "weights_mb": 210.0,
-                    "adapter_slots": 2,
-                    "loads_per_s": 10.0,
-                    "models": models,
-                },
-            },
-        ],
-        "limits": {
-            "max_header_bytes": 4096,
-            "max_body_bytes": 100_000,
-            "header_timeout_ms": 500,
-            "idle_timeout_ms": 3000,
-            **limits,
-        },
-    }
-
-
-def entry(service, address, models=(), **fields):
-    return {
-        "service": service,
-        "address": address,
-        "zone": "hall-1",
-        "version": "v1",
-        "slots": 8,
-        "state": "ready",
-        "cold_ms": 0,
-        "models": [{"name": m, "version": 1, "adapters": []} for m in models],
-        "seq": 77,
-        **fields,
-    }
-
-
-def free_port():
-    with contextlib.closing(socket.socket()) as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
-
 
 def make_options(name, store):
     return options_module.Options(
         name=name,
         ip="127.0.0.1",
         data_hall="hall-1",
-        callers=f"127.0.0.1:{free_port()}",
-        readiness=f"127.0.0.1:{free_port()}",
+        callers=f"127.0.0.1:{platform_site.free_port()}",
+        readiness=f"127.0.0.1:{platform_site.free_port()}",
         store=store,
-        peers=f"127.0.0.1:{free_port()}",
-        metrics_port=free_port(),
+        peers=f"127.0.0.1:{platform_site.free_port()}",
+        metrics_port=platform_site.free_port(),
         bounds=options_module.Bounds(grace=5.0),
     )
 
@@ -121,7 +41,7 @@
     async def start(self, with_manifest=True):
         address = await self.store.start()
         if with_manifest:
-            self.store.put("config", "main", manifest())
+            self.store.put("config", "main", platform_site.manifest())
         self.options = make_options("g1", address)
         self.gateway = self._launch(self.options)
         await self.until(self.gateway.is_ready if with_manifest else self.is_up)
@@ -165,7 +85,9 @@
             engine.script = script
         address = await engine.start()
         self.engines[name] = engine
-        self.store.put("servers", name, entry(service, address, models))
+        self.store.put(
+            "servers", name, platform_site.entry(service, address, models)
+        )
         await self.until(lambda: name in self.gateway.view.tracked)
         return engine
 
@@ -189,71 +111,7 @@
     async def connect(self):
         host, _, port = self.options.callers.rpartition(":")
         reader, writer = await asyncio.open_connection(host, int(port))
-        return Client(reader, writer)
-
-
-@dataclasses.dataclass
-class Answer:
-    status: int
-    headers: dict
-    body: bytes
-    is_whole: bool
-
-
-class Client:
-    """A client's connection, read byte by byte."""
-
-    def __init__(self, reader, writer):
-        self.reader = reader
-        self.writer = writer
-
-    async def send(
-        self, path, request_id, method="GET", body=b"", deadline=3000, **headers
-    ):
-        lines = [
-            f"{method} {path} HTTP/1.1",
-            f"Host: {HOST}",
-            f"Wayslip-Request-Id: {request_id}",
-            f"Wayslip-Deadline-Ms: {deadline}",
-        ]
-        lines += [f"{k.replace('_', '-')}: {v}" for k, v in headers.items()]
-        if body:
-            lines.append(f"Content-Length: {len(body)}")
-        self.writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
-        await self.writer.drain()
-
-    async def read(self):
-        head = await self.reader.readuntil(b"\r\n\r\n")
-        first, *lines = head.decode("latin-1").strip().split("\r\n")
-        headers = {}
-        for line in lines:
-            name, _, value = line.partition(":")
-            headers[name.lower()] = value.strip()
-        body, is_whole = b"", True
-        try:
-            if "transfer-encoding" in headers:
-                body, is_whole = await self._read_chunks()
-            else:
-                length = int(headers.get("content-length", 0))
-                body = await self.reader.readexactly(length)
-        except (asyncio.IncompleteReadError, ConnectionError):
-            is_whole = False
-        return Answer(int(first.split(" ")[1]), headers, body, is_whole)
-
-    async def _read_chunks(self):
-        body = b""
-        try:
-            while True:
-                size = int(await self.reader.readline(), 16)
-                data = await self.reader.readexactly(size + 2)
-                if not size:
-                    return body, True
-                body += data[:-2]
-        except (asyncio.IncompleteReadError, ConnectionError, ValueError):
-            return body, False
-
-    def close(self):
-        self.writer.close()
+        return platform_client.Client(reader, writer)
 
 
 def run(test):
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from standins import platform_site
 from tests.gateway import harness
 
 
@@ -51,7 +52,7 @@
 @harness.run
 async def test_forgotten_history_is_listed_anew(system):
     await system.add("e1", "plain")
-    system.store.put("config", "main", harness.manifest(version=5))
+    system.store.put("config", "main", platform_site.manifest(version=5))
     system.store.forget_history()
     holder = system.gateway.holder
     await system.until(lambda: holder.manifest.version == 5)
@@ -64,3 +65,32 @@
     for number in range(5):
         assert (await system.ask("/get/a", f"r{number}")).status == 200
     system.store.faults.is_silent = False
+
+
+@harness.run
+async def test_endpoint_is_gone_once_another_lists_its_address(system):
+    # An engine that crashed is listed for three heartbeats more; what was
+    # sent to its successor for it came back as 421 (hbmaa-grown scale-1,
+    # 320 requests from second 8 on).
+    await system.add("e1", "plain")
+    spec = system.store.objects["servers"]["e1"]["spec"]
+    system.store.put("servers", "e2", {**spec, "seq": 1})
+    await system.until(lambda: "e2" in system.gateway.view.tracked)
+    assert "e1" not in system.gateway.view.tracked
+    # The old entry is still in the list and comes back with it.
+    system.store.forget_history()
+    await system.add("e3", "plain")
+    assert "e1" not in system.gateway.view.tracked
+    assert "e2" in system.gateway.view.tracked
+
+
+@harness.run
+async def test_old_entry_does_not_displace_the_newer_one(system):
+    await system.add("e1", "plain")
+    spec = system.store.objects["servers"]["e1"]["spec"]
+    system.store.put("servers", "e2", {**spec, "seq": 1})
+    await system.until(lambda: "e2" in system.gateway.view.tracked)
+    system.store.put("servers", "e1", {**spec, "seq": 99})
+    await system.add("e3", "plain")
+    assert "e1" not in system.gateway.view.tracked
+    assert "e2" in system.gateway.view.tracked
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from standins import platform_site
 from tests.gateway import harness
 from tests.gateway import test_requests
 from wayslip import errors
@@ -149,6 +150,7 @@
         "g1", "h", "p", 1, True, (), (facts.Demand("s", "m", "", 3, 0.2),)
     ),
     facts.Want("g1", "h", "s", "m", "a1"),
+    facts.Missing(88),
     facts.Relay(("10.0.0.2:7380",), b"payload"),
 ]
 
@@ -202,8 +204,8 @@
 
 def test_configuration_never_goes_back():
     holder = configuration.Holder()
-    new = decoding.decode_manifest(harness.manifest(version=9))
-    old = decoding.decode_manifest(harness.manifest(version=8))
+    new = decoding.decode_manifest(platform_site.manifest(version=9))
+    old = decoding.decode_manifest(platform_site.manifest(version=8))
     assert holder.offer(new)
     assert not holder.offer(old)
     assert holder.manifest is new
--- a/tests/gateway/test_telling.py
+++ b/tests/gateway/test_telling.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from standins import platform_site
 from tests.gateway import harness
 from wayslip.gateway import currency as currency_module
 from wayslip.gateway import options as options_module
@@ -39,7 +40,7 @@
 @harness.run
 async def test_configuration_reaches_followers(system):
     _, follower = find_roles(system, await system.join("g2"))
-    system.store.put("config", "main", harness.manifest(version=9))
+    system.store.put("config", "main", platform_site.manifest(version=9))
     await system.until(lambda: follower.holder.manifest.version == 9)
 
 
@@ -58,7 +59,7 @@
 async def test_followers_read_when_the_holder_is_gone(system):
     holder, follower = find_roles(system, await system.join("g2"))
     await system.kill(holder)
-    system.store.put("config", "main", harness.manifest(version=9))
+    system.store.put("config", "main", platform_site.manifest(version=9))
     await system.until(lambda: follower.holder.manifest.version == 9)
     await system.until(lambda: follower.leadership.is_valid, 5.0)
 
@@ -77,11 +78,43 @@
     assert "e1" in follower.view.tracked
 
 
+@harness.run
+async def test_missed_change_is_told_again_without_a_call(system):
+    await system.until(lambda: system.gateway.leadership.is_valid)
+    follower = await system.join("g2", PATIENT)
+    watcher = follower._endpoints.watcher
+    await system.until(lambda: watcher.currency.is_fresh)
+    answered = watcher.answered
+    spread = system.gateway._teller._spread
+    # Changes get lost once, and come again when they are asked for.
+    system.gateway._teller._spread = lambda message: None
+    await system.add("e1", "plain")
+    system.gateway._teller._spread = spread
+    await system.until(lambda: "e1" in follower.view.tracked)
+    assert watcher.answered == answered
+
+
+@harness.run
+async def test_parts_of_a_long_list_are_not_taken_for_all_of_it(system):
+    holder, follower = find_roles(system, await system.join("g2"))
+    told = []
+    holder._endpoints._tell = told.append
+    for number in range(70):
+        spec = platform_site.entry("plain", f"127.0.0.1:{9000 + number}")
+        system.store.put("servers", f"e{number:03}", spec)
+    system.store.forget_history()
+    await system.until(lambda: len(holder.view.tracked) == 70)
+    last = [c for c in told if c.revision][-1]
+    follower._endpoints.watcher.revision = last.revision - 1
+    follower._endpoints.take_told(last)
+    assert not follower._endpoints.has(last.revision)
+
+
 @harness.run
 async def test_long_list_is_told_in_parts(system):
     follower = system.gateway._endpoints
     for number in range(130):
-        spec = harness.entry("plain", f"127.0.0.1:{9000 + number}")
+        spec = platform_site.entry("plain", f"127.0.0.1:{9000 + number}")
         system.store.put("servers", f"e{number:03}", spec)
     await system.until(lambda: len(system.gateway.view.tracked) == 130)
     parts = follower.list_all()
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -1,15 +1,15 @@
 import pytest
 
-from tests.gateway import harness
+from standins import platform_site
 from wayslip import errors
 from wayslip.decisions import manifest
 from wayslip.platform import decoding
 
 
 def test_manifest_is_decoded_with_units():
-    value = decoding.decode_manifest(harness.manifest(version=7))
+    value = decoding.decode_manifest(platform_site.manifest(version=7))
     assert value.version == 7
-    route = value.resolve(harness.HOST, "/gen/x")
+    route = value.resolve(platform_site.HOST, "/gen/x")
     assert route.kind is manifest.RequestKind.STREAM
     assert (route.timeout, route.target) == (1.5, 0.8)
     assert route.may_repeat
@@ -18,7 +18,7 @@
 
 
 def test_route_may_be_split():
-    raw = harness.manifest()
+    raw = platform_site.manifest()
     raw["routes"][0]["traffic_split"] = [
         {"service": "plain", "weight": 90},
         {"service": "models", "weight": 10},
@@ -29,7 +29,7 @@
 
 
 def test_heartbeats_count_is_not_taken_for_orders():
-    spec = harness.entry("models", "127.0.0.1:1", ["m1"], seq=900)
+    spec = platform_site.entry("models", "127.0.0.1:1", ["m1"], seq=900)
     endpoint = decoding.decode_endpoint("e1", spec)
     assert not any(
         getattr(endpoint, name) == 900 for name in endpoint.__slots__
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -2,8 +2,8 @@
 
 import pytest
 
+from standins import platform_site
 from standins import platform_store
-from tests.gateway import harness
 from wayslip import addresses
 from wayslip import errors
 from wayslip.decisions import lease
@@ -34,7 +34,7 @@
 
 def add_endpoints(standin, count):
     for number in range(count):
-        spec = harness.entry("plain", f"127.0.0.1:{number + 1}")
+        spec = platform_site.entry("plain", f"127.0.0.1:{number + 1}")
         standin.put("servers", f"e{number}", spec)
 
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -66,3 +66,46 @@
     lost = run("ctl", "--url=http://127.0.0.1:1", "status", WAYSLIP_KEY="k")
     assert lost.returncode == 4
     assert "asking again is safe" in lost.stderr
+
+
+def test_gateway_ignores_hangups_before_it_loads_its_libraries():
+    # A soak's SIGHUP ended gateways that had just been started (seed 102).
+    done = subprocess.run(
+        [
+            sys.executable,
+            "-X",
+            "importtime",
+            "-m",
+            "wayslip.cli.gateway",
+            "--help",
+        ],
+        capture_output=True,
+        text=True,
+        cwd=ROOT,
+        env={**os.environ, "PYTHONPATH": "src"},
+        timeout=60,
+    )
+    assert done.returncode == 0
+    loaded = [
+        line.rpartition("|")[2].strip()
+        for line in done.stderr.splitlines()
+        if line.startswith("import time:")
+    ]
+    assert loaded.index("wayslip.cli.hangup") < loaded.index("asyncio")
+    assert loaded.index("wayslip.cli.hangup") < loaded.index("docopt")
+
+
+def test_hangups_are_ignored_once_the_module_is_imported():
+    code = (
+        "import signal, wayslip.cli.hangup;"
+        "signal.raise_signal(signal.SIGHUP); print('alive')"
+    )
+    done = subprocess.run(
+        [sys.executable, "-c", code],
+        capture_output=True,
+        text=True,
+        cwd=ROOT,
+        env={**os.environ, "PYTHONPATH": "src"},
+        timeout=60,
+    )
+    assert done.stdout.strip() == "alive"
