--- a/src/wayslip/gateway/members.py
+++ b/src/wayslip/gateway/members.py
@@ -27,9 +27,9 @@
 _LATE_MISS_GAIN = 1.5
 _FIRST_MISSES = 4
 _MISS_MOST = 20.0
-# A request whose client can wait for a load counts for so many misses more;
-# two more cost busier models more than it served (trials K, L and M):
-# the load that it brings about can serve it.
+# A request whose client can wait for a load counts for so many misses more,
+# since the load that it brings about can serve it. In trials two more cost
+# busier models more than they served.
 _PATIENT_MISSES = 1
 # Misses count until nobody has asked for so long, seconds: rare models are
 # asked for every ten seconds or so.
