--- a/soak/clients.py
+++ b/soak/clients.py
@@ -5,6 +5,7 @@
 import random
 import time
 
+from soak import endpoints
 from soak import world as world_module
 from standins import platform_client
 from standins import platform_engine
@@ -123,7 +124,7 @@
             self._ledger.break_rule(f"MIXED {request} without a seal")
         expected = f"whole {request}".encode()
         if kind in ("gen", "live"):
-            expected = world_module.format_stream(request)
+            expected = endpoints.format_stream(request)
         if answer.body != expected:
             self._ledger.break_rule(f"MIXED {request} got {answer.body!r:.80}")
         served = self._tally.served
--- /dev/null
+++ b/soak/endpoints.py
@@ -0,0 +1,131 @@
+"""Endpoints that check what they are asked and ordered."""
+
+import asyncio
+import dataclasses
+import json
+import time
+from typing import Any
+
+from standins import platform_engine
+from standins import platform_site
+
+LEASE_SECONDS = 1.0
+# The pool's memory and places for adapters, as the manifest says.
+_POOL = platform_site.manifest()["services"][1]["engine"]
+_EVENTS = 12
+_EVENT_SECONDS = 0.03
+
+
+@dataclasses.dataclass
+class Ledger:
+    """What endpoints saw, and what was broken.
+
+    Attributes:
+        runs: How often each request was run.
+        violations: One line each.
+    """
+
+    runs: dict[str, int] = dataclasses.field(default_factory=dict)
+    violations: list[str] = dataclasses.field(default_factory=list)
+
+    def break_rule(self, text: str) -> None:
+        """Notes a violation."""
+        self.violations.append(text)
+        print(f"VIOLATION {text}", flush=True)
+
+
+class Endpoint(platform_engine.PlatformEngine):
+    """A stand-in that checks what it is asked and ordered."""
+
+    def watch(self, ledger: Ledger, service: str) -> None:
+        """Has it note what it sees in a ledger."""
+        self.ledger = ledger
+        self.service = service
+        self.left_at: float | None = None
+        self.last_order = (0.0, "", 0)
+        self.script = _run_stream if service == "models" else _run_plain
+
+    async def _respond(
+        self, request: platform_engine.Received, line: platform_engine.Line
+    ) -> None:
+        wanted = request.headers.get("wayslip-target-instance", self.name)
+        if wanted != self.name:
+            body = b"another engine"
+            await line.answer(request, body, 421, Wayslip_Server_Seal="")
+            return
+        await super()._respond(request, line)
+
+    async def _take_order(
+        self, request: platform_engine.Received, line: platform_engine.Line
+    ) -> None:
+        at, holder, token = self.last_order
+        now = time.monotonic()
+        order = _decode(request.body)
+        if order["holder"] != holder and holder:
+            if now - at < LEASE_SECONDS:
+                self.ledger.break_rule(f"ONE two holders at {self.name}")
+            if order["fencing_token"] <= token:
+                self.ledger.break_rule(f"ONE token fell at {self.name}")
+        self.last_order = (now, order["holder"], order["fencing_token"])
+        await super()._take_order(request, line)
+        models = platform_site.MODEL_SPEC
+        adapters = sum(len(a) for a in self.models.values())
+        used = len(self.models) * float(str(models["weights_mb"])) + adapters
+        if used > _POOL["weights_mb"] or adapters > _POOL["adapter_slots"]:
+            self.ledger.break_rule(f"LIMIT {self.name} holds {self.models}")
+
+    def note_run(self, request: platform_engine.Received) -> None:
+        """Counts a run of a request."""
+        runs = self.ledger.runs
+        runs[request.id] = runs.get(request.id, 0) + 1
+
+
+def _decode(body: bytes) -> dict[str, Any]:
+    decoded: dict[str, Any] = json.loads(body)
+    return decoded
+
+
+async def _run_plain(
+    engine: platform_engine.PlatformEngine,
+    request: platform_engine.Received,
+    line: platform_engine.Line,
+) -> None:
+    assert isinstance(engine, Endpoint)
+    engine.note_run(request)
+    await asyncio.sleep(0.01)
+    await line.answer(request, f"whole {request.id}".encode())
+
+
+async def _run_stream(
+    engine: platform_engine.PlatformEngine,
+    request: platform_engine.Received,
+    line: platform_engine.Line,
+) -> None:
+    assert isinstance(engine, Endpoint)
+    model = request.headers.get("wayslip-model", "").partition("/")[0]
+    if model not in engine.models:
+        await line.answer(request, b"", 421, Wayslip_Server_Seal="")
+        return
+    engine.note_run(request)
+    after = int(request.headers.get("last-event-id", 0))
+    head = platform_engine.format_answer(
+        request.id,
+        b"",
+        Content_Length="",
+        Transfer_Encoding="chunked",
+        Content_Type="text/event-stream",
+    )
+    await line.write(head)
+    for number in range(after + 1, _EVENTS + 1):
+        await asyncio.sleep(_EVENT_SECONDS)
+        event = f"id: {number}\ndata: {request.id}\n\n".encode()
+        await line.write(b"%x\r\n%s\r\n" % (len(event), event))
+    await line.write(b"0\r\n\r\n")
+
+
+def format_stream(request_id: str) -> bytes:
+    """Returns all events of a whole stream."""
+    return b"".join(
+        f"id: {n}\ndata: {request_id}\n\n".encode()
+        for n in range(1, _EVENTS + 1)
+    )
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -157,6 +157,11 @@
 async def crash_endpoint(world: world_module.World, rng: random.Random) -> None:
     """An endpoint crashes; another one starts, perhaps at its address."""
     endpoint = rng.choice(list(world.endpoints.values()))
+    if endpoint.left_at is not None:
+        return
+    if rng.random() < 0.5:
+        await world.succeed_endpoint(endpoint)
+        return
     await world.end_endpoint(endpoint, lists_out=rng.random() < 0.3)
     await world.add_endpoint(endpoint.service)
 
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -56,6 +56,13 @@
         else:
             self._passes.set()
 
+    def retarget(self, target: str) -> None:
+        """Passes connections on to another address; open ones are reset."""
+        host, _, port = target.rpartition(":")
+        self._target = (host, int(port))
+        for writer in list(self._writers):
+            writer.transport.abort()
+
     def close(self) -> None:
         """Ends everything."""
         if self._server is not None:
--- a/soak/world.py
+++ b/soak/world.py
@@ -9,147 +9,25 @@
 from collections.abc import AsyncIterator
 import contextlib
 import dataclasses
-import json
 import os
 import pathlib
 import signal
 import subprocess
 import sys
 import time
-from typing import Any
 
+from soak import endpoints
 from soak import proxy as proxy_module
-from standins import platform_engine
 from standins import platform_site
 from standins import platform_store
 
 GRACE_SECONDS = 4.0
-LEASE_SECONDS = 1.0
-# The pool's memory and places for adapters, as the manifest says.
-_POOL = platform_site.manifest()["services"][1]["engine"]
-_EVENTS = 12
-_EVENT_SECONDS = 0.03
 _HEARTBEAT_SECONDS = 0.3
 # Second number of the gateways' loopback addresses; the third one tells soaks
 # that run at the same time apart.
 _NET = 77
 
 
-@dataclasses.dataclass
-class Ledger:
-    """What endpoints saw, and what was broken.
-
-    Attributes:
-        runs: How often each request was run.
-        violations: One line each.
-    """
-
-    runs: dict[str, int] = dataclasses.field(default_factory=dict)
-    violations: list[str] = dataclasses.field(default_factory=list)
-
-    def break_rule(self, text: str) -> None:
-        """Notes a violation."""
-        self.violations.append(text)
-        print(f"VIOLATION {text}", flush=True)
-
-
-class Endpoint(platform_engine.PlatformEngine):
-    """A stand-in that checks what it is asked and ordered."""
-
-    def watch(self, ledger: Ledger, service: str) -> None:
-        """Has it note what it sees in a ledger."""
-        self.ledger = ledger
-        self.service = service
-        self.left_at: float | None = None
-        self.last_order = (0.0, "", 0)
-        self.script = _run_stream if service == "models" else _run_plain
-
-    async def _respond(
-        self, request: platform_engine.Received, line: platform_engine.Line
-    ) -> None:
-        wanted = request.headers.get("wayslip-target-instance", self.name)
-        if wanted != self.name:
-            body = b"another engine"
-            await line.answer(request, body, 421, Wayslip_Server_Seal="")
-            return
-        await super()._respond(request, line)
-
-    async def _take_order(
-        self, request: platform_engine.Received, line: platform_engine.Line
-    ) -> None:
-        at, holder, token = self.last_order
-        now = time.monotonic()
-        order = _decode(request.body)
-        if order["holder"] != holder and holder:
-            if now - at < LEASE_SECONDS:
-                self.ledger.break_rule(f"ONE two holders at {self.name}")
-            if order["fencing_token"] <= token:
-                self.ledger.break_rule(f"ONE token fell at {self.name}")
-        self.last_order = (now, order["holder"], order["fencing_token"])
-        await super()._take_order(request, line)
-        models = platform_site.MODEL_SPEC
-        adapters = sum(len(a) for a in self.models.values())
-        used = len(self.models) * float(str(models["weights_mb"])) + adapters
-        if used > _POOL["weights_mb"] or adapters > _POOL["adapter_slots"]:
-            self.ledger.break_rule(f"LIMIT {self.name} holds {self.models}")
-
-    def note_run(self, request: platform_engine.Received) -> None:
-        """Counts a run of a request."""
-        runs = self.ledger.runs
-        runs[request.id] = runs.get(request.id, 0) + 1
-
-
-def _decode(body: bytes) -> dict[str, Any]:
-    decoded: dict[str, Any] = json.loads(body)
-    return decoded
-
-
-async def _run_plain(
-    engine: platform_engine.PlatformEngine,
-    request: platform_engine.Received,
-    line: platform_engine.Line,
-) -> None:
-    assert isinstance(engine, Endpoint)
-    engine.note_run(request)
-    await asyncio.sleep(0.01)
-    await line.answer(request, f"whole {request.id}".encode())
-
-
-async def _run_stream(
-    engine: platform_engine.PlatformEngine,
-    request: platform_engine.Received,
-    line: platform_engine.Line,
-) -> None:
-    assert isinstance(engine, Endpoint)
-    model = request.headers.get("wayslip-model", "").partition("/")[0]
-    if model not in engine.models:
-        await line.answer(request, b"", 421, Wayslip_Server_Seal="")
-        return
-    engine.note_run(request)
-    after = int(request.headers.get("last-event-id", 0))
-    head = platform_engine.format_answer(
-        request.id,
-        b"",
-        Content_Length="",
-        Transfer_Encoding="chunked",
-        Content_Type="text/event-stream",
-    )
-    await line.write(head)
-    for number in range(after + 1, _EVENTS + 1):
-        await asyncio.sleep(_EVENT_SECONDS)
-        event = f"id: {number}\ndata: {request.id}\n\n".encode()
-        await line.write(b"%x\r\n%s\r\n" % (len(event), event))
-    await line.write(b"0\r\n\r\n")
-
-
-def format_stream(request_id: str) -> bytes:
-    """Returns all events of a whole stream."""
-    return b"".join(
-        f"id: {n}\ndata: {request_id}\n\n".encode()
-        for n in range(1, _EVENTS + 1)
-    )
-
-
 @dataclasses.dataclass
 class Gateway:
     """A gateway's process and what is between it and the store."""
@@ -192,10 +70,10 @@
 
     def __init__(self, folder: pathlib.Path, gateways: int) -> None:
         self.folder = folder
-        self.ledger = Ledger()
+        self.ledger = endpoints.Ledger()
         self.store = platform_store.PlatformStore()
         self.version = 1
-        self.endpoints: dict[str, Endpoint] = {}
+        self.endpoints: dict[str, endpoints.Endpoint] = {}
         self.proxies: dict[str, proxy_module.Proxy] = {}
         self.gateways: list[Gateway] = []
         self._count = gateways
@@ -246,29 +124,62 @@
 
     # Endpoints
 
-    async def add_endpoint(self, service: str, address: str = "") -> Endpoint:
-        """Starts an endpoint; with an address, in the place of one before."""
+    async def add_endpoint(self, service: str) -> endpoints.Endpoint:
+        """Starts an endpoint at an address of its own."""
+        endpoint, own = await self._start_endpoint(service)
+        proxy = proxy_module.Proxy(own)
+        self.proxies[endpoint.name] = proxy
+        self._list(endpoint, await proxy.start())
+        return endpoint
+
+    async def succeed_endpoint(self, before: endpoints.Endpoint) -> None:
+        """Has an endpoint crash and another one start at its address.
+
+        The entry of the first one stays for a while, as without heartbeats.
+        """
+        item = self.store.objects["servers"].get(before.name)
+        if item is None or before.name not in self.endpoints:
+            return
+        endpoint, own = await self._start_endpoint(before.service)
+        if before.name not in self.endpoints:
+            # It ended while the other one started, which stays unlisted.
+            return
+        proxy = self.proxies.pop(before.name)
+        address = item["spec"]["address"]
+        before.stop()
+        del self.endpoints[before.name]
+        proxy.retarget(own)
+        self.proxies[endpoint.name] = proxy
+        self._list(endpoint, address)
+        await asyncio.sleep(1.0)
+        if before.name in self.store.objects["servers"]:
+            self.store.remove("servers", before.name)
+
+    async def _start_endpoint(
+        self, service: str
+    ) -> tuple[endpoints.Endpoint, str]:
         self._numbers += 1
-        endpoint = Endpoint(f"e{self._numbers}")
+        endpoint = endpoints.Endpoint(f"e{self._numbers}")
         endpoint.watch(self.ledger, service)
         endpoint.report_lag = 0.1
         if service == "models":
             endpoint.models = {f"m{1 + self._numbers % 3}": []}
         own = await endpoint.start()
         self.endpoints[endpoint.name] = endpoint
-        proxy = proxy_module.Proxy(own)
-        self.proxies[endpoint.name] = proxy
-        self._list(endpoint, await proxy.start())
-        return endpoint
+        return endpoint, own
 
-    def _list(self, endpoint: Endpoint, address: str) -> None:
+    def _list(self, endpoint: endpoints.Endpoint, address: str) -> None:
         entry = platform_site.entry(
             endpoint.service, address, endpoint.models, seq=0
         )
         self.store.put("servers", endpoint.name, entry)
 
-    async def end_endpoint(self, endpoint: Endpoint, lists_out: bool) -> None:
+    async def end_endpoint(
+        self, endpoint: endpoints.Endpoint, lists_out: bool
+    ) -> None:
         """Ends an endpoint at once; its entry may stay for a while."""
+        if endpoint.name not in self.endpoints:
+            return
         self.proxies[endpoint.name].set_harm(proxy_module.Harm.RESET)
         self.proxies[endpoint.name].close()
         endpoint.stop()
@@ -278,8 +189,13 @@
         if endpoint.name in self.store.objects["servers"]:
             self.store.remove("servers", endpoint.name)
 
-    async def drain_endpoint(self, endpoint: Endpoint, seconds: float) -> None:
+    async def drain_endpoint(
+        self, endpoint: endpoints.Endpoint, seconds: float
+    ) -> None:
         """Has an endpoint say that it leaves, then ends it."""
+        if endpoint.name not in self.store.objects["servers"]:
+            # It crashed, or lapsed in an outage of the store.
+            return
         spec = self.store.objects["servers"][endpoint.name]["spec"]
         spec = {**spec, "state": "draining"}
         self.store.put("servers", endpoint.name, spec)
@@ -320,7 +236,7 @@
             f"internal_ports = [{port}, {port + 15}]\n"
             f'[listen]\nfront = "{callers}"\nready = "{ready}"\n'
             f"[bounds]\ngrace_s = {GRACE_SECONDS}\n"
-            f"lease_ms = {int(LEASE_SECONDS * 1000)}\n"
+            f"lease_ms = {int(endpoints.LEASE_SECONDS * 1000)}\n"
             f'[platform]\naddress = "{address}"\n'
         )
         log = self.folder / f"{name}.log"
