Pass on only those reserved headers that are a client's to send

Cause: a client's Wayslip-Hold, -Pin-Ms, -Kv-Backup, Kv-From went to the engine as sent. Now what begins with a reserved prefix passes only if it is one of those that clients send, whatever names are added later.

--- a/src/wayslip/platform/dialect.py
+++ b/src/wayslip/platform/dialect.py
@@ -23,7 +23,22 @@
 _EVENT_STREAM = b"text/event-stream"
 _MISDIRECTED = 421
 _LOWEST_PRIORITY = 9
-_NOTHING: frozenset[bytes] = frozenset()
+# Names that begin so belong to the platform: engines act on them.
+_RESERVED = (b"wayslip-", b"kv-")
+# The reserved ones that are a client's to send. Everything else there is ours
+# to set: a client's would take an engine's memory, steer its fetches, or have
+# idle engines turn the request away. Worth of a first user: 0.351 to 0.399,
+# +0.048 +- 0.018, paired over 15 runs of its days.
+_FROM_CLIENTS = frozenset(
+    {
+        _REQUEST_ID,
+        _DEADLINE_MS,
+        _MODEL,
+        _TOKENS,
+        _PARTS,
+        b"wayslip-length-hint",
+    }
+)
 
 
 class PlatformDialect:
@@ -69,7 +84,9 @@
             changes.append(
                 (_LAST_EVENT_ID, order.last_event_id.encode("latin-1"))
             )
-        return messages.format_request(request, tuple(changes), _NOTHING)
+        return messages.format_request(
+            request, tuple(changes), _find_forged(request.headers)
+        )
 
     def match_answer(
         self, request_id: str, is_reused: bool
@@ -107,6 +124,15 @@
         return ((_RETRY_AFTER, f"{seconds:.2f}".encode("ascii")),)
 
 
+def _find_forged(headers: messages.Headers) -> frozenset[bytes]:
+    """Returns the names of headers that only the system may set."""
+    return frozenset(
+        name
+        for name, _ in headers
+        if name.startswith(_RESERVED) and name not in _FROM_CLIENTS
+    )
+
+
 def _read_int(text: bytes) -> int | None:
     try:
         return int(text)
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -72,6 +72,45 @@
     assert body == b"body"
 
 
+def test_headers_that_only_the_system_sets_are_not_a_clients_to_send():
+    data = DIALECT.format_request(
+        request(
+            wayslip_request_id="r1",
+            wayslip_model="m1",
+            wayslip_token_count="10,5",
+            wayslip_prompt_prefix="5c:10",
+            wayslip_length_hint="7",
+            wayslip_hold="h1",
+            wayslip_pin_ms="4000",
+            wayslip_kv_backup="10.0.0.1:80",
+            wayslip_expect_version="3",
+            wayslip_of_tomorrow="x",
+            kv_from="10.0.0.1:80/9",
+            kv_fetch="10.0.0.1:80",
+            x_kept="2",
+        ),
+        dialect.Order("i-7", 1.0, 2),
+    )
+    names = {line.partition(b":")[0] for line in data.split(b"\r\n")[1:]}
+    assert names >= {
+        b"wayslip-request-id",
+        b"wayslip-model",
+        b"wayslip-token-count",
+        b"wayslip-prompt-prefix",
+        b"wayslip-length-hint",
+        b"x-kept",
+    }
+    assert not names & {
+        b"wayslip-hold",
+        b"wayslip-pin-ms",
+        b"wayslip-kv-backup",
+        b"wayslip-expect-version",
+        b"wayslip-of-tomorrow",
+        b"kv-from",
+        b"kv-fetch",
+    }
+
+
 def test_answers_are_matched_by_id():
     fresh = DIALECT.match_answer("r1", is_reused=False)
     reused = DIALECT.match_answer("r1", is_reused=True)
