Let the holder order engines while the store answers nobody

Now a holder that can not renew asks: if every instance says that the store does not answer it either, and has heard that the holder goes on, orders leave without a claim. Who has heard so keeps away from all engines for 1.5 s and the distance between holders. One word that the store answers ends it after 0.8 s. Instances say goodbye at a planned stop; one that fell silent without a word forbids it unless our lease was renewed for 4 s since.

--- /dev/null
+++ b/src/wayslip/decisions/detachment.py
@@ -0,0 +1,89 @@
+"""Whether the lease's holder may order engines while nobody reaches the store.
+
+An order is normally preceded by a write that keeps other instances away from
+its engine. While the store answers nobody, nobody can write, and the holder of
+the lease may go on without it, as long as every instance agrees: each says
+that the store does not answer it and that it heard the holder just now. An
+instance that heard so keeps away from all engines for `HOLD_OFF` and the
+distance between holders, whatever it writes later. The store stays the only
+place where the lease changes hands; the instances agree on nothing but that
+it is away.
+"""
+
+from collections.abc import Iterable
+import dataclasses
+
+# An instance's word counts for this long after the holder sent what it
+# answers, seconds: four reports.
+ECHO = 1.0
+# An instance that reaches the store again is given to the holder for so long
+# before it yields, seconds; the holder tries several times meanwhile.
+RETURN = 0.8
+# An instance that fell silent without saying that it stops may be cut off from
+# us and not from the store. It takes the lease then, within two seconds; one
+# that has not done so after this long while ours was renewed is gone, or cut
+# off from the store too, seconds.
+MISSING = 4.0
+# An order that was decided on an instance's word may still leave and travel,
+# seconds.
+_ON_ITS_WAY = 0.5
+# How long after a detached holder was last heard it may still order, seconds.
+HOLD_OFF = ECHO + _ON_ITS_WAY
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Word:
+    """What an instance said of itself.
+
+    Attributes:
+        echoed_at: When the holder sent the statement that it answers, steady
+            seconds of the holder.
+        cut_off: Whether the store did not answer it when it last tried.
+    """
+
+    echoed_at: float
+    cut_off: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Detachment:
+    """What the holder may do without the store.
+
+    Attributes:
+        proposed_at: Since when the holder says that it goes on without the
+            store, None while it does not.
+        is_granted: Whether all have heard so, and it may order engines.
+        reached_since: Since when somebody has reached the store, None while
+            nobody does.
+    """
+
+    proposed_at: float | None = None
+    is_granted: bool = False
+    reached_since: float | None = None
+
+    def judge(
+        self, words: Iterable[Word], is_anyone_missing: bool, now: float
+    ) -> "Detachment":
+        """Returns what the holder may do, given all instances' last words.
+
+        Args:
+            words: One of every other instance that runs.
+            is_anyone_missing: Whether one fell silent without saying why.
+            now: Steady seconds.
+        """
+        known = list(words)
+        if is_anyone_missing or any(now - w.echoed_at > ECHO for w in known):
+            return NONE
+        since = None
+        if not all(w.cut_off for w in known):
+            if not self.is_granted:
+                return NONE
+            since = now if self.reached_since is None else self.reached_since
+            if now - since >= RETURN:
+                return NONE
+        proposed = now if self.proposed_at is None else self.proposed_at
+        has_all = all(w.echoed_at >= proposed for w in known)
+        return Detachment(proposed, has_all, since)
+
+
+NONE = Detachment()
--- a/src/wayslip/gateway/daemon.py
+++ b/src/wayslip/gateway/daemon.py
@@ -17,6 +17,7 @@
 from wayslip.decisions import manifest
 from wayslip.gateway import configuration
 from wayslip.gateway import currency
+from wayslip.gateway import detaching as detaching_module
 from wayslip.gateway import dialect as dialect_module
 from wayslip.gateway import engines as engines_module
 from wayslip.gateway import facts
@@ -82,8 +83,17 @@
             options, platform.store, platform.engines, self.metrics
         )
         members = members_module.Members()
+        detaching = detaching_module.Detaching(
+            options.peers, self.leadership, members
+        )
+        self._ordering.is_detached = lambda: detaching.is_granted
         self._teller = telling.Teller(
-            options.peers, self.leadership, self._ordering, members, self._hub
+            options.peers,
+            self.leadership,
+            self._ordering,
+            members,
+            detaching,
+            self._hub,
         )
         self._planner = planner_module.Planner(
             self.holder,
@@ -214,6 +224,7 @@
         began = time.monotonic()
         self._callers.is_draining = True
         logs.event(_LOG, "stopping", active=self._callers.active)
+        self._placement.say_leaving()
         if self.leadership.is_held:
             await self.leadership.release()
             # Says that nobody plans now, so that another instance begins
--- a/src/wayslip/gateway/facts.py
+++ b/src/wayslip/gateway/facts.py
@@ -129,6 +129,11 @@
     Attributes:
         number: Rises with every report of a process.
         is_blind: Whether it can not read the platform's list now.
+        echo_term: The term of the holder's last state that it heard.
+        echo_ms: When the holder sent that, by the holder's steady clock.
+        is_cut_off: Whether the store did not answer when it last asked for
+            the lease, or has not yet.
+        is_leaving: Whether it stops as planned; it takes no lease then.
     """
 
     instance: str
@@ -138,6 +143,10 @@
     is_blind: bool
     usages: tuple[Usage, ...]
     demands: tuple[Demand, ...]
+    echo_term: int = 0
+    echo_ms: int = 0
+    is_cut_off: bool = False
+    is_leaving: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -236,6 +245,9 @@
             the configuration's own version.
         endpoints: How far it follows the list of endpoints.
         usages: Totals over all instances.
+        sent_ms: When it was sent, by the holder's steady clock.
+        is_detached: Whether the holder goes on while nobody reaches the
+            store; see `decisions.detachment`.
     """
 
     term: int
@@ -246,6 +258,8 @@
     configuration: Seen
     endpoints: Seen
     usages: tuple[Usage, ...]
+    sent_ms: int = 0
+    is_detached: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/wayslip/gateway/leadership.py
+++ b/src/wayslip/gateway/leadership.py
@@ -18,6 +18,9 @@
 _LOOK_SECONDS = 0.6
 # Between writes of a holder whose last one had no answer, seconds.
 _REPEAT_SECONDS = 0.05
+# The same once others were told that it can not renew, seconds: it is still
+# the first to know that the store is back.
+_DOUBTFUL_SECONDS = 0.2
 # A renewal's answer is waited for this long, seconds: above what the store
 # takes when it is fifty times as slow as usual. Then it is sent again on a new
 # connection, because the answer may have been lost.
@@ -61,6 +64,8 @@
         # The term whose holder said that it can not renew the lease.
         self._yielded_term = 0
         self._is_doubtful = False
+        # Until the store has answered once, it is taken as away.
+        self._is_cut_off = True
         self._own_term = 0
         self._is_stopping = False
         self._valid_until = 0.0
@@ -98,6 +103,16 @@
                 self.sight.lease, revision, time.monotonic()
             )
 
+    def hear_detached(self, term: int) -> None:
+        """Takes in that the holder lives and goes on without the store."""
+        if self.sight is None or self._is_held:
+            return
+        if self._yielded_term == term:
+            self._yielded_term = 0
+        self.sight = lease.Sight(
+            self.sight.lease, self.sight.revision, time.monotonic()
+        )
+
     def hear_yield(self, term: int) -> None:
         """Takes in that the holder of a term says it can not go on."""
         self._yielded_term = term
@@ -119,6 +134,16 @@
         """Where the holder hears its peers, None if nobody is known."""
         return self.sight.lease.address if self.sight else None
 
+    @property
+    def is_doubtful(self) -> bool:
+        """Whether our renewals have had no answer for too long."""
+        return self._is_doubtful
+
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether the store has not answered yet, or not when last asked."""
+        return self._is_cut_off
+
     @property
     def is_valid(self) -> bool:
         """Whether we hold the lease and may rely on that now."""
@@ -153,7 +178,10 @@
         # A holder whose lease ran out goes on writing: if that succeeds on
         # the old revision, nobody has taken the lease meanwhile.
         is_answered = self.is_valid and self._doubt_timer is None
-        await asyncio.sleep(lease.RENEWAL if is_answered else _REPEAT_SECONDS)
+        pause = lease.RENEWAL if is_answered else _REPEAT_SECONDS
+        if self._is_doubtful:
+            pause = _DOUBTFUL_SECONDS
+        await asyncio.sleep(pause)
         await self.renew()
 
     def _doubt(self) -> None:
@@ -169,6 +197,7 @@
             reason=error.reason,
             held=self._is_held,
         )
+        self._is_cut_off = True
         if not self._is_held:
             await asyncio.sleep(_LOOK_SECONDS)
         self._asked.set()
@@ -184,6 +213,7 @@
         async with self._lock:
             began = time.monotonic()
             stored = await self._store.get(self._kind, NAME)
+            self._is_cut_off = False
             if stored is None:
                 return None
             self._note(stored, began)
@@ -214,7 +244,9 @@
         if self._is_stopping:
             return
         await self._let_others_go_first()
-        if self._is_heard_again():
+        # One that the store did not answer goes on asking: the holder may be
+        # the only one that it turns away.
+        if self._is_heard_again() and not self._is_cut_off:
             return
         sight = await self._read()
         if sight is None:
--- a/src/wayslip/gateway/members.py
+++ b/src/wayslip/gateway/members.py
@@ -10,6 +10,7 @@
 import time
 
 from wayslip.decisions import demand
+from wayslip.decisions import detachment
 from wayslip.decisions import fanout
 from wayslip.decisions import loading
 from wayslip.decisions import manifest
@@ -47,6 +48,9 @@
     number: int
     heard: float
     usages: tuple[facts.Usage, ...]
+    echo: tuple[int, float] = (0, 0.0)
+    is_cut_off: bool = False
+    is_leaving: bool = False
 
 
 class Members:
@@ -55,6 +59,8 @@
     def __init__(self) -> None:
         self._members: dict[str, _Member] = {}
         self._told: tuple[fanout.Peer, ...] = ()
+        # Instances that fell silent without a word, and since when.
+        self._missing: dict[fanout.Peer, float] = {}
         self._models: demand.Rates[tuple[str, str]] = demand.Rates(_FADING)
         self._work: demand.Rates[tuple[str, str]] = demand.Rates(_FADING)
         self._misses: dict[tuple[str, str], int] = {}
@@ -92,6 +98,9 @@
             report.number,
             now,
             report.usages,
+            (report.echo_term, report.echo_ms / 1000),
+            report.is_cut_off,
+            report.is_leaving,
         )
         for one in report.demands:
             key = (one.service, one.model)
@@ -236,16 +245,53 @@
         for name, member in list(self._members.items()):
             if now - member.heard > _SILENCE:
                 del self._members[name]
+                if member.is_leaving:
+                    self._missing.pop(member.peer, None)
+                else:
+                    self._missing.setdefault(member.peer, now)
         found = [m.peer for m in self._members.values()]
         if now - self._met >= _SILENCE:
             return found or list(self._told)
         # Just after the lease was taken not everybody has found us yet.
         return list({*found, *self._told})
 
+    def list_words(self, term: int, own: str) -> list[detachment.Word]:
+        """Returns what the other instances said in answer to our states.
+
+        Args:
+            term: Ours; words in answer to another holder do not count.
+            own: Where we hear ourselves, "IP:PORT".
+        """
+        return [
+            detachment.Word(
+                m.echo[1] if m.echo[0] == term else float("-inf"),
+                m.is_cut_off,
+            )
+            for m in self._members.values()
+            if m.peer.address != own and not m.is_leaving
+        ]
+
+    def list_missing(self) -> list[fanout.Peer]:
+        """Returns instances that fell silent without saying that they stop.
+
+        They may have taken the lease without our hearing of it.
+        """
+        heard = {m.peer.address for m in self._members.values()}
+        return [p for p in self._missing if p.address not in heard]
+
+    def forget_missing(self) -> None:
+        """Forgets who would have taken the lease by now if it could.
+
+        To be called while the lease is renewed.
+        """
+        limit = time.monotonic() - detachment.MISSING
+        self._missing = {p: at for p, at in self._missing.items() if at > limit}
+
     def begin(self) -> None:
         """Begins a term: forgets reports of an earlier one, not the demand."""
         self._members.clear()
         self._met = time.monotonic()
+        self._missing = dict.fromkeys(self._told, self._met)
 
 
 def _make_peer(source: hub_module.Address, data_hall: str) -> fanout.Peer:
--- a/src/wayslip/gateway/ordering.py
+++ b/src/wayslip/gateway/ordering.py
@@ -14,6 +14,7 @@
 from wayslip import errors
 from wayslip import logs
 from wayslip import metrics as metrics_module
+from wayslip.decisions import detachment
 from wayslip.decisions import fleet
 from wayslip.decisions import lease
 from wayslip.gateway import books as books_module
@@ -53,6 +54,10 @@
         self._client = client
         self._metrics = metrics
         self.books: dict[str, books_module.Book] = {}
+        # Whether we may order without the store; set by who knows.
+        self.is_detached: Callable[[], bool] = lambda: False
+        # Until then a holder before us may still order without the store.
+        self._kept_away_until = 0.0
         # The store's revision at which this instance took the lease.
         self.least_token = 0
         # Claims as they were read, written, or told by another holder.
@@ -71,6 +76,12 @@
             unknown, revision, time.monotonic()
         )
 
+    def keep_away(self) -> None:
+        """Notes that a holder orders engines without writing claims."""
+        now = time.monotonic()
+        distance = self._options.bounds.lease + lease.TRAVEL
+        self._kept_away_until = now + detachment.HOLD_OFF + distance
+
     async def read_claims(self) -> None:
         """Reads all claims, as a new planner.
 
@@ -104,11 +115,12 @@
 
     def may_claim(self, endpoint: str) -> bool:
         """Whether an engine may be ordered by this instance now."""
-        return lease.may_claim(
+        now = time.monotonic()
+        return now >= self._kept_away_until and lease.may_claim(
             self.claims.get(endpoint),
             self._options.name,
             self._options.bounds.lease,
-            time.monotonic(),
+            now,
         )
 
     async def _claim(self, pending: lease.Pending) -> lease.Claim | None:
@@ -120,6 +132,8 @@
         claim = lease.next_claim(
             seen, self._options.name, pending, self.least_token
         )
+        if self.is_detached():
+            return claim
         try:
             if seen is None:
                 stored = await self._store.create(
--- a/src/wayslip/gateway/placement.py
+++ b/src/wayslip/gateway/placement.py
@@ -65,6 +65,9 @@
         # When items that were ordered can serve; bounded by their number.
         self._ready_at: dict[tuple[str, str], float] = {}
         self._heard = 0.0
+        # Term and time of the holder's last state.
+        self._echo = (0, 0)
+        self._is_leaving = False
         self.instances = _ASSUMED_INSTANCES
 
     # For requests
@@ -168,12 +171,20 @@
                 )
                 for item, count in self._demand.items()
             ),
+            *self._echo,
+            self._leadership.is_cut_off,
+            self._is_leaving,
         )
         self._demand.clear()
         self._work.clear()
         self._patient.clear()
         self._hub.send(report, addresses.split_address(holder))
 
+    def say_leaving(self) -> None:
+        """Tells the holder that this instance stops as planned."""
+        self._is_leaving = True
+        self._report()
+
     def take(self, state: facts.State) -> None:
         """Takes in what the holder tells all the time."""
         known = self._leadership.seen_term
@@ -183,10 +194,13 @@
             self._leadership.hear_holder(
                 state.term, state.revision, state.address
             )
+        self._echo = (state.term, state.sent_ms)
         if not state.is_holder:
             self._leadership.hear_yield(state.term)
             return
         self._leadership.hear(state.revision)
+        if state.is_detached:
+            self._leadership.hear_detached(state.term)
         self._heard = time.monotonic()
         self.instances = max(state.instances, 1)
         self._take_usages(state)
--- a/src/wayslip/gateway/planner.py
+++ b/src/wayslip/gateway/planner.py
@@ -184,6 +184,10 @@
 
     def _take_statement(self, message: facts.Message) -> None:
         """Remembers what a successor of the holder needs."""
+        if isinstance(message, facts.State):
+            if message.is_detached:
+                self._ordering.keep_away()
+            return
         if isinstance(message, facts.Handover):
             if message.term < self._leadership.seen_term:
                 return
@@ -225,7 +229,8 @@
                 pass
             self._soon.clear()
             self._follow_list()
-            if self._leadership.is_valid and self._is_prepared:
+            may_plan = self._leadership.is_valid or self._ordering.is_detached()
+            if may_plan and self._is_prepared:
                 self._plan()
                 self._drop_claims()
 
--- a/src/wayslip/gateway/telling.py
+++ b/src/wayslip/gateway/telling.py
@@ -8,6 +8,7 @@
 import time
 
 from wayslip.gateway import books as books_module
+from wayslip.gateway import detaching as detaching_module
 from wayslip.gateway import facts
 from wayslip.gateway import hub as hub_module
 from wayslip.gateway import leadership as leadership_module
@@ -48,9 +49,11 @@
         leadership: leadership_module.Leadership,
         ordering: ordering_module.Ordering,
         members: members_module.Members,
+        detaching: detaching_module.Detaching,
         hub: hub_module.Hub,
     ) -> None:
         self._address = address
+        self._detaching = detaching
         self._leadership = leadership
         self._ordering = ordering
         self._members = members
@@ -83,17 +86,20 @@
     def tell_state(self, sights: Sights) -> None:
         """Tells the load, and how far the store is followed."""
         peers = self._members.peers()
+        is_detached = self._detaching.is_proposed
         state = facts.State(
             term=self._leadership.seen_term,
             revision=self._leadership.revision,
             address=self._address,
-            is_holder=self._leadership.is_valid,
+            is_holder=self._leadership.is_valid or is_detached,
             instances=len(peers),
             configuration=sights.configuration,
             endpoints=sights.endpoints,
             usages=tuple(self._members.total_usages().values()),
+            sent_ms=int(time.monotonic() * 1000),
+            is_detached=is_detached,
         )
-        self._hub.spread(state, peers)
+        self._hub.spread(state, [*peers, *self._detaching.list_missing()])
         now = time.monotonic()
         if now - self._whole_told >= _WHOLE_SECONDS:
             self._whole_told = now
--- /dev/null
+++ b/tests/gateway/test_detaching.py
@@ -0,0 +1,109 @@
+"""The holder goes on ordering engines while the store answers nobody."""
+
+import asyncio
+import dataclasses
+
+from tests.gateway import harness
+from tests.gateway import test_placement
+from tests.gateway import test_requests
+from wayslip.decisions import detachment
+from wayslip.decisions import fanout
+from wayslip.gateway import facts
+from wayslip.gateway import members as members_module
+
+
+def report(instance, echo=(1, 5000), **fields):
+    told = facts.Report(instance, "h", "p", 1, True, (), (), *echo)
+    return dataclasses.replace(told, **fields)
+
+
+def source(number):
+    return ("10.0.0.1", number)
+
+
+def test_words_in_answer_to_another_holder_do_not_count():
+    members = members_module.Members()
+    members.take(report("g2", is_cut_off=True), source(2), set())
+    members.take(report("g3", (2, 7000), is_cut_off=True), source(3), set())
+    words = members.list_words(2, "10.0.0.1:1")
+    assert words == [
+        detachment.Word(float("-inf"), True),
+        detachment.Word(7.0, True),
+    ]
+
+
+def test_own_word_and_those_of_stopping_instances_are_left_out():
+    members = members_module.Members()
+    members.take(report("g1"), source(1), set())
+    members.take(report("g2", is_leaving=True), source(2), set())
+    assert members.list_words(1, "10.0.0.1:1") == []
+
+
+def test_silent_instance_is_missed_unless_it_said_that_it_stops(monkeypatch):
+    members = members_module.Members()
+    members.take(report("g2"), source(2), set())
+    members.take(report("g3", is_leaving=True), source(3), set())
+    monkeypatch.setattr(members_module, "_SILENCE", 0.0)
+    assert members.peers() == []
+    assert members.list_missing() == [fanout.Peer("10.0.0.1:2", "h")]
+    members.forget_missing()
+    assert members.list_missing()
+    monkeypatch.setattr(detachment, "MISSING", 0.0)
+    members.forget_missing()
+    assert not members.list_missing()
+
+
+def test_new_holder_misses_whom_it_was_told_of():
+    # It may be one that took the lease after ours, unheard.
+    members = members_module.Members()
+    members.adopt_peers((("10.0.0.1:2", "h"),))
+    members.begin()
+    assert members.list_missing() == [fanout.Peer("10.0.0.1:2", "h")]
+    members.take(report("g2"), source(2), set())
+    assert not members.list_missing()
+
+
+async def load_without_store(system, engine):
+    """Asks for a model until it is loaded; the store is silent."""
+    for number in range(80):
+        answer = await test_placement.ask(system, "m2", f"r{number}")
+        if answer.status == 200:
+            return True
+        await asyncio.sleep(0.1)
+    return False
+
+
+@harness.run
+async def test_models_are_loaded_while_the_store_answers_nobody(system):
+    # For all of an outage of eight seconds nothing was loaded, and demand that
+    # moved meanwhile was refused until long after it.
+    engine = await system.add(
+        "e1", "models", ["m1"], test_requests.stream_whole
+    )
+    other = await system.join("g2")
+    await system.until(lambda: system.gateway.leadership.is_valid)
+    writes = len(system.store.objects.get("wayslip-claims", {}))
+    system.store.faults.is_silent = True
+    assert await load_without_store(system, engine)
+    assert "m2" in engine.models
+    assert len(system.store.objects.get("wayslip-claims", {})) == writes
+    # The other one keeps away from the engine for a while.
+    assert not other._ordering.may_claim("e1")
+    system.store.faults.is_silent = False
+    await system.until(lambda: system.gateway.leadership.is_valid)
+    assert not other.leadership.is_held
+
+
+@harness.run
+async def test_holder_yields_when_another_reaches_the_store(system):
+    await system.add("e1", "models", ["m1"], test_requests.stream_whole)
+    other = await system.join("g2")
+    holder = system.gateway
+    await system.until(lambda: holder.leadership.is_valid)
+    # Only the holder's calls fail.
+    holder.leadership._doubt()
+    detaching = holder._teller._detaching
+    for _ in range(20):
+        assert not detaching.is_granted
+        await asyncio.sleep(0.02)
+    assert other.leadership.is_cut_off is False
