Do not renew a lease that was lost while the holder slept

Cause: a holder sleeps between renewals. Now a holder looks whether it still holds the lease before it writes. The test fails without it.

--- a/src/wayslip/gateway/leadership.py
+++ b/src/wayslip/gateway/leadership.py
@@ -297,13 +297,17 @@
         self._on_taken()
 
     async def renew(self) -> None:
-        """Writes the lease once more.
+        """Writes the lease once more, unless it was lost meanwhile.
 
         Raises:
             ObjectConflictError: The lease is lost, or an answer was.
             ObjectUnavailableError: The store did not answer.
         """
         async with self._lock:
+            # Whoever lost the lease while it waited knows its successor's
+            # record by now, and would write over that.
+            if not self._is_held:
+                return
             assert self.sight is not None
             began = time.monotonic()
             mine = self.sight.lease.renew()
--- a/tests/gateway/test_leadership.py
+++ b/tests/gateway/test_leadership.py
@@ -145,3 +145,26 @@
     await until(lambda: holder.leadership.revision > revision + 1)
     assert not doubts
     assert sum(m.taken for m in members) == 1
+
+
+@with_members
+async def test_holder_that_lost_the_lease_does_not_write_over_its_successor(
+    standin, members
+):
+    # A holder that stopped or was followed went on to renew, on the record of
+    # its successor, which lost the lease by that: nobody planned for 2 s.
+    await until(lambda: holders(members))
+    holder = holders(members)[0]
+    others = [m for m in members if m is not holder]
+    await holder.leadership.release()
+    for member in others:
+        member.leadership.ask()
+    await until(lambda: holders(others))
+    taken = holders(others)[0].leadership
+    # As its first statement tells the one before, still between renewals.
+    holder.leadership.hear_holder(
+        taken.seen_term, taken.revision, "127.0.0.1:9"
+    )
+    await asyncio.sleep(2 * lease.RENEWAL)
+    assert taken.is_held
+    assert sum(m.taken for m in others) == 1
