Log with every order what its room was worked out from

Whether an item is charged came from four places of different age, and no line told which. Now the line of an order names each charged item with who shows it, what no longer counts and why, the ages of report and entry, and the configuration's version. No change of logic; tests of books pass a time now.

--- a/src/wayslip/gateway/books.py
+++ b/src/wayslip/gateway/books.py
@@ -27,6 +27,8 @@
             of fewer is an old one, for a while after `counted_at`.
         counted_at: When it took an order of ours last, steady seconds.
         reported: What its last report showed, and entries since.
+        reported_at: When that report came, steady seconds.
+        listed_at: When its entry in the list came, steady seconds.
         is_known: Whether a report told all that it holds; not so while it
             loads something that a holder before us ordered.
         added: Items ordered to load that nothing shows yet, and when they
@@ -48,6 +50,8 @@
     least_orders: int = 0
     counted_at: float = 0.0
     reported: set[Item] = dataclasses.field(default_factory=set)
+    reported_at: float = 0.0
+    listed_at: float = 0.0
     is_known: bool = False
     added: dict[Item, float] = dataclasses.field(default_factory=dict)
     removed: dict[Item, bool] = dataclasses.field(default_factory=dict)
@@ -80,8 +84,9 @@
         """Returns the items in the engine's entry."""
         return fleet.list_items(self.endpoint.models)
 
-    def take_entry(self, endpoint: fleet.Endpoint) -> None:
+    def take_entry(self, endpoint: fleet.Endpoint, now: float) -> None:
         """Takes in the engine's entry in the list."""
+        self.listed_at = now
         before = self.listed()
         self.endpoint = endpoint
         listed = self.listed()
@@ -110,6 +115,7 @@
             return False
         self.orders = state.orders
         self.least_orders = state.orders
+        self.reported_at = now
         self.reported = fleet.list_items(state.models) | state.coming
         for item in self.removed:
             self.removed[item] = item not in self.reported
@@ -137,6 +143,45 @@
         self.reported.discard(item)
         self.removed[item] = True
 
+    def describe_room(self, now: float) -> dict[str, str]:
+        """Returns what an order's room is worked out from, for the log.
+
+        Returns:
+            `room`: every item that is charged and by whom it is shown (l the
+            list, r a report, a an order of ours, p one that is not settled;
+            u if it is being unloaded);
+            `gone`: items that are not charged because they were seen gone;
+            the ages of the report and of the entry, seconds.
+        """
+        charged = self.charged()
+        items = charged | set(self.removed)
+        shown = {item: self._list_sources(item) for item in sorted(items)}
+        return {
+            "room": " ".join(
+                f"{_name(i)}:{s}" for i, s in shown.items() if i in charged
+            ),
+            "gone": " ".join(
+                f"{_name(i)}:{s}" for i, s in shown.items() if i not in charged
+            ),
+            "report_age": f"{now - self.reported_at:.2f}",
+            "entry_age": f"{now - self.listed_at:.2f}",
+        }
+
+    def _list_sources(self, item: Item) -> str:
+        pending = self.pending
+        is_pending = pending is not None and item == (
+            pending.model,
+            pending.adapter,
+        )
+        found = {
+            "l": item in self.listed(),
+            "r": item in self.reported,
+            "a": item in self.added,
+            "p": is_pending,
+            "u": item in self.removed,
+        }
+        return "".join(s for s, is_shown in found.items() if is_shown)
+
     def describe(self) -> dict[str, object]:
         """Returns what the state dump shows."""
         return {
@@ -146,3 +191,8 @@
             "removed": sorted(self.removed),
             "pending": self.pending,
         }
+
+
+def _name(item: Item) -> str:
+    model, adapter = item
+    return f"{model}/{adapter}" if adapter else model
--- a/src/wayslip/gateway/configuration.py
+++ b/src/wayslip/gateway/configuration.py
@@ -14,6 +14,11 @@
     def __init__(self) -> None:
         self.manifest: manifest_module.Manifest | None = None
 
+    @property
+    def version(self) -> int | None:
+        """The version in force, None before a configuration is known."""
+        return self.manifest.version if self.manifest else None
+
     @property
     def limits(self) -> manifest_module.Limits:
         """Limits on clients, the defaults before a configuration is known."""
--- a/src/wayslip/gateway/daemon.py
+++ b/src/wayslip/gateway/daemon.py
@@ -87,6 +87,7 @@
             options.peers, self.leadership, members
         )
         self._ordering.is_detached = lambda: detaching.is_granted
+        self._ordering.find_version = lambda: self.holder.version
         self._teller = telling.Teller(
             options.peers,
             self.leadership,
@@ -279,9 +280,8 @@
         self._planner.end()
 
     def _find_sights(self) -> telling.Sights:
-        known = self.holder.manifest
         return telling.Sights(
-            facts.Seen(known.version if known else 0, self._configurations.age),
+            facts.Seen(self.holder.version or 0, self._configurations.age),
             facts.Seen(self._endpoints.changed_at, self._endpoints.watcher.age),
         )
 
@@ -304,8 +304,7 @@
     def _take_sights(self, state: facts.State) -> None:
         if state.term < self.leadership.seen_term:
             return
-        known = self.holder.manifest
-        version = known.version if known else 0
+        version = self.holder.version or 0
         told = state.configuration
         self._configurations.currency.hear(told.age, version >= told.revision)
         told = state.endpoints
@@ -339,11 +338,10 @@
 
     def dump(self) -> dict[str, object]:
         """Returns the state of this process."""
-        known = self.holder.manifest
         return {
             "instance": self._options.name,
             "ready": self.is_ready(),
-            "configuration": known.version if known else None,
+            "configuration": self.holder.version,
             "lease": self.leadership.sight,
             "holds_lease": self.leadership.is_valid,
             "endpoints": self.view.dump(),
--- a/src/wayslip/gateway/ordering.py
+++ b/src/wayslip/gateway/ordering.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 import logging
 import time
+from typing import Any
 
 from wayslip import errors
 from wayslip import logs
@@ -56,6 +57,8 @@
         self.books: dict[str, books_module.Book] = {}
         # Whether we may order without the store; set by who knows.
         self.is_detached: Callable[[], bool] = lambda: False
+        # The configuration in force; set by who knows.
+        self.find_version: Callable[[], int | None] = lambda: None
         # Until then a holder before us may still order without the store.
         self._kept_away_until = 0.0
         # The store's revision at which this instance took the lease.
@@ -229,11 +232,12 @@
             if pending is None:
                 return
             outcome = await self._repeat(book, pending)
-            self._note(book, pending, outcome)
+            self._note(book, pending, outcome, {})
 
     async def _give(
         self, book: books_module.Book, pending: lease.Pending
     ) -> engines_module.OrderOutcome:
+        room = book.describe_room(time.monotonic())
         book.pending = pending
         outcome = await self._send(book, pending)
         if outcome is None:
@@ -242,7 +246,7 @@
             return engines_module.OrderOutcome.REFUSED
         if outcome is engines_module.OrderOutcome.UNKNOWN:
             outcome = await self._repeat(book, pending)
-        self._note(book, pending, outcome)
+        self._note(book, pending, outcome, room)
         return outcome
 
     async def _send(
@@ -282,7 +286,9 @@
         book: books_module.Book,
         pending: lease.Pending,
         outcome: engines_module.OrderOutcome,
+        room: dict[str, Any],
     ) -> None:
+        """Takes in what came of an order; logs what its room was."""
         logs.event(
             _LOG,
             "order",
@@ -292,6 +298,8 @@
             adapter=pending.adapter,
             count=pending.orders,
             outcome=outcome,
+            configuration=self.find_version(),
+            **room,
         )
         book.pending = None
         if _is_counted(pending, outcome):
--- a/src/wayslip/gateway/planner.py
+++ b/src/wayslip/gateway/planner.py
@@ -240,18 +240,19 @@
 
     def _follow_list(self) -> None:
         books = self._ordering.books
+        now = time.monotonic()
         for name in [n for n in books if n not in self._view.tracked]:
             del books[name]
-            self._missing_since[name] = time.monotonic()
+            self._missing_since[name] = now
         for name, tracked in self._view.tracked.items():
             self._missing_since.pop(name, None)
             book = books.get(name)
             if book is None:
                 book = books_module.Book(tracked.endpoint)
                 books[name] = book
-                book.take_entry(tracked.endpoint)
+                book.take_entry(tracked.endpoint, now)
             elif book.endpoint is not tracked.endpoint:
-                book.take_entry(tracked.endpoint)
+                book.take_entry(tracked.endpoint, now)
 
     def _drop_claims(self) -> None:
         """Removes the claims of engines that will not come back.
--- a/tests/gateway/test_ordering.py
+++ b/tests/gateway/test_ordering.py
@@ -41,7 +41,7 @@
     book = make_book("m1")
     assert book.take_state(state(3, "m1", "m2"), NOW)
     assert book.charged() == {M1, M2}
-    book.take_entry(book.endpoint)
+    book.take_entry(book.endpoint, NOW)
     assert book.charged() == {M1, M2}
 
 
@@ -64,18 +64,18 @@
     old = book.endpoint
     book.note_load(M2, 0.0)
     listed = {"m1": frozenset(), "m2": frozenset()}
-    book.take_entry(dataclasses.replace(old, models=listed))
-    book.take_entry(old)
+    book.take_entry(dataclasses.replace(old, models=listed), NOW)
+    book.take_entry(old, NOW)
     assert M2 in book.charged()
 
 
 def test_load_is_charged_until_it_shows():
     book = make_book("m1")
     book.note_load(M2, 0.0)
-    book.take_entry(book.endpoint)
+    book.take_entry(book.endpoint, NOW)
     assert M2 in book.charged()
     listed = {"m1": frozenset(), "m2": frozenset()}
-    book.take_entry(dataclasses.replace(book.endpoint, models=listed))
+    book.take_entry(dataclasses.replace(book.endpoint, models=listed), NOW)
     assert not book.added
     assert M2 in book.charged()
 
--- a/tests/stateful/test_book_machine.py
+++ b/tests/stateful/test_book_machine.py
@@ -116,12 +116,12 @@
     def list_follows(self, skip):
         # An old heartbeat may arrive after a newer one.
         self.entry_at = max(len(self.states) - 1 - skip, 0)
-        self.book.take_entry(self.entry())
+        self.book.take_entry(self.entry(), self.now)
 
     @stateful.rule()
     def change_holder(self):
         self.book = books.Book(self.entry())
-        self.book.take_entry(self.entry())
+        self.book.take_entry(self.entry(), self.now)
         self.book.pending = self.claimed
 
     # What a holder does
