Work room out from what an engine holds at the count that an order names

Cause of the order over an engine's room: the list, reports and notes of our orders were added up, though they are of different moments and only reports say at which count of orders they hold. An unload answered as held, or an old entry after a newer one, passed for proof that an item was gone, and a report of a busy engine for all that it holds.

Now an inventory says what the engine holds at one count. A report sets it; the answer to an order given at that count moves it by one; everything else makes it uncertain, and then no order is given before a report. Entries of the list only prompt a question. What the engine would answer without counting it (loads of what is there, unloads of what is not, or is on its way) is not sent. An item that the configuration does not name weighs as much as the heaviest, and may make way like others.

Tests of books speak of counts now and check the same cases as before, more strictly: an old entry neither frees nor charges anything.

--- a/src/wayslip/decisions/manifest.py
+++ b/src/wayslip/decisions/manifest.py
@@ -59,6 +59,19 @@
     loads_per_s: float
     models: Mapping[str, Model]
 
+    def weigh(self, model: str, adapter: str = "") -> float:
+        """Returns the memory of a model or adapter, megabytes.
+
+        An engine may hold one that is not named here any more. It takes as
+        much as the heaviest that is; as nothing, it would make the engine be
+        ordered over its memory.
+        """
+        spec = self.models.get(model)
+        known = self.models.values() if spec is None else (spec,)
+        if adapter:
+            return max((m.adapter_mb for m in known), default=0.0)
+        return max((m.weights_mb for m in known), default=self.weights_mb)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Service:
--- a/src/wayslip/gateway/adapters.py
+++ b/src/wayslip/gateway/adapters.py
@@ -9,6 +9,7 @@
 import time
 from typing import Any
 
+from wayslip.decisions import fleet
 from wayslip.decisions import lease
 from wayslip.decisions import loading
 from wayslip.decisions import manifest
@@ -66,7 +67,7 @@
         spec = pool.models.get(item[0])
         if spec is None or wish in self._coming:
             return True
-        if any(item in b.charged() - set(b.removed) for b in books):
+        if any(item in b.charged() - b.withdrawn for b in books):
             return True
         book = self._choose(pool, books, item[0])
         if book is None:
@@ -197,23 +198,33 @@
 
     async def _drop_one(self, book: books_module.Book) -> bool:
         """Unloads the adapter that is used least; returns whether it went."""
+        if not any(adapter for _, adapter in book.removable()):
+            # What no report has shown in place yet can not be taken away.
+            await self._ordering.sync(book)
+        item = self._choose_victim(book)
+        if item is None:
+            return False
+        # At once, so that another wish for this engine chooses another one.
+        book.withdrawn.add(item)
+        outcome = await self._ordering.order(book, lease.Action.UNLOAD, item)
+        if outcome not in engines.DONE:
+            book.withdrawn.discard(item)
+        self._tell_all()
+        # An adapter is unloaded by the time that is answered.
+        return outcome is engines.OrderOutcome.HELD
+
+    def _choose_victim(self, book: books_module.Book) -> fleet.Item | None:
+        """Returns the adapter that is used least, None if all are needed."""
         service = book.endpoint.service
         limit = time.monotonic() - _SETTLE_SECONDS
         rates = sorted(
             (self._members.adapter_rate(service, item), item)
-            for item in book.charged() - set(book.removed)
+            for item in book.removable()
             if item[1] and book.adapter_at.get(item, limit) <= limit
         )
         if not rates or rates[0][0] > _IN_USE:
-            return False
-        item = rates[0][1]
-        outcome = await self._ordering.order(book, lease.Action.UNLOAD, item)
-        self._tell_all()
-        if outcome is not engines.OrderOutcome.HELD:
-            return False
-        # An adapter is unloaded by the time that is answered.
-        book.note_gone(item)
-        return True
+            return None
+        return rates[0][1]
 
 
 def _fits(
--- a/src/wayslip/gateway/books.py
+++ b/src/wayslip/gateway/books.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import dataclasses
+from typing import Any
 
 from wayslip.decisions import fleet
+from wayslip.decisions import inventory as inventory_module
 from wayslip.decisions import lease
 
 Item = fleet.Item
@@ -16,24 +18,24 @@
 class Book:
     """What the lease's holder knows of one engine.
 
-    Neither the list nor a report is ever ahead of the engine, and either may
-    lag behind the other. So an item counts as held while any of them shows
-    it, and only what was seen to be dropped no longer counts.
+    Room is worked out from the inventory alone. Entries of the list may be
+    old, and a new one may be followed by an older one; they stand in only
+    while no inventory is known, for plans that a report will precede.
 
     Attributes:
         endpoint: The engine's entry in the list.
-        orders: Orders that it has taken, None if that is not certain.
+        inventory: What it holds at a count of its orders, as last known.
+        is_certain: Whether that count holds now as far as we can know; an
+            order may only be given then.
         least_orders: Orders that it has taken at least; a report that tells
             of fewer is an old one, for a while after `counted_at`.
         counted_at: When it took an order of ours last, steady seconds.
-        reported: What its last report showed, and entries since.
-        reported_at: When that report came, steady seconds.
+        reported_at: When its last report came, steady seconds.
         listed_at: When its entry in the list came, steady seconds.
-        is_known: Whether a report told all that it holds; not so while it
-            loads something that a holder before us ordered.
-        added: Items ordered to load that nothing shows yet, and when they
-            can serve.
-        removed: Items ordered to unload, and whether they are seen gone.
+        added: Items ordered to load that no report has shown in place, and
+            when they can serve.
+        withdrawn: Items that no request is to be sent for any more, until
+            neither the list nor a report shows them.
         ready_at: When models that are loading are expected to serve.
         loaded_at: When models finished loading.
         had: Adapters that it has held before.
@@ -46,15 +48,14 @@
     """
 
     endpoint: fleet.Endpoint
-    orders: int | None = None
+    inventory: inventory_module.Inventory | None = None
+    is_certain: bool = False
     least_orders: int = 0
     counted_at: float = 0.0
-    reported: set[Item] = dataclasses.field(default_factory=set)
     reported_at: float = 0.0
     listed_at: float = 0.0
-    is_known: bool = False
     added: dict[Item, float] = dataclasses.field(default_factory=dict)
-    removed: dict[Item, bool] = dataclasses.field(default_factory=dict)
+    withdrawn: set[Item] = dataclasses.field(default_factory=set)
     ready_at: dict[str, float] = dataclasses.field(default_factory=dict)
     loaded_at: dict[str, float] = dataclasses.field(default_factory=dict)
     had: set[Item] = dataclasses.field(default_factory=set)
@@ -65,134 +66,176 @@
     lock: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
     changed: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
 
+    # What it holds
+
     def charged(self) -> set[Item]:
         """Returns all items that take memory or may."""
-        items = self.listed() | self.reported | set(self.added)
+        items = set(self.inventory.items) if self.inventory else set()
+        if not self.is_certain:
+            items |= self.listed() | set(self.added)
         if self.pending is not None and self.pending.action is (
             lease.Action.LOAD
         ):
             items.add((self.pending.model, self.pending.adapter))
-        return items - {i for i, is_gone in self.removed.items() if is_gone}
+        return items
 
     def usable(self) -> set[Item]:
         """Returns the items that can serve now; adapters, or in moments."""
-        coming = {i for i in self.added if i[1]}
-        items = (self.listed() | self.reported | coming) - set(self.removed)
-        return {i for i in items if i[0] not in self.ready_at}
+        items = set(self.inventory.items) if self.inventory else set()
+        if not self.is_certain:
+            items |= self.listed()
+        loading = {i[0] for i in self.added if not i[1]} | set(self.ready_at)
+        return {i for i in items - self.withdrawn if i[0] not in loading}
+
+    def removable(self) -> set[Item]:
+        """Returns the items that an order to unload would find in place."""
+        if self.inventory is None:
+            return set()
+        return set(self.inventory.in_place - self.withdrawn)
+
+    def holds(self, item: Item) -> bool:
+        """Whether a report has shown an item in place, and nothing since."""
+        known = self.inventory
+        return self.is_certain and known is not None and item in known.in_place
+
+    def lacks(self, item: Item) -> bool:
+        """Whether a report has shown that an item takes no room."""
+        known = self.inventory
+        return self.is_certain and known is not None and item not in known.items
 
     def listed(self) -> set[Item]:
         """Returns the items in the engine's entry."""
         return fleet.list_items(self.endpoint.models)
 
+    # What tells it
+
     def take_entry(self, endpoint: fleet.Endpoint, now: float) -> None:
         """Takes in the engine's entry in the list."""
-        self.listed_at = now
-        before = self.listed()
         self.endpoint = endpoint
-        listed = self.listed()
-        self.had |= {i for i in listed if i[1]}
-        for item in [i for i in self.added if i in listed]:
-            del self.added[item]
-        for item in [i for i in self.removed if i not in listed]:
-            # Either the entry follows the unload, or a report has shown it.
-            if item in before or self.removed[item]:
-                del self.removed[item]
-                self.reported.discard(item)
-        # An old heartbeat may come after this one and lack what it shows.
-        self.reported |= listed
+        self.listed_at = now
+        self.had |= {i for i in self.listed() if i[1]}
+        self._forget_withdrawn()
         self.changed.set()
 
-    def count_order(self, orders: int, now: float) -> None:
-        """Notes how many orders the engine has taken with our last one."""
-        self.least_orders = max(orders, self.least_orders)
-        self.orders = self.least_orders
-        self.counted_at = now
-
     def take_state(self, state: fleet.EngineState, now: float) -> bool:
         """Takes in a report; returns whether it was new enough."""
         is_old = now - self.counted_at < _REPORT_LAG_MOST
         if state.orders < self.least_orders and is_old:
             return False
-        self.orders = state.orders
         self.least_orders = state.orders
         self.reported_at = now
-        self.reported = fleet.list_items(state.models) | state.coming
-        for item in self.removed:
-            self.removed[item] = item not in self.reported
-        for item in [i for i in self.added if i in self.reported]:
-            del self.added[item]
-        if not state.is_busy:
-            self.is_known = True
+        known = self.inventory if self.is_certain else None
+        read = inventory_module.update(known, state)
+        self.is_certain = read is not None
+        if read is None or read is known:
+            return True
+        self.inventory = read
+        self.added = {i: t for i, t in self.added.items() if i in read.arriving}
+        self.withdrawn -= read.in_place
+        self._forget_withdrawn()
         return True
 
-    def note_load(self, item: Item, now: float) -> None:
-        """Charges an item that the engine loads by our order."""
-        self.removed.pop(item, None)
-        self.added[item] = now
+    def _forget_withdrawn(self) -> None:
+        """Forgets what is seen by nobody any more."""
+        if self.is_certain and self.inventory is not None:
+            self.withdrawn &= self.inventory.items | self.listed()
+
+    # What follows on an order
+
+    def note_taken(self, order: lease.Pending, now: float) -> None:
+        """Notes that the engine carries an order out."""
+        item = (order.model, order.adapter)
+        is_load = order.action is lease.Action.LOAD
+        known = self._find_inventory(order)
+        if known is not None:
+            self.inventory = (
+                known.load(item) if is_load else known.begin_unload(item)
+            )
+        self._count(order, now)
+        if is_load and not self.holds(item):
+            self.added[item] = now
+            self.withdrawn.discard(item)
+        elif not is_load:
+            self._withdraw(item)
+
+    def note_dropped(self, order: lease.Pending, now: float) -> None:
+        """Notes that an adapter is unloaded by the time that was answered.
+
+        The answer is the same where there was nothing to unload. Then no
+        order was counted, and what is concluded here is no use to anybody:
+        an order with the next count is refused.
+        """
+        item = (order.model, order.adapter)
+        known = self._find_inventory(order)
+        if known is None or item not in known.in_place:
+            self.is_certain = False
+            return
+        self.inventory = known.drop(item)
+        self._count(order, now)
+        self._withdraw(item)
+
+    def note_unclear(self) -> None:
+        """Notes that only a report can tell the count of orders again."""
+        self.is_certain = False
+
+    def _find_inventory(
+        self, order: lease.Pending
+    ) -> inventory_module.Inventory | None:
+        """Returns what is known for the count that an order named."""
+        known = self.inventory
+        if not self.is_certain or known is None:
+            return None
+        return known if known.orders == order.orders else None
+
+    def _count(self, order: lease.Pending, now: float) -> None:
+        count = order.orders + 1
+        self.least_orders = max(count, self.least_orders)
+        self.counted_at = now
+        known = self.inventory
+        if known is None or known.orders < self.least_orders:
+            self.is_certain = False
 
-    def note_unload(self, item: Item) -> None:
-        """Notes an unload by our order; a model takes its adapters along."""
+    def _withdraw(self, item: Item) -> None:
         model, adapter = item
-        for one in self.charged():
-            if one == item or (not adapter and one[0] == model):
-                self.added.pop(one, None)
-                self.removed[one] = False
+        self.added.pop(item, None)
+        self.withdrawn.add(item)
+        if not adapter:
+            self.withdrawn |= {i for i in self.charged() if i[0] == model}
 
-    def note_gone(self, item: Item) -> None:
-        """Notes that the engine has dropped an item."""
-        self.reported.discard(item)
-        self.removed[item] = True
+    # For operators
 
     def describe_room(self, now: float) -> dict[str, str]:
         """Returns what an order's room is worked out from, for the log.
 
         Returns:
-            `room`: every item that is charged and by whom it is shown (l the
-            list, r a report, a an order of ours, p one that is not settled;
-            u if it is being unloaded);
-            `gone`: items that are not charged because they were seen gone;
-            the ages of the report and of the entry, seconds.
+            `room`: every item that is charged, with a plus if it is on its
+            way and a minus if it is being unloaded; whether that is certain;
+            the ages of the last report and of the entry, seconds.
         """
-        charged = self.charged()
-        items = charged | set(self.removed)
-        shown = {item: self._list_sources(item) for item in sorted(items)}
         return {
-            "room": " ".join(
-                f"{_name(i)}:{s}" for i, s in shown.items() if i in charged
-            ),
-            "gone": " ".join(
-                f"{_name(i)}:{s}" for i, s in shown.items() if i not in charged
-            ),
+            "room": " ".join(self._mark(i) for i in sorted(self.charged())),
+            "certain": str(self.is_certain),
             "report_age": f"{now - self.reported_at:.2f}",
             "entry_age": f"{now - self.listed_at:.2f}",
         }
 
-    def _list_sources(self, item: Item) -> str:
-        pending = self.pending
-        is_pending = pending is not None and item == (
-            pending.model,
-            pending.adapter,
-        )
-        found = {
-            "l": item in self.listed(),
-            "r": item in self.reported,
-            "a": item in self.added,
-            "p": is_pending,
-            "u": item in self.removed,
-        }
-        return "".join(s for s, is_shown in found.items() if is_shown)
-
-    def describe(self) -> dict[str, object]:
+    def _mark(self, item: Item) -> str:
+        model, adapter = item
+        name = f"{model}/{adapter}" if adapter else model
+        known = self.inventory
+        if known is None:
+            return name
+        plus = "+" if item in known.arriving else ""
+        minus = "-" if item in known.departing else ""
+        return name + plus + minus
+
+    def describe(self) -> dict[str, Any]:
         """Returns what the state dump shows."""
         return {
             "endpoint": self.endpoint,
-            "orders": self.orders,
+            "orders": self.inventory.orders if self.inventory else None,
+            "certain": self.is_certain,
             "charged": sorted(self.charged()),
-            "removed": sorted(self.removed),
+            "withdrawn": sorted(self.withdrawn),
             "pending": self.pending,
         }
-
-
-def _name(item: Item) -> str:
-    model, adapter = item
-    return f"{model}/{adapter}" if adapter else model
--- a/src/wayslip/gateway/charges.py
+++ b/src/wayslip/gateway/charges.py
@@ -19,14 +19,10 @@
     total = 0.0
     adapters: dict[str, float] = {}
     for model, adapter in book.charged():
-        spec = pool.models.get(model)
-        if spec is None:
-            continue
-        if not adapter:
-            total += spec.weights_mb
-            continue
-        total += spec.adapter_mb
-        adapters[model] = adapters.get(model, 0.0) + spec.adapter_mb
+        size = pool.weigh(model, adapter)
+        total += size
+        if adapter:
+            adapters[model] = adapters.get(model, 0.0) + size
     return total, adapters
 
 
--- a/src/wayslip/gateway/ordering.py
+++ b/src/wayslip/gateway/ordering.py
@@ -17,6 +17,7 @@
 from wayslip import metrics as metrics_module
 from wayslip.decisions import detachment
 from wayslip.decisions import fleet
+from wayslip.decisions import inventory as inventory_module
 from wayslip.decisions import lease
 from wayslip.gateway import books as books_module
 from wayslip.gateway import engines as engines_module
@@ -189,12 +190,12 @@
     async def learn(self, book: books_module.Book) -> bool:
         """Sees to it that an engine's count and content are known."""
         for attempt in range(_LEARN_TRIES):
-            if book.orders is not None and book.is_known:
+            if book.is_certain:
                 return True
             if attempt:
                 await asyncio.sleep(_LEARN_SECONDS)
             await self.sync(book)
-        return book.orders is not None and book.is_known
+        return book.is_certain
 
     async def order(
         self,
@@ -219,9 +220,16 @@
         async with book.lock:
             if not await self.learn(book) or not may_send():
                 return engines_module.OrderOutcome.REFUSED
-            assert book.orders is not None
+            assert book.inventory is not None
+            known = _judge_without_asking(book.inventory, action, item)
+            if known is not None:
+                return known
             pending = lease.Pending(
-                book.endpoint.name, book.orders, action, model, adapter
+                book.endpoint.name,
+                book.inventory.orders,
+                action,
+                model,
+                adapter,
             )
             return await self._give(book, pending)
 
@@ -302,27 +310,17 @@
             **room,
         )
         book.pending = None
-        if _is_counted(pending, outcome):
-            book.count_order(pending.orders + 1, time.monotonic())
+        now = time.monotonic()
+        outcomes = engines_module.OrderOutcome
+        if outcome is outcomes.TAKEN:
+            book.note_taken(pending, now)
+        elif outcome is outcomes.HELD and _is_adapters_unload(pending):
+            book.note_dropped(pending, now)
         else:
-            # Whether the count rose is not told; it is asked for next time.
-            book.orders = None
-        if outcome is engines_module.OrderOutcome.BUSY:
+            book.note_unclear()
+        if outcome is outcomes.BUSY:
             # A report of the same moment would tell the same count again.
-            rest = time.monotonic() + _BUSY_REST
-            book.rests_until = max(book.rests_until, rest)
-        if outcome in (
-            engines_module.OrderOutcome.TAKEN,
-            engines_module.OrderOutcome.HELD,
-        ):
-            self._apply(book, pending)
-
-    def _apply(self, book: books_module.Book, pending: lease.Pending) -> None:
-        item = (pending.model, pending.adapter)
-        if pending.action is lease.Action.LOAD:
-            book.note_load(item, time.monotonic())
-        else:
-            book.note_unload(item)
+            book.rests_until = max(book.rests_until, now + _BUSY_REST)
 
     async def wait_for_model(
         self, book: books_module.Book, model: str, is_held: bool, seconds: float
@@ -332,38 +330,55 @@
         Returns:
             Whether that came true in time, on a live engine.
         """
+        item = (model, "")
         end = time.monotonic() + seconds
         while time.monotonic() < end:
             if self.books.get(book.endpoint.name) is not book:
                 return False
-            book.changed.clear()
-            if self._is_settled(book, model, is_held):
+            if book.holds(item) if is_held else book.lacks(item):
                 return True
-            try:
-                async with asyncio.timeout(_POLL_SECONDS):
-                    await book.changed.wait()
-            except TimeoutError:
-                await self.sync(book)
+            if await self._is_listed_anew(book, item, is_held):
+                # Reports are a little older than what made the entry change.
+                await asyncio.sleep(_LEARN_SECONDS)
+            await self.sync(book)
         return False
 
-    def _is_settled(
-        self, book: books_module.Book, model: str, is_held: bool
+    async def _is_listed_anew(
+        self, book: books_module.Book, item: fleet.Item, is_held: bool
     ) -> bool:
-        item = (model, "")
-        if is_held:
-            return item in book.listed() or item in book.reported
-        return item not in book.charged()
+        """Waits for a while until an engine's entry shows what is awaited.
+
+        The entry may be old, so it is only a reason to ask the engine.
+        """
+        try:
+            async with asyncio.timeout(_POLL_SECONDS):
+                while True:
+                    book.changed.clear()
+                    await book.changed.wait()
+                    if (item in book.listed()) is is_held:
+                        return True
+        except TimeoutError:
+            return False
 
 
-def _is_counted(
-    pending: lease.Pending, outcome: engines_module.OrderOutcome
-) -> bool:
-    """Whether an engine's count of orders rose with an order.
+def _judge_without_asking(
+    known: inventory_module.Inventory, action: lease.Action, item: fleet.Item
+) -> engines_module.OrderOutcome | None:
+    """Returns what would come of an order that an engine would not count.
 
-    An adapter that no request uses is gone by the time its unload is
-    answered: that answer says that it holds already, and it counts.
+    An answer to such an order looks like one to an order that was carried
+    out, so it is not given.
     """
-    if outcome is engines_module.OrderOutcome.HELD:
-        is_unload = pending.action is lease.Action.UNLOAD
-        return is_unload and bool(pending.adapter)
-    return outcome is engines_module.OrderOutcome.TAKEN
+    if action is lease.Action.LOAD:
+        is_done = item in known.items
+    else:
+        is_done = item not in known.items
+    if is_done:
+        return engines_module.OrderOutcome.HELD
+    if action is lease.Action.UNLOAD and item not in known.in_place:
+        return engines_module.OrderOutcome.REFUSED
+    return None
+
+
+def _is_adapters_unload(pending: lease.Pending) -> bool:
+    return pending.action is lease.Action.UNLOAD and bool(pending.adapter)
--- a/src/wayslip/gateway/planner.py
+++ b/src/wayslip/gateway/planner.py
@@ -352,18 +352,17 @@
         self, book: books_module.Book, step: loading.Step
     ) -> bool:
         """Unloads the victims; returns whether all are gone."""
-        # Whatever is believed of it, its own word decides what it has room for.
-        book.is_known = False
         if not await self._ordering.learn(book):
             return False
         for victim in step.victims:
-            book.removed[(victim, "")] = False
+            item = (victim, "")
+            book.withdrawn.add(item)
             self._teller.tell_all()
             outcome = await self._ordering.order(
-                book, lease.Action.UNLOAD, (victim, "")
+                book, lease.Action.UNLOAD, item
             )
             if outcome not in engines.DONE:
-                book.removed.pop((victim, ""), None)
+                book.withdrawn.discard(item)
                 return False
             if not await self._ordering.wait_for_model(
                 book, victim, False, _UNLOAD_SECONDS
--- a/src/wayslip/gateway/telling.py
+++ b/src/wayslip/gateway/telling.py
@@ -172,10 +172,10 @@
     def _list_words(self, now: float) -> list[facts.Word]:
         words = []
         for name, book in self._books.items():
-            for model, adapter in book.removed:
+            for model, adapter in sorted(book.withdrawn):
                 words.append(facts.Word(name, model, adapter, False, 0.0))
             listed = book.listed()
-            for item in book.usable() - listed:
+            for item in sorted(book.usable() - listed):
                 seconds = max(book.added.get(item, now) - now, 0.0)
                 words.append(facts.Word(name, *item, True, round(seconds, 3)))
         return words
--- a/tests/gateway/test_ordering.py
+++ b/tests/gateway/test_ordering.py
@@ -1,5 +1,6 @@
 import asyncio
 import dataclasses
+import time
 
 from standins import platform_engine
 from standins import platform_store
@@ -7,7 +8,9 @@
 from wayslip import metrics
 from wayslip.decisions import fleet
 from wayslip.decisions import lease
+from wayslip.decisions import manifest
 from wayslip.gateway import books as books_module
+from wayslip.gateway import charges
 from wayslip.gateway import engines as engines_module
 from wayslip.gateway import options as options_module
 from wayslip.gateway import ordering
@@ -35,6 +38,21 @@
 # What may be held
 
 
+def load(orders, item):
+    return lease.Pending("e1", orders, lease.Action.LOAD, *item)
+
+
+def unload(orders, item):
+    return lease.Pending("e1", orders, lease.Action.UNLOAD, *item)
+
+
+def make_known_book(orders, *models, at=NOW, **fields):
+    """Returns a book that a report was taken into."""
+    book = make_book(*models)
+    book.take_state(state(orders, *models, **fields), at)
+    return book
+
+
 def test_report_shows_more_than_an_old_entry():
     # A holder that took over had an entry without a model that was loaded
     # since, and ordered the engine over its memory.
@@ -46,81 +64,141 @@
 
 
 def test_old_report_is_not_believed():
-    book = make_book("m1", orders=3, least_orders=3, counted_at=NOW - 1)
-    assert not book.take_state(state(2), NOW)
-    assert book.charged() == {M1}
+    book = make_known_book(2, "m1")
+    book.note_taken(load(2, M2), NOW)
+    assert not book.take_state(state(2, "m1"), NOW + 1)
+    assert book.charged() == {M1, M2}
+    assert book.inventory.orders == 3
 
 
 def test_report_that_stays_behind_corrects_the_count():
-    book = make_book("m1", orders=3, least_orders=3, counted_at=NOW - 10)
-    assert book.take_state(state(2, "m1"), NOW)
-    assert book.orders == 2
+    book = make_known_book(2, "m1")
+    book.note_taken(load(2, M2), NOW)
+    assert book.take_state(state(2, "m1"), NOW + 10)
+    assert book.is_certain
+    assert book.inventory.orders == 2
 
 
 def test_old_heartbeat_does_not_free_what_was_seen():
     # An entry of before the load came after one that showed the model, and
     # the engine was ordered over its memory (hbmaa mix --seed 996805638734).
-    book = make_book("m1")
+    book = make_known_book(2, "m1")
     old = book.endpoint
-    book.note_load(M2, 0.0)
+    book.note_taken(load(2, M2), NOW)
     listed = {"m1": frozenset(), "m2": frozenset()}
     book.take_entry(dataclasses.replace(old, models=listed), NOW)
     book.take_entry(old, NOW)
     assert M2 in book.charged()
 
 
-def test_load_is_charged_until_it_shows():
-    book = make_book("m1")
-    book.note_load(M2, 0.0)
-    book.take_entry(book.endpoint, NOW)
+def test_old_heartbeat_does_not_end_an_unload():
+    # The unload was refused, or never reached the engine, and its note stood
+    # until an entry of before the load: nine adapters at eight places.
+    book = make_known_book(2, "m1", "m2")
+    book.withdrawn.add(M2)
+    old = dataclasses.replace(book.endpoint, models={"m1": frozenset()})
+    book.take_entry(old, NOW)
     assert M2 in book.charged()
+
+
+def test_old_heartbeat_does_not_charge_what_is_gone():
+    # Victims that were not there were ordered away, and counted wrongly.
+    book = make_known_book(2, "m1")
     listed = {"m1": frozenset(), "m2": frozenset()}
     book.take_entry(dataclasses.replace(book.endpoint, models=listed), NOW)
-    assert not book.added
+    assert book.charged() == {M1}
+    assert M2 not in book.removable()
+
+
+def test_load_is_charged_until_it_shows():
+    book = make_known_book(0, "m1")
+    book.note_taken(load(0, M2), NOW)
+    book.take_entry(book.endpoint, NOW)
     assert M2 in book.charged()
+    assert book.take_state(state(1, "m1", is_busy=True), NOW)
+    assert M2 in book.charged()
+    assert not book.holds(M2)
+    book.take_state(state(1, "m1", "m2"), NOW)
+    assert not book.added
+    assert book.holds(M2)
 
 
 def test_unload_frees_only_what_was_seen_gone():
-    book = make_book("m1", "m2")
-    book.note_unload(M2)
+    book = make_known_book(0, "m1", "m2")
+    book.note_taken(unload(0, M2), NOW)
     assert M2 in book.charged()
     assert M2 not in book.usable()
+    assert not book.lacks(M2)
     book.take_state(state(1, "m1"), NOW)
     assert book.charged() == {M1}
+    assert book.lacks(M2)
 
 
 def test_unload_of_a_model_takes_its_adapters_along():
-    book = make_book("m1")
-    book.note_load(("m1", "a1"), 0.0)
-    book.note_unload(M1)
-    assert book.removed == {M1: False, ("m1", "a1"): False}
+    book = make_known_book(0, "m1")
+    a1 = ("m1", "a1")
+    book.note_taken(load(0, a1), NOW)
+    book.note_taken(unload(1, M1), NOW)
+    assert book.withdrawn == {M1, a1}
+    assert book.charged() == {M1, a1}
+    assert not book.removable()
 
 
-def test_adapters_on_their_way_take_places():
-    book = make_book("m1")
-    coming = frozenset({("m1", "a7")})
-    book.take_state(state(1, "m1", coming=coming), NOW)
+def test_adapters_on_their_way_take_places_and_can_not_be_removed():
+    book = make_known_book(1, "m1", coming=frozenset({("m1", "a7")}))
     assert ("m1", "a7") in book.charged()
+    assert book.removable() == {M1}
+
+
+def test_answer_that_an_adapter_is_unloaded_is_believed_of_what_was_there():
+    a7 = ("m1", "a7")
+    book = make_known_book(1, "m1", coming=frozenset({a7}))
+    book.note_dropped(unload(1, a7), NOW)
+    assert not book.is_certain
+    assert a7 in book.charged()
 
 
 def test_engine_that_loads_for_a_holder_before_us_is_not_known():
     book = make_book("m1")
     book.take_state(state(1, "m1", is_busy=True), NOW)
-    assert not book.is_known
+    assert not book.is_certain
     book.take_state(state(1, "m1", "m2"), NOW)
-    assert book.is_known
+    assert book.is_certain
+
+
+def test_engine_that_turns_busy_with_another_order_is_not_known_any_more():
+    # What it loads is shown by nobody, and its count is told all the same.
+    book = make_known_book(1, "m1")
+    book.take_state(state(2, "m1", is_busy=True), NOW)
+    assert not book.is_certain
+
+
+def test_report_of_before_a_load_does_not_replace_one_of_after():
+    book = make_known_book(0, "m1")
+    book.note_taken(load(0, M2), NOW)
+    book.take_state(state(1, "m1", "m2"), NOW)
+    book.take_state(state(1, "m1", is_busy=True), NOW)
+    assert book.holds(M2)
 
 
 def test_model_that_is_still_loading_is_not_usable():
     # A successor told its peers that an adopted load was done, and they sent
     # requests that were all turned away.
-    book = make_book("m1")
-    book.note_load(M2, 0.0)
+    book = make_known_book(0, "m1")
+    book.note_taken(load(0, M2), NOW)
     assert M2 not in book.usable()
     book.take_state(state(1, "m1", "m2"), NOW)
     assert M2 in book.usable()
 
 
+def test_model_without_a_specification_is_as_heavy_as_the_heaviest():
+    spec = manifest.Model("m1", 100.0, 10.0, ("a1",))
+    pool = manifest.Pool(8, 1000, 250.0, 2, 1.0, {"m1": spec})
+    book = make_known_book(0, "m1", "m9")
+    total, _ = charges.sum_charges(book, pool)
+    assert total == 200.0
+
+
 # Orders
 
 
@@ -198,7 +276,7 @@
     assert outcome is engines_module.OrderOutcome.TAKEN
     # It was carried out once, and the count shows that.
     assert len(fixture.engine.orders) == 1
-    assert fixture.book.orders == 1
+    assert fixture.book.inventory.orders == 1
 
 
 @with_engine
@@ -255,12 +333,11 @@
 
 @with_engine
 async def test_orders_of_another_count_are_refused_and_learned(fixture):
-    fixture.book.orders = 5
-    fixture.book.is_known = True
+    fixture.book.take_state(state(5, "m1"), time.monotonic())
     outcome = await fixture.ordering.order(fixture.book, lease.Action.LOAD, M2)
     assert outcome is engines_module.OrderOutcome.BUSY
     assert await fixture.ordering.learn(fixture.book)
-    assert fixture.book.orders == 0
+    assert fixture.book.inventory.orders == 0
     outcome = await fixture.ordering.order(fixture.book, lease.Action.LOAD, M2)
     assert outcome is engines_module.OrderOutcome.TAKEN
 
@@ -285,8 +362,23 @@
 
 @with_engine
 async def test_engine_that_refused_an_order_rests(fixture):
-    fixture.book.orders = 5
-    fixture.book.is_known = True
+    fixture.book.take_state(state(5, "m1"), time.monotonic())
     now = asyncio.get_running_loop().time()
     await fixture.ordering.order(fixture.book, lease.Action.LOAD, M2)
     assert fixture.book.rests_until > now
+
+
+@with_engine
+async def test_what_would_not_be_counted_is_not_ordered(fixture):
+    # The engine answers that it holds already, whether it does or not, and
+    # counts no order; the next ones were refused for two seconds.
+    await fixture.ordering.learn(fixture.book)
+    outcomes = engines_module.OrderOutcome
+    load, unload = lease.Action.LOAD, lease.Action.UNLOAD
+    give = fixture.ordering.order
+    assert await give(fixture.book, load, M1) is outcomes.HELD
+    assert await give(fixture.book, unload, M2) is outcomes.HELD
+    a1 = ("m1", "a1")
+    assert await give(fixture.book, load, a1) is outcomes.TAKEN
+    assert await give(fixture.book, unload, a1) is outcomes.REFUSED
+    assert len(fixture.engine.orders) == 1
--- a/tests/stateful/test_book_machine.py
+++ b/tests/stateful/test_book_machine.py
@@ -144,22 +144,12 @@
         return self.now - self.replaced_at[index] < REPORT_LAG
 
     def settle(self, pending):
-        item = (pending.model, pending.adapter)
         self.book.pending = None
-        self.book.count_order(pending.orders + 1, self.now)
-        if pending.action is lease.Action.LOAD:
-            self.book.note_load(item, 0.0)
-        else:
-            self.book.note_unload(item)
+        self.book.note_taken(pending, self.now)
 
     def may_order(self):
         book = self.book
-        return (
-            book.pending is None
-            and book.is_known
-            and book.orders is not None
-            and book.orders >= book.least_orders
-        )
+        return book.pending is None and book.is_certain
 
     @stateful.precondition(may_order)
     @stateful.rule(
@@ -175,7 +165,8 @@
         action = lease.Action.LOAD if is_load else lease.Action.UNLOAD
         if not is_load and (model, adapter) not in charged:
             return
-        pending = lease.Pending("e", self.book.orders, action, model, adapter)
+        count = self.book.inventory.orders
+        pending = lease.Pending("e", count, action, model, adapter)
         self.claimed = self.book.pending = pending
         if way == "late":
             self.late.append(pending)
@@ -187,9 +178,8 @@
         self.book.pending = None
         if is_taken:
             self.settle(pending)
-            self.book.orders = self.book.least_orders
         else:
-            self.book.orders = None
+            self.book.note_unclear()
 
     def fits(self, charged, model, adapter):
         if (model, adapter) in charged:
