Give every term a token of its own

A holder went on with the token of its earlier term where its own claim was the last one written, though another had ordered the engine meanwhile without writing claims. Every claim's token is now at least the revision at which the term began.

--- a/src/wayslip/decisions/lease.py
+++ b/src/wayslip/decisions/lease.py
@@ -101,7 +101,10 @@
         return Claim(pending.endpoint, holder, least_token, pending)
     token = seen.claim.token
     if seen.claim.holder != holder:
-        token = max(token + 1, least_token)
+        token += 1
+    # Also a claim of our own: others may have ordered the engine between two
+    # terms of ours without a claim, with higher tokens.
+    token = max(token, least_token)
     return Claim(pending.endpoint, holder, token, pending)
 
 
