Test that an old entry of the list does not replace a newer one, failing

An entry carries the number of the heartbeat that wrote it; it is decoded now as `beat` and told to the other instances, and nothing compares it yet.

--- a/src/wayslip/decisions/fleet.py
+++ b/src/wayslip/decisions/fleet.py
@@ -19,6 +19,8 @@
         models: The adapters that it holds, by model.
         in_memory: Models whose weights lie in its host memory.
         on_disk: Models whose weights lie on its disk.
+        beat: Number of the heartbeat that wrote the entry; it rises within
+            the endpoint's life, and an entry with a lower one is older.
     """
 
     name: str
@@ -30,6 +32,7 @@
     models: dict[str, frozenset[str]] = dataclasses.field(default_factory=dict)
     in_memory: frozenset[str] = frozenset()
     on_disk: frozenset[str] = frozenset()
+    beat: int = 0
 
     def holds(self, model: str, adapter: str) -> bool:
         """Whether a model, and an adapter if one is named, is loaded."""
--- a/src/wayslip/gateway/facts.py
+++ b/src/wayslip/gateway/facts.py
@@ -71,6 +71,7 @@
         items: Models and adapters that it holds, "MODEL" or "MODEL/ADAPTER".
         in_memory: Models whose weights lie in its host memory.
         on_disk: Models whose weights lie on its disk.
+        beat: Number of the heartbeat that wrote it.
     """
 
     endpoint: str
@@ -82,6 +83,7 @@
     items: tuple[str, ...]
     in_memory: tuple[str, ...] = ()
     on_disk: tuple[str, ...] = ()
+    beat: int = 0
 
     @classmethod
     def of(cls, endpoint: fleet.Endpoint) -> "Listed":
@@ -99,6 +101,7 @@
             ),
             tuple(sorted(endpoint.in_memory)),
             tuple(sorted(endpoint.on_disk)),
+            endpoint.beat,
         )
 
     def restore(self) -> fleet.Endpoint:
@@ -119,6 +122,7 @@
             models={m: frozenset(a) for m, a in models.items()},
             in_memory=frozenset(self.in_memory),
             on_disk=frozenset(self.on_disk),
+            beat=self.beat,
         )
 
 
--- a/src/wayslip/platform/decoding.py
+++ b/src/wayslip/platform/decoding.py
@@ -114,8 +114,8 @@
 def decode_endpoint(name: str, spec: Mapping[str, Any]) -> fleet.Endpoint:
     """Returns an endpoint from its own entry in the store.
 
-    The entry's `seq` counts its heartbeats, not the orders it took; it is
-    left out here so that nobody takes the one for the other.
+    The entry's `seq` counts its heartbeats, not the orders it took, which
+    have the same name in a report.
 
     Raises:
         ObjectError: A field is missing or has the wrong form.
@@ -132,6 +132,7 @@
             models=_decode_models(spec.get("models") or ()),
             in_memory=frozenset(at_hand.get("in_memory") or ()),
             on_disk=frozenset(at_hand.get("on_disk") or ()),
+            beat=int(spec.get("seq") or 0),
         )
     except (KeyError, TypeError, ValueError, AttributeError) as e:
         raise errors.ObjectError(
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -1,9 +1,13 @@
 """The list of endpoints through outages of the store."""
 
 import asyncio
+import dataclasses
 
 from standins import platform_site
 from tests.gateway import harness
+from wayslip.decisions import fleet
+from wayslip.gateway import facts
+from wayslip.gateway import view
 
 
 @harness.run
@@ -38,6 +42,26 @@
     await system.until(lambda: "e1" not in system.gateway.view.tracked)
 
 
+def test_old_entry_does_not_replace_a_newer_one():
+    # Parts of a list are told without a revision, so one that is late, or
+    # comes from an earlier holder, put old entries over newer ones: an
+    # endpoint that was known to be leaving got requests again.
+    endpoints = view.EndpointView("h")
+    old = fleet.Endpoint("e1", "s", "127.0.0.1:1", "h", beat=7)
+    endpoints.take(dataclasses.replace(old, is_leaving=True, beat=8))
+    endpoints.take(old)
+    assert endpoints.tracked["e1"].endpoint.is_leaving
+    endpoints.take(dataclasses.replace(old, is_leaving=True, beat=8, slots=3))
+    assert endpoints.tracked["e1"].endpoint.slots == 3
+
+
+def test_told_entries_keep_the_number_of_their_heartbeat():
+    entry = fleet.Endpoint("e1", "s", "127.0.0.1:1", "h", beat=9)
+    changes = facts.Changes(1, 0, 0, (facts.Listed.of(entry),))
+    told = facts.decode(facts.encode(changes))
+    assert told.listed[0].restore() == entry
+
+
 @harness.run
 async def test_removal_without_an_outage_counts_at_once(system):
     await system.add("e1", "plain")
