--- a/src/wayslip/gateway/view.py
+++ b/src/wayslip/gateway/view.py
@@ -89,8 +89,19 @@
     # The list
 
     def take(self, endpoint: fleet.Endpoint) -> None:
-        """Takes in an endpoint's entry."""
+        """Takes in an endpoint's entry, unless a newer one is known."""
         tracked = self.tracked.get(endpoint.name)
+        if tracked is not None and endpoint.beat < tracked.endpoint.beat:
+            # It may be told late, or by an earlier holder of the lease. What
+            # it does not show, as that the endpoint is leaving, still holds.
+            logs.event(
+                _LOG,
+                "entry_is_old",
+                endpoint=endpoint.name,
+                beat=endpoint.beat,
+                known=tracked.endpoint.beat,
+            )
+            return
         if tracked is None:
             tracked = Tracked(endpoint)
             self.tracked[endpoint.name] = tracked
