--- a/tests/stateful/test_order_world.py
+++ b/tests/stateful/test_order_world.py
@@ -56,6 +56,39 @@
     assert not world.over
 
 
+async def _play_succession():
+    """Leaves a claim whose order was refused, and kills its holder."""
+    world = order_world.World(1, engines=1, instances=2, rate=0.001)
+    world.faults.old_entry = 0.0
+    engine = world.engines["e1"]
+    while sum(map(len, engine.models.values())) < order_world.PLACES:
+        await asyncio.sleep(0.05)
+    order = lease.Pending(
+        "e1", engine.orders, lease.Action.LOAD, min(engine.models), "a8"
+    )
+    world.store.put("wayslip-claims", "e1", lease.Claim("e1", "g9", 5, order))
+    world.kill(world.find_holder())
+    await asyncio.sleep(12.0)
+    world.stop()
+    return world
+
+
+def test_successor_sends_no_order_that_does_not_fit():
+    """A holder before counted one order too many.
+
+    19.77 unload a1, count 20    held   the engine takes 21 orders
+    19.80 unload a1, count 21    held   it was gone, and no order is counted
+    20.87 load a6, count 22      busy   refused, and the last in the claim
+    22.64 load a8, count 21      taken  without a claim: 22 orders, all full
+    28.31 the lease changes hands; the claim's order is taken for open
+    28.68 load a6, count 22      taken  one too many
+
+    The successor sent it without asking whether it fits.
+    """
+    world = order_world.run(_play_succession())
+    assert not world.over
+
+
 def test_worlds_of_troubles():
     for seed in range(20):
         world = order_world.play(seed, seconds=20.0)
