Let a successor repeat an order only if it still fits

The order in a claim may have been refused because its count was one too high. A successor that repeats it once the count has come there would order the engine over its room. It now asks whether all that is charged fits, this order included. One that does not, or whose count is above the engine's, is given up as a stray: it may still arrive, so it stays charged until the count has passed it, and it does not hold the engine up any more as it did without end before.

--- a/src/wayslip/gateway/books.py
+++ b/src/wayslip/gateway/books.py
@@ -42,6 +42,8 @@
         adapter_at: When adapters were loaded for a request.
         rests_until: When it may be planned for again after a failure.
         pending: The order whose effect is not known yet.
+        stray: An order that was given up on. It may still arrive, and is
+            charged until the engine's count has passed it.
         task: The series of orders that is under way.
         lock: Held while an order is given.
         changed: Set by every new entry.
@@ -62,6 +64,7 @@
     adapter_at: dict[Item, float] = dataclasses.field(default_factory=dict)
     rests_until: float = 0.0
     pending: lease.Pending | None = None
+    stray: lease.Pending | None = None
     task: asyncio.Task[None] | None = None
     lock: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
     changed: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
@@ -73,11 +76,11 @@
         items = set(self.inventory.items) if self.inventory else set()
         if not self.is_certain:
             items |= self.listed() | set(self.added)
-        if self.pending is not None and self.pending.action is (
-            lease.Action.LOAD
-        ):
-            items.add((self.pending.model, self.pending.adapter))
-        return items
+        return items | {
+            (order.model, order.adapter)
+            for order in (self.pending, self.stray)
+            if order is not None and order.action is lease.Action.LOAD
+        }
 
     def usable(self) -> set[Item]:
         """Returns the items that can serve now; adapters, or in moments."""
@@ -123,6 +126,7 @@
         if state.orders < self.least_orders and is_old:
             return False
         self.least_orders = state.orders
+        self._pass_stray(state.orders)
         self.reported_at = now
         known = self.inventory if self.is_certain else None
         read = inventory_module.update(known, state)
@@ -191,10 +195,15 @@
         count = order.orders + 1
         self.least_orders = max(count, self.least_orders)
         self.counted_at = now
+        self._pass_stray(count)
         known = self.inventory
         if known is None or known.orders < self.least_orders:
             self.is_certain = False
 
+    def _pass_stray(self, count: int) -> None:
+        if self.stray is not None and count > self.stray.orders:
+            self.stray = None
+
     def _withdraw(self, item: Item) -> None:
         model, adapter = item
         self.added.pop(item, None)
@@ -238,4 +247,5 @@
             "charged": sorted(self.charged()),
             "withdrawn": sorted(self.withdrawn),
             "pending": self.pending,
+            "stray": self.stray,
         }
--- a/src/wayslip/gateway/charges.py
+++ b/src/wayslip/gateway/charges.py
@@ -26,6 +26,13 @@
     return total, adapters
 
 
+def is_within(book: books_module.Book, pool: manifest.Pool) -> bool:
+    """Whether all that is charged fits, an open order included."""
+    total, _ = sum_charges(book, pool)
+    has_places = count_adapters(book) <= pool.adapter_slots
+    return has_places and total <= pool.weights_mb
+
+
 def is_resting(book: books_module.Book, now: float) -> bool:
     """Whether no series of orders is under way and none failed just now."""
     return (book.task is None or book.task.done()) and now >= book.rests_until
--- a/src/wayslip/gateway/ordering.py
+++ b/src/wayslip/gateway/ordering.py
@@ -233,13 +233,22 @@
             )
             return await self._give(book, pending)
 
-    async def settle(self, book: books_module.Book) -> None:
-        """Settles an order that a holder before us left open."""
+    async def settle(
+        self, book: books_module.Book, fits: Callable[[], bool]
+    ) -> None:
+        """Settles an order that a holder before us left open.
+
+        Args:
+            book: Whose engine it was for.
+            fits: Whether all that is charged fits, this order included. The
+                holder before us may have been wrong about the count, and
+                what fitted then may not fit at that count now.
+        """
         async with book.lock:
             pending = book.pending
             if pending is None:
                 return
-            outcome = await self._repeat(book, pending)
+            outcome = await self._repeat(book, pending, fits)
             self._note(book, pending, outcome, {})
 
     async def _give(
@@ -270,24 +279,28 @@
         return await self._client.order(book.endpoint, pending, authority)
 
     async def _repeat(
-        self, book: books_module.Book, pending: lease.Pending
+        self,
+        book: books_module.Book,
+        pending: lease.Pending,
+        fits: Callable[[], bool] = lambda: True,
     ) -> engines_module.OrderOutcome:
         """Repeats an order until the engine's count tells what came of it."""
+        outcomes = engines_module.OrderOutcome
         while self.books.get(pending.endpoint) is book:
             await asyncio.sleep(_REPEAT_SECONDS)
             state = await self.sync(book)
             if state is not None and state.orders > pending.orders:
-                return engines_module.OrderOutcome.TAKEN
-            if state is None:
+                return outcomes.TAKEN
+            if state is None or not book.is_certain:
                 continue
+            if state.orders < pending.orders or not fits():
+                # It can not be taken now, and may arrive when it can.
+                book.stray = pending
+                return outcomes.REFUSED
             outcome = await self._send(book, pending)
-            if outcome in (
-                engines_module.OrderOutcome.TAKEN,
-                engines_module.OrderOutcome.HELD,
-                engines_module.OrderOutcome.ELSEWHERE,
-            ):
+            if outcome in (outcomes.TAKEN, outcomes.HELD, outcomes.ELSEWHERE):
                 return outcome
-        return engines_module.OrderOutcome.ELSEWHERE
+        return outcomes.ELSEWHERE
 
     def _note(
         self,
--- a/src/wayslip/gateway/planner.py
+++ b/src/wayslip/gateway/planner.py
@@ -126,12 +126,22 @@
         self, book: books_module.Book, pending: lease.Pending
     ) -> None:
         """Settles an order that the holder before us left open."""
-        await self._ordering.settle(book)
+        await self._ordering.settle(book, lambda: self._is_within(book))
         is_model = not pending.adapter
         if is_model and (pending.model, "") in book.added:
             book.ready_at[pending.model] = time.monotonic() + _ADOPTED_SECONDS
             await self._see_loaded(book, pending.model, _ADOPTED_SECONDS)
 
+    def _is_within(self, book: books_module.Book) -> bool:
+        """Whether what an engine holds and may take fits, as configured."""
+        manifest = self._holder.manifest
+        if manifest is None:
+            return False
+        service = manifest.services.get(book.endpoint.service)
+        if service is None or service.pool is None:
+            return False
+        return charges.is_within(book, service.pool)
+
     async def _see_loaded(
         self, book: books_module.Book, model: str, seconds: float
     ) -> None:
