--- a/bench/gateway.py
+++ b/bench/gateway.py
@@ -12,6 +12,7 @@
 from wayslip.decisions import loading
 from wayslip.decisions import manifest
 from wayslip.decisions import selection
+from wayslip.gateway import datagrams
 from wayslip.gateway import facts
 
 # Engines and models: the Authority, the Association, both after growth, and a
@@ -87,10 +88,10 @@
     ]
     choose = measure(lambda: selection.choose(candidates, rng.random()))
     state = make_state(engines)
-    encode = measure(lambda: facts.encode(state))
+    encode = measure(lambda: datagrams.encode(state))
     print(
         f"{engines:7} {models:6} {plan * 1e3:8.2f} {choose * 1e6:10.1f}"
-        f" {len(facts.encode(state)):12} {encode * 1e6:10.1f}"
+        f" {len(datagrams.encode(state)):12} {encode * 1e6:10.1f}"
     )
 
 
--- a/src/wayslip/gateway/facts.py
+++ b/src/wayslip/gateway/facts.py
@@ -1,23 +1,13 @@
-"""Datagrams between gateways: CBOR arrays decoded into frozen values.
+"""What gateways tell each other, as frozen values.
 
-They carry soft facts only; a lost one is made up for by the next. Datagrams
-rather than connections, because a peer that froze or was cut off must cost
-nothing: there is no queue to fill and nothing to close.
+These are soft facts only; one that is lost is made up for by the next.
 """
 
 import dataclasses
-from typing import Any
 
-import cbor2
-
-from wayslip import errors
 from wayslip.decisions import backlog
 from wayslip.decisions import fleet
 
-# Larger datagrams are sent in parts, bytes: below what a network fragments
-# badly and what one receive buffer takes.
-DATAGRAM_LIMIT = 30_000
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Usage:
@@ -334,77 +324,3 @@
 
 
 Message = Report | Want | State | News | Handover | Changes | Relay | Missing
-_KINDS: dict[int, type] = {
-    1: Report,
-    2: Want,
-    3: State,
-    4: News,
-    5: Handover,
-    6: Changes,
-    7: Relay,
-    8: Missing,
-}
-_NUMBERS = {kind: number for number, kind in _KINDS.items()}
-# Fields that hold one such value.
-_SINGLE = {"configuration": Seen, "endpoints": Seen}
-_PARTS = {
-    "usages": Usage,
-    "demands": Demand,
-    "words": Word,
-    "arrivals": Arrival,
-    "claims": ClaimRevision,
-    "rates": Rate,
-    "listed": Listed,
-}
-
-
-def _freeze(value: Any) -> Any:
-    if isinstance(value, list):
-        return tuple(_freeze(one) for one in value)
-    return value
-
-
-def _list_fields(part: Any) -> list[Any]:
-    """Returns a value's fields; dataclasses.astuple copies deeply, slowly."""
-    return [getattr(part, f.name) for f in dataclasses.fields(part)]
-
-
-def encode(message: Message) -> bytes:
-    """Returns a message as a datagram."""
-    fields = []
-    for field in dataclasses.fields(message):
-        value = getattr(message, field.name)
-        if field.name in _PARTS:
-            value = [_list_fields(part) for part in value]
-        elif field.name in _SINGLE:
-            value = _list_fields(value)
-        fields.append(value)
-    return cbor2.dumps([_NUMBERS[type(message)], *fields])
-
-
-def decode(data: bytes) -> Message:
-    """Returns the message of a datagram.
-
-    Raises:
-        FrameError: It is none of ours.
-    """
-    try:
-        number, *values = cbor2.loads(data)
-        kind = _KINDS[number]
-        fields = dataclasses.fields(kind)
-        if len(fields) != len(values):
-            raise ValueError("wrong number of fields")
-        named: dict[str, Any] = {}
-        for field, value in zip(fields, values, strict=True):
-            part = _PARTS.get(field.name)
-            if part is not None:
-                value = tuple(part(*map(_freeze, item)) for item in value)
-            elif field.name in _SINGLE:
-                value = _SINGLE[field.name](*value)
-            named[field.name] = _freeze(value)
-        return kind(**named)  # type: ignore[no-any-return]
-    except (cbor2.CBORDecodeError, ValueError, TypeError, KeyError) as e:
-        raise errors.FrameError(
-            f"a datagram is malformed ({e})",
-            "run the same release on all instances",
-        ) from e
--- a/src/wayslip/gateway/hub.py
+++ b/src/wayslip/gateway/hub.py
@@ -11,6 +11,7 @@
 from wayslip import errors
 from wayslip import logs
 from wayslip.decisions import fanout
+from wayslip.gateway import datagrams
 from wayslip.gateway import facts
 
 _LOG = logging.getLogger(__name__)
@@ -43,10 +44,10 @@
     def datagram_received(self, data: bytes, addr: Address) -> None:
         """Decodes a datagram and hands it on."""
         try:
-            message = facts.decode(data)
+            message = datagrams.decode(data)
             if isinstance(message, facts.Relay):
                 self._pass_on(message)
-                message = facts.decode(message.payload)
+                message = datagrams.decode(message.payload)
         except (errors.FrameError, ValueError) as e:
             logs.event(_LOG, "datagram_dropped", logging.WARNING, reason=str(e))
             return
@@ -62,23 +63,23 @@
 
     def send(self, message: facts.Message, address: Address) -> None:
         """Sends a message; it may be lost."""
-        self._send(facts.encode(message), address)
+        self._send(datagrams.encode(message), address)
 
     def spread(
         self, message: facts.Message, peers: Iterable[fanout.Peer]
     ) -> None:
         """Sends a message to many, encoded once; it may be lost on any way."""
-        payload = facts.encode(message)
+        payload = datagrams.encode(message)
         for branch in fanout.plan(peers, self._rng):
             data = payload
             if branch.others:
-                data = facts.encode(facts.Relay(branch.others, payload))
+                data = datagrams.encode(facts.Relay(branch.others, payload))
             self._send(data, addresses.split_address(branch.head))
 
     def _send(self, data: bytes, address: Address) -> None:
         if self._transport is None or self._transport.is_closing():
             return
-        if len(data) > facts.DATAGRAM_LIMIT:
+        if len(data) > datagrams.DATAGRAM_LIMIT:
             logs.event(
                 _LOG,
                 "datagram_too_long",
--- a/src/wayslip/gateway/planner.py
+++ b/src/wayslip/gateway/planner.py
@@ -8,7 +8,6 @@
 
 from wayslip import errors
 from wayslip import logs
-from wayslip.decisions import lease
 from wayslip.decisions import loading
 from wayslip.decisions import manifest as manifest_module
 from wayslip.decisions import rate
@@ -16,10 +15,10 @@
 from wayslip.gateway import books as books_module
 from wayslip.gateway import charges
 from wayslip.gateway import configuration
-from wayslip.gateway import engines
 from wayslip.gateway import facts
 from wayslip.gateway import hub as hub_module
 from wayslip.gateway import leadership as leadership_module
+from wayslip.gateway import loads as loads_module
 from wayslip.gateway import members as members_module
 from wayslip.gateway import ordering as ordering_module
 from wayslip.gateway import telling
@@ -33,20 +32,9 @@
 _LEAST_PERIOD = 0.005
 # Loads from the weight store that may begin together, see `rate.Bucket`.
 _COLD_BURST = 2.0
-# Longest wait for an unload, which waits for the model's runs, seconds.
-_UNLOAD_SECONDS = 8.0
-# A load may take this many times what is expected before it is given up on.
-_LOAD_FACTOR = 3.0
-_LOAD_EXTRA = 5.0
-# An engine that did not carry out a load is left alone for this long: its
-# reports are some hundred milliseconds old, seconds.
-_FAILED_REST = 0.6
 # The claim of an engine is kept for so long after it left the list, seconds:
 # many times what an entry that lapsed takes to come back.
 _CLAIM_SECONDS = 60.0
-# A load that the holder before us ordered is taken to last so much longer,
-# seconds: half of a load from the weight store.
-_ADOPTED_SECONDS = 5.0
 # How long a request's wish for an adapter is tried again, seconds; the request
 # repeats it while it waits.
 _WISH_SECONDS = 0.2
@@ -70,6 +58,7 @@
         self._ordering = ordering
         self.members = members
         self._teller = teller
+        self._loads = loads_module.Loads(ordering, teller.tell_all)
         self._adapters = adapters_module.Adapters(
             ordering, self.members, self._start, self._teller.tell_all
         )
@@ -110,7 +99,7 @@
             book = self._ordering.books.get(name)
             if book is not None and seen.claim.pending is not None:
                 book.pending = seen.claim.pending
-                self._start(self._settle(book, seen.claim.pending))
+                self._start(self._loads.settle(book, self._is_within))
         self._is_prepared = True
 
     def _adopt_loads(self) -> None:
@@ -120,17 +109,9 @@
             if book is None or at < now or model in book.endpoint.models:
                 continue
             book.ready_at[model] = at
-            book.task = self._start(self._see_loaded(book, model, at - now))
-
-    async def _settle(
-        self, book: books_module.Book, pending: lease.Pending
-    ) -> None:
-        """Settles an order that the holder before us left open."""
-        await self._ordering.settle(book, lambda: self._is_within(book))
-        is_model = not pending.adapter
-        if is_model and (pending.model, "") in book.added:
-            book.ready_at[pending.model] = time.monotonic() + _ADOPTED_SECONDS
-            await self._see_loaded(book, pending.model, _ADOPTED_SECONDS)
+            book.task = self._start(
+                self._loads.see_loaded(book, model, at - now)
+            )
 
     def _is_within(self, book: books_module.Book) -> bool:
         """Whether what an engine holds and may take fits, as configured."""
@@ -142,21 +123,6 @@
             return False
         return charges.is_within(book, service.pool)
 
-    async def _see_loaded(
-        self, book: books_module.Book, model: str, seconds: float
-    ) -> None:
-        """Waits for a load that was ordered by the holder before us."""
-        try:
-            state = await self._ordering.sync(book)
-            if state is not None and not state.is_busy:
-                return
-            await self._ordering.wait_for_model(
-                book, model, True, seconds + _LOAD_EXTRA
-            )
-        finally:
-            book.ready_at.pop(model, None)
-            self._teller.tell_all()
-
     def end(self) -> None:
         """Stops giving orders; what was sent stays in the claims."""
         self._is_prepared = False
@@ -337,79 +303,5 @@
         book = books[step.engine]
         # At once, so that the next plan counts this copy.
         book.ready_at[step.model] = now + step.seconds
-        book.task = self._start(self._carry_out(book, step, pool))
+        book.task = self._start(self._loads.carry_out(book, step, pool))
         return True
-
-    # Carrying out
-
-    async def _carry_out(
-        self,
-        book: books_module.Book,
-        step: loading.Step,
-        pool: manifest_module.Pool,
-    ) -> None:
-        is_loaded = False
-        try:
-            if await self._make_room(book, step):
-                is_loaded = await self._load(book, step, pool)
-        finally:
-            if not is_loaded:
-                book.rests_until = time.monotonic() + _FAILED_REST
-            book.ready_at.pop(step.model, None)
-            self._teller.tell_all()
-
-    async def _make_room(
-        self, book: books_module.Book, step: loading.Step
-    ) -> bool:
-        """Unloads the victims; returns whether all are gone."""
-        if not await self._ordering.learn(book):
-            return False
-        for victim in step.victims:
-            item = (victim, "")
-            book.withdrawn.add(item)
-            self._teller.tell_all()
-            outcome = await self._ordering.order(
-                book, lease.Action.UNLOAD, item
-            )
-            if outcome not in engines.DONE:
-                book.withdrawn.discard(item)
-                return False
-            if not await self._ordering.wait_for_model(
-                book, victim, False, _UNLOAD_SECONDS
-            ):
-                return False
-        return True
-
-    async def _load(
-        self,
-        book: books_module.Book,
-        step: loading.Step,
-        pool: manifest_module.Pool,
-    ) -> bool:
-        need = pool.models[step.model].weights_mb
-
-        def fits() -> bool:
-            total, _ = charges.sum_charges(book, pool)
-            return total + need <= pool.weights_mb
-
-        outcome = await self._ordering.order(
-            book, lease.Action.LOAD, (step.model, ""), fits
-        )
-        if outcome not in engines.DONE:
-            return False
-        book.ready_at[step.model] = time.monotonic() + step.seconds
-        self._teller.tell_all()
-        limit = step.seconds * _LOAD_FACTOR + _LOAD_EXTRA
-        await asyncio.sleep(step.seconds * 0.9)
-        is_done = await self._ordering.wait_for_model(
-            book, step.model, True, limit
-        )
-        book.loaded_at[step.model] = time.monotonic()
-        logs.event(
-            _LOG,
-            "load_ended",
-            endpoint=step.engine,
-            model=step.model,
-            loaded=is_done,
-        )
-        return is_done
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -6,6 +6,7 @@
 from standins import platform_site
 from tests.gateway import harness
 from wayslip.decisions import fleet
+from wayslip.gateway import datagrams
 from wayslip.gateway import facts
 from wayslip.gateway import view
 
@@ -58,7 +59,7 @@
 def test_told_entries_keep_the_number_of_their_heartbeat():
     entry = fleet.Endpoint("e1", "s", "127.0.0.1:1", "h", beat=9)
     changes = facts.Changes(1, 0, 0, (facts.Listed.of(entry),))
-    told = facts.decode(facts.encode(changes))
+    told = datagrams.decode(datagrams.encode(changes))
     assert told.listed[0].restore() == entry
 
 
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -11,6 +11,7 @@
 from wayslip import errors
 from wayslip.gateway import adapters
 from wayslip.gateway import configuration
+from wayslip.gateway import datagrams
 from wayslip.gateway import facts
 from wayslip.gateway import members as members_module
 from wayslip.platform import decoding
@@ -167,7 +168,7 @@
 
 @pytest.mark.parametrize("message", MESSAGES, ids=lambda m: type(m).__name__)
 def test_facts_survive_the_way(message):
-    assert facts.decode(facts.encode(message)) == message
+    assert datagrams.decode(datagrams.encode(message)) == message
 
 
 @pytest.mark.parametrize(
@@ -175,7 +176,7 @@
 )
 def test_malformed_datagrams_are_refused(data):
     with pytest.raises(errors.FrameError):
-        facts.decode(data)
+        datagrams.decode(data)
 
 
 def report(number, count, process="p"):
