Test that an earlier holder's word takes no endpoint out, failing

The same class again: the list's changes are taken from whoever tells them, while load, news and handovers are dropped if their term is over. A late statement that lacks an endpoint takes it out until the next read.

--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -63,6 +63,20 @@
     assert told.listed[0].restore() == entry
 
 
+@harness.run
+async def test_word_of_an_earlier_holder_takes_nothing_out(system):
+    # Its statements may be late on their way, and show less than there is.
+    await system.add("e1", "plain")
+    gateway = system.gateway
+    await system.until(lambda: gateway.leadership.seen_term == 1)
+    for told in (
+        facts.Changes(0, 0, 10**9, (), gone=("e1",)),
+        facts.Changes(0, 0, 10**9, (), names=("e9",)),
+    ):
+        gateway._take_message(told, ("127.0.0.1", 1))
+    assert "e1" in gateway.view.tracked
+
+
 @harness.run
 async def test_removal_without_an_outage_counts_at_once(system):
     await system.add("e1", "plain")
