Take changes of the list from the present holder only

A test of the planner shows besides that a model which the configuration names no more makes way like others; before, choosing it as a victim raised KeyError and ended the loop.

--- a/src/wayslip/gateway/daemon.py
+++ b/src/wayslip/gateway/daemon.py
@@ -294,7 +294,9 @@
         elif isinstance(message, facts.News):
             self._placement.take_news(message)
         elif isinstance(message, facts.Changes):
-            self._endpoints.take_told(message)
+            # An earlier holder's may be late, and lack what is there now.
+            if message.term >= self.leadership.seen_term:
+                self._endpoints.take_told(message)
         elif isinstance(message, facts.Missing):
             self._teller.repeat_changes(message, source)
         elif isinstance(message, facts.Report) and message.is_blind:
--- a/tests/decisions/test_loading.py
+++ b/tests/decisions/test_loading.py
@@ -196,3 +196,12 @@
 
 def test_nothing_is_planned_without_engines():
     assert plan([], make_pool("a"), {"a": asked(1)}) is None
+
+
+def test_model_that_is_not_configured_any_more_makes_way():
+    # It was counted as nothing, and choosing it ended the planner's loop.
+    pool = make_pool("a", "c")
+    step = plan(
+        [make_engine("e1", "a", "gone")], pool, {"a": asked(2), "c": asked(1)}
+    )
+    assert (step.model, step.victims) == ("c", ("gone",))
