--- /dev/null
+++ b/tests/stateful/order_engine.py
@@ -0,0 +1,219 @@
+"""An engine that carries orders out as the platform's engines do.
+
+It is the oracle of the worlds: it notes every order that it has no room for.
+"""
+
+import asyncio
+
+from wayslip.decisions import fleet
+from wayslip.decisions import lease
+from wayslip.decisions import manifest
+from wayslip.gateway import engines as engines_module
+
+SERVICE = "s"
+MODEL_MB = 70_000.0
+ADAPTER_MB = 66.0
+ROOM_MB = 220_000.0
+# Few places, so that adapters make way for each other all the time.
+PLACES = 4
+MODELS = 10
+ADAPTERS = 8
+# Seconds: between an engine's entries, until one is listed at most, the age
+# of its reports, and the times of loads.
+BEAT = 1.2
+LISTED_MOST = 0.8
+REPORT_LAG = 0.1
+LOAD_SECONDS = 4.0
+ADAPTER_SECONDS = 0.1
+
+
+def make_pool():
+    models = {
+        f"m{n}": manifest.Model(
+            name=f"m{n}",
+            weights_mb=MODEL_MB,
+            adapter_mb=ADAPTER_MB,
+            adapters=tuple(f"a{k}" for k in range(1, ADAPTERS + 1)),
+            load_s=LOAD_SECONDS,
+            disk_s=1.0,
+            warm_s=0.5,
+        )
+        for n in range(MODELS)
+    }
+    return manifest.Pool(64, 100_000, ROOM_MB, PLACES, 5.0, models)
+
+
+def make_manifest():
+    service = manifest.Service(SERVICE, 1000, make_pool())
+    return manifest.Manifest(1, (), {SERVICE: service})
+
+
+class Engine:
+    """Carries orders out as the platform's engines do."""
+
+    def __init__(self, world, name, address, models):
+        self.world = world
+        self.name = name
+        self.address = address
+        self.models = {m: set() for m in models}
+        self.coming = {}
+        self.loading = None
+        self.unloading = None
+        self.orders = 0
+        self.in_use = {}
+        self.is_alive = True
+        self.had = set(models)
+        self.history = []
+        self.entries = []
+        self.note()
+
+    # What it tells
+
+    def state(self):
+        return fleet.EngineState(
+            self.orders,
+            self.loading is not None or self.unloading is not None,
+            {m: frozenset(a) for m, a in self.models.items()},
+            frozenset(self.coming),
+        )
+
+    def note(self):
+        self.history.append((self.world.now, self.state()))
+
+    def report(self):
+        limit = self.world.now - REPORT_LAG
+        older = [s for at, s in self.history if at <= limit]
+        if len(older) > 20:
+            self.history = self.history[-10:]
+        return older[-1] if older else self.history[0][1]
+
+    def entry(self):
+        return fleet.Endpoint(
+            self.name,
+            SERVICE,
+            self.address,
+            "h",
+            64,
+            models={m: frozenset(a) for m, a in self.models.items()},
+            on_disk=frozenset(self.had),
+        )
+
+    async def beat(self):
+        """Writes its entry now and then; old ones may come after newer."""
+        while self.is_alive:
+            self.list_soon()
+            await asyncio.sleep(BEAT)
+
+    def list_soon(self):
+        rng = self.world.rng
+        entry = self.entry()
+        self.entries = [*self.entries[-3:], entry]
+        delay = rng.uniform(0, LISTED_MOST)
+        self.world.later(delay, self.list, entry)
+        if rng.random() < self.world.faults.old_entry:
+            old = rng.choice(self.entries)
+            self.world.later(delay + rng.uniform(0, 2.0), self.list, old)
+
+    def list(self, entry):
+        if self.is_alive:
+            self.world.store.put("servers", self.name, entry)
+
+    # Requests
+
+    def use(self, model, adapter, seconds):
+        end = self.world.now + seconds
+        for item in ((model, ""), (model, adapter)):
+            self.in_use[item] = max(self.in_use.get(item, 0.0), end)
+
+    def used_until(self, item):
+        items = [i for i in self.in_use if i[0] == item[0]]
+        if item[1]:
+            items = [item]
+        return max((self.in_use.get(i, 0.0) for i in items), default=0.0)
+
+    # Orders
+
+    def take(self, order):
+        """Carries an order out; returns what it answers."""
+        outcome = self.answer_known(order)
+        if outcome is not None:
+            return outcome
+        if self.loading or self.unloading or order.orders != self.orders:
+            return engines_module.OrderOutcome.BUSY
+        item = (order.model, order.adapter)
+        if order.action is lease.Action.UNLOAD:
+            return self.unload(item)
+        self.check(order)
+        self.orders += 1
+        if order.adapter:
+            seconds = self.world.adapter_seconds
+            seconds *= self.world.rng.uniform(0.1, 2.0)
+            self.coming[item] = self.world.now + seconds
+            self.world.later(seconds, self.finish_adapter, item)
+        else:
+            self.loading = order.model
+            seconds = 1.0 if order.model in self.had else LOAD_SECONDS
+            self.world.later(seconds, self.finish_load)
+        self.note()
+        return engines_module.OrderOutcome.TAKEN
+
+    def answer_known(self, order):
+        """Answers what holds or is under way, whatever count it names."""
+        item = (order.model, order.adapter)
+        held = self.models.get(order.model)
+        is_there = held is not None and (
+            not order.adapter or order.adapter in held
+        )
+        outcomes = engines_module.OrderOutcome
+        if order.action is lease.Action.UNLOAD:
+            if item == self.unloading:
+                return outcomes.TAKEN
+            return None if is_there else outcomes.HELD
+        if order.adapter and held is None:
+            return outcomes.ELSEWHERE
+        if item in self.coming or (self.loading, "") == item:
+            return outcomes.TAKEN
+        return outcomes.HELD if is_there else None
+
+    def check(self, order):
+        items = [(m, a) for m, held in self.models.items() for a in held]
+        places = len({*items, *self.coming}) + bool(order.adapter)
+        models = len(self.models) + (not order.adapter)
+        if models * MODEL_MB > ROOM_MB or places > PLACES:
+            self.world.note_over(self, order)
+
+    def unload(self, item):
+        self.orders += 1
+        end = self.used_until(item)
+        if item[1] and end <= self.world.now:
+            self.models[item[0]].discard(item[1])
+            self.note()
+            return engines_module.OrderOutcome.HELD
+        self.unloading = item
+        self.world.later(max(end - self.world.now, 0.05), self.finish_unload)
+        self.note()
+        return engines_module.OrderOutcome.TAKEN
+
+    def finish_unload(self):
+        model, adapter = self.unloading
+        self.unloading = None
+        if adapter:
+            self.models[model].discard(adapter)
+        else:
+            del self.models[model]
+            for item in [i for i in self.coming if i[0] == model]:
+                del self.coming[item]
+        self.note()
+        self.list_soon()
+
+    def finish_load(self):
+        self.models[self.loading] = set()
+        self.had.add(self.loading)
+        self.loading = None
+        self.note()
+        self.list_soon()
+
+    def finish_adapter(self, item):
+        if self.coming.pop(item, None) is not None and item[0] in self.models:
+            self.models[item[0]].add(item[1])
+        self.note()
--- /dev/null
+++ b/tests/stateful/order_network.py
@@ -0,0 +1,244 @@
+"""The store and the ways to it, to engines and between gateways.
+
+Everything may be lost, late or away, as the world's faults say.
+"""
+
+import asyncio
+import dataclasses
+
+from wayslip import errors
+from wayslip.gateway import engines as engines_module
+from wayslip.gateway import store as store_module
+
+# What a caller of the store or an engine waits for an answer, seconds.
+STORE_PATIENCE = 0.5
+ENGINE_PATIENCE = 0.7
+
+
+@dataclasses.dataclass
+class Faults:
+    """What goes wrong now: chances, and who is affected."""
+
+    order_lost: float = 0.0
+    answer_lost: float = 0.0
+    order_late: float = 0.0
+    report_slow: float = 0.0
+    write_lost: float = 0.0
+    write_late: float = 0.0
+    datagram_lost: float = 0.01
+    datagram_slow: float = 0.0
+    is_store_down: bool = False
+    old_entry: float = 0.1
+    cut_off: set = dataclasses.field(default_factory=set)
+    isolated: set = dataclasses.field(default_factory=set)
+
+
+class Store:
+    """The platform's store: objects by kind, and what changed."""
+
+    def __init__(self, world):
+        self.world = world
+        self.revision = 1
+        self.objects = {}
+        self.events = []
+        self.changed = asyncio.Event()
+
+    def put(self, kind, name, value):
+        known = self.objects.setdefault(kind, {}).get(name)
+        if known is not None and known[1] == value:
+            return known[0]
+        self.revision += 1
+        self.objects[kind][name] = (self.revision, value)
+        self._tell(kind, name, value)
+        return self.revision
+
+    def drop(self, kind, name):
+        if self.objects.get(kind, {}).pop(name, None) is not None:
+            self.revision += 1
+            self._tell(kind, name, None)
+
+    def _tell(self, kind, name, value):
+        self.events.append((self.revision, kind, name, value))
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def write(self, kind, name, revision, value):
+        """Writes if the revision is still that; returns the new one."""
+        known = self.objects.get(kind, {}).get(name)
+        if (known[0] if known else 0) != revision:
+            raise errors.ObjectConflictError("it was changed", "read it again")
+        return self.put(kind, name, value)
+
+
+class StoreClient:
+    """One instance's way to the store."""
+
+    def __init__(self, world, owner):
+        self._world = world
+        self._store = world.store
+        self._owner = owner
+
+    async def _reach(self):
+        world = self._world
+        faults = world.faults
+        await asyncio.sleep(world.rng.uniform(0.002, 0.01))
+        away = faults.cut_off | faults.isolated
+        if faults.is_store_down or self._owner in away:
+            await asyncio.sleep(world.rng.choice((0.01, STORE_PATIENCE)))
+            raise errors.ObjectUnavailableError("no answer", "wait")
+
+    async def list(self, kind):
+        await self._reach()
+        found = self._store.objects.get(kind.name, {})
+        items = [
+            store_module.Stored(name, revision, value)
+            for name, (revision, value) in found.items()
+        ]
+        return store_module.Listing(tuple(items), self._store.revision)
+
+    async def watch(self, kind, revision, wait):
+        await self._reach()
+        end = self._world.now + wait
+        while True:
+            found = [
+                store_module.Change(name, value)
+                for at, name_of_kind, name, value in self._store.events
+                if at > revision and name_of_kind == kind.name
+            ]
+            left = end - self._world.now
+            if found or left <= 0:
+                break
+            try:
+                async with asyncio.timeout(left):
+                    await self._store.changed.wait()
+            except TimeoutError:
+                pass
+        seen = self._store.revision
+        await self._reach()
+        return store_module.Changes(tuple(found), seen)
+
+    async def get(self, kind, name):
+        await self._reach()
+        found = self._store.objects.get(kind.name, {}).get(name)
+        return found and store_module.Stored(name, *found)
+
+    async def create(self, kind, name, value):
+        return await self._write(kind, name, 0, value)
+
+    async def replace(self, kind, stored, patience=None):
+        return await self._write(
+            kind, stored.name, stored.revision, stored.value
+        )
+
+    async def remove(self, kind, name, revision):
+        await self._reach()
+        self._store.drop(kind.name, name)
+
+    async def _write(self, kind, name, revision, value):
+        await self._reach()
+        rng, faults = self._world.rng, self._world.faults
+        if rng.random() < faults.write_late:
+            delay = rng.uniform(1.0, 6.0)
+            self._world.later(
+                delay, self._write_late, kind.name, name, revision, value
+            )
+            await asyncio.sleep(STORE_PATIENCE)
+            raise errors.ObjectUnavailableError("no answer", "wait")
+        new = self._store.write(kind.name, name, revision, value)
+        if rng.random() < faults.write_lost:
+            await asyncio.sleep(STORE_PATIENCE)
+            raise errors.ObjectUnavailableError("no answer", "wait")
+        return store_module.Stored(name, new, value)
+
+    def _write_late(self, *write):
+        try:
+            self._store.write(*write)
+        except errors.ObjectConflictError:
+            pass
+
+
+class EngineClient:
+    """One instance's way to the engines."""
+
+    def __init__(self, world, owner):
+        self._world = world
+        self._owner = owner
+
+    async def _travel(self):
+        rng, faults = self._world.rng, self._world.faults
+        seconds = rng.uniform(0.001, 0.005)
+        if rng.random() < faults.report_slow:
+            seconds = rng.uniform(0.0, ENGINE_PATIENCE)
+        await asyncio.sleep(seconds)
+
+    def _find(self, endpoint):
+        engine = self._world.engines.get(endpoint.name)
+        if engine is None or self._owner in self._world.faults.isolated:
+            raise errors.EndpointError("no answer", "wait")
+        return engine
+
+    async def report(self, endpoint):
+        try:
+            async with asyncio.timeout(ENGINE_PATIENCE):
+                await self._travel()
+                state = self._find(endpoint).report()
+                await self._travel()
+                return state
+        except TimeoutError as e:
+            raise errors.EndpointError("no answer", "wait") from e
+
+    async def order(self, endpoint, order, authority):
+        world = self._world
+        rng, faults = world.rng, world.faults
+        unknown = engines_module.OrderOutcome.UNKNOWN
+        await self._travel()
+        try:
+            engine = self._find(endpoint)
+        except errors.EndpointError:
+            return unknown
+        if rng.random() < faults.order_lost:
+            await asyncio.sleep(ENGINE_PATIENCE)
+            return unknown
+        if rng.random() < faults.order_late:
+            world.later(rng.uniform(0.5, 12.0), world.arrive, engine, order)
+            await asyncio.sleep(ENGINE_PATIENCE)
+            return unknown
+        outcome = world.arrive(engine, order)
+        if rng.random() < faults.answer_lost:
+            await asyncio.sleep(rng.choice((0.01, ENGINE_PATIENCE)))
+            return unknown
+        await self._travel()
+        return outcome
+
+
+class Wire:
+    """Stands in for the datagram transport of one gateway's hub."""
+
+    def __init__(self, world, owner, address):
+        self._world = world
+        self._owner = owner
+        self._address = address
+
+    def is_closing(self):
+        return False
+
+    def close(self):
+        pass
+
+    def sendto(self, data, address):
+        world = self._world
+        rng, faults = world.rng, world.faults
+        if rng.random() < faults.datagram_lost:
+            return
+        delay = rng.uniform(0.0005, 0.003)
+        if rng.random() < faults.datagram_slow:
+            delay = rng.uniform(0.0, 1.5)
+        world.later(delay, self._arrive, data, address)
+
+    def _arrive(self, data, address):
+        world = self._world
+        receiver = world.instances.get(address)
+        ends = {self._owner, receiver and receiver.options.name}
+        if receiver is None or ends & world.faults.isolated:
+            return
+        receiver.gateway._hub.datagram_received(data, self._address)
--- a/tests/stateful/test_order_world.py
+++ b/tests/stateful/test_order_world.py
@@ -24,7 +24,10 @@
 
 import asyncio
 
+from tests.stateful import order_engine
+from tests.stateful import order_troubles
 from tests.stateful import order_world
+from tests.stateful import simulated_loop
 from wayslip.decisions import lease
 from wayslip.gateway import facts
 
@@ -37,12 +40,12 @@
     engine = world.engines["e1"]
     instance = next(iter(world.instances.values()))
     planner = instance.gateway._planner
-    while len(engine.coming) < order_world.PLACES:
+    while len(engine.coming) < order_engine.PLACES:
         await asyncio.sleep(0.005)
     old = engine.entries[0]
     model = min(engine.models)
     for wait in (1.0, 1.1, 0.3, 0.3, 1.0):
-        want = facts.Want("g9", "h", order_world.SERVICE, model, "a8")
+        want = facts.Want("g9", "h", order_engine.SERVICE, model, "a8")
         planner.take(want, ("10.0.1.9", 1))
         await asyncio.sleep(wait)
         engine.list(old)
@@ -52,7 +55,7 @@
 
 
 def test_unload_of_an_adapter_on_its_way_frees_no_place():
-    world = order_world.run(_play_script())
+    world = simulated_loop.run(_play_script())
     assert not world.over
 
 
@@ -61,7 +64,7 @@
     world = order_world.World(1, engines=1, instances=2, rate=0.001)
     world.faults.old_entry = 0.0
     engine = world.engines["e1"]
-    while sum(map(len, engine.models.values())) < order_world.PLACES:
+    while sum(map(len, engine.models.values())) < order_engine.PLACES:
         await asyncio.sleep(0.05)
     order = lease.Pending(
         "e1", engine.orders, lease.Action.LOAD, min(engine.models), "a8"
@@ -85,13 +88,13 @@
 
     The successor sent it without asking whether it fits.
     """
-    world = order_world.run(_play_succession())
+    world = simulated_loop.run(_play_succession())
     assert not world.over
 
 
 def test_worlds_of_troubles():
     for seed in range(20):
-        world = order_world.play(seed, seconds=20.0)
+        world = order_troubles.play(seed, seconds=20.0)
         assert not world.over, seed
         assert world.taken
 
@@ -101,11 +104,11 @@
         world = order_world.World(1, engines=1, instances=0)
         engine = world.engines["e1"]
         model = min(engine.models)
-        for number in range(order_world.PLACES + 1):
+        for number in range(order_engine.PLACES + 1):
             load = lease.Action.LOAD
             order = lease.Pending("e1", number, load, model, f"a{number}")
             world.arrive(engine, order)
         world.stop()
         return world
 
-    assert len(order_world.run(order_too_many()).over) == 1
+    assert len(simulated_loop.run(order_too_many()).over) == 1
