--- a/tests/stateful/test_order_world.py
+++ b/tests/stateful/test_order_world.py
@@ -6,16 +6,18 @@
 Sequence, as the log lines of orders and the engine's own account show it
 (here with four places):
 
-    0.54  load a4, count 3                 taken   on its way, room=... a4:a
-    0.56  unload a4, count 4               held    the engine drops nothing and
-                                                   counts no order
-          a4 is noted as gone, five orders are counted where it took four
-    0.58  load b1, count 5                 busy    refused, the count is wrong
-    0.6 to 2.6                                     its reports count for old
-    2.6   a report shows a4 after all: charged again, but its note stays
-    2.74  an old entry of the list, of before a4, comes after newer ones
-          the note and the entry together pass for an unload that is done
-    2.79  load b1, count 4                 taken   room lacks a4: one too many
+    0.51  load m8/a6, count 1      taken   it is on its way
+    0.56  unload m8/a6, count 4    held    dropped and counted by nobody: the
+                                           engine has taken four orders, and
+                                           we believe five and the item gone
+    0.57  unload m8/a6, count 5    held    a second wish chose the same victim;
+                                           now we believe six
+    0.58  load m1/a1, count 6      busy    refused, the count is wrong; its
+                                           reports pass for old ones until 2.57
+          a report shows m8/a6: charged again, but the note of its unload stays
+    2.74  an old entry, of before any adapter, is listed after newer ones; the
+          note and the entry together pass for an unload that is done
+    2.79  load m1/a1, count 4      taken   room lacks m8/a6: one too many
 
 Cause: two things were taken for proof that an item is gone, though neither
 says at which count of the engine's orders it holds: the answer "holds already"
@@ -77,16 +79,19 @@
 
 
 def test_successor_sends_no_order_that_does_not_fit():
-    """A holder before counted one order too many.
+    """A holder before counted one order too many, twice.
 
-    19.77 unload a1, count 20    held   the engine takes 21 orders
-    19.80 unload a1, count 21    held   it was gone, and no order is counted
+    11.81 unload a1, count 20    held   on its way: not dropped, not counted
+    11.82 load a8, count 21      busy   refused, and the last in the claim
+    19.22 load a8, count 21      late   a successor takes it for open
+    19.79 unload a1, count 20    held   the engine has taken 21 orders
+    20.86 unload a1, count 21    held   it is gone: not counted
     20.87 load a6, count 22      busy   refused, and the last in the claim
-    22.64 load a8, count 21      taken  without a claim: 22 orders, all full
-    28.31 the lease changes hands; the claim's order is taken for open
+    22.64 load a8, count 21      taken  the late one arrives: 22 orders, full
+    28.31 the lease changes hands, and the claim's order is taken for open
     28.68 load a6, count 22      taken  one too many
 
-    The successor sent it without asking whether it fits.
+    Successors sent both again without asking whether they fit.
     """
     world = simulated_loop.run(_play_succession())
     assert not world.over
