--- a/tests/stateful/order_engine.py
+++ b/tests/stateful/order_engine.py
@@ -43,9 +43,9 @@
     return manifest.Pool(64, 100_000, ROOM_MB, PLACES, 5.0, models)
 
 
-def make_manifest():
+def make_manifest(version=1):
     service = manifest.Service(SERVICE, 1000, make_pool())
-    return manifest.Manifest(1, (), {SERVICE: service})
+    return manifest.Manifest(version, (), {SERVICE: service})
 
 
 class Engine:
--- a/tests/stateful/order_network.py
+++ b/tests/stateful/order_network.py
@@ -33,6 +33,16 @@
     isolated: set = dataclasses.field(default_factory=set)
 
 
+@dataclasses.dataclass(frozen=True)
+class Call:
+    """One call to the store: when, what, and whether it may be stale."""
+
+    at: float
+    verb: str
+    kind: str
+    may_be_stale: bool
+
+
 class Store:
     """The platform's store: objects by kind, and what changed."""
 
@@ -41,6 +51,7 @@
         self.revision = 1
         self.objects = {}
         self.events = []
+        self.calls = []
         self.changed = asyncio.Event()
 
     def put(self, kind, name, value):
@@ -57,6 +68,14 @@
             self.revision += 1
             self._tell(kind, name, None)
 
+    def count_calls(self, since, until, **wanted):
+        """Returns how many calls of some kind came in a span of time."""
+        return sum(
+            since <= call.at < until
+            and all(getattr(call, k) == v for k, v in wanted.items())
+            for call in self.calls
+        )
+
     def _tell(self, kind, name, value):
         self.events.append((self.revision, kind, name, value))
         self.changed.set()
@@ -78,7 +97,13 @@
         self._store = world.store
         self._owner = owner
 
-    async def _reach(self):
+    async def _reach(self, verb, kind, may_be_stale=False):
+        world = self._world
+        call = Call(world.now, verb, kind.name, may_be_stale)
+        self._store.calls.append(call)
+        await self._travel()
+
+    async def _travel(self):
         world = self._world
         faults = world.faults
         await asyncio.sleep(world.rng.uniform(0.002, 0.01))
@@ -87,8 +112,8 @@
             await asyncio.sleep(world.rng.choice((0.01, STORE_PATIENCE)))
             raise errors.ObjectUnavailableError("no answer", "wait")
 
-    async def list(self, kind):
-        await self._reach()
+    async def list(self, kind, may_be_stale=False):
+        await self._reach("list", kind, may_be_stale)
         found = self._store.objects.get(kind.name, {})
         items = [
             store_module.Stored(name, revision, value)
@@ -97,7 +122,7 @@
         return store_module.Listing(tuple(items), self._store.revision)
 
     async def watch(self, kind, revision, wait):
-        await self._reach()
+        await self._reach("watch", kind)
         end = self._world.now + wait
         while True:
             found = [
@@ -114,11 +139,11 @@
             except TimeoutError:
                 pass
         seen = self._store.revision
-        await self._reach()
+        await self._travel()
         return store_module.Changes(tuple(found), seen)
 
-    async def get(self, kind, name):
-        await self._reach()
+    async def get(self, kind, name, may_be_stale=False):
+        await self._reach("get", kind, may_be_stale)
         found = self._store.objects.get(kind.name, {}).get(name)
         return found and store_module.Stored(name, *found)
 
@@ -131,11 +156,11 @@
         )
 
     async def remove(self, kind, name, revision):
-        await self._reach()
+        await self._reach("remove", kind)
         self._store.drop(kind.name, name)
 
     async def _write(self, kind, name, revision, value):
-        await self._reach()
+        await self._reach("write", kind)
         rng, faults = self._world.rng, self._world.faults
         if rng.random() < faults.write_late:
             delay = rng.uniform(1.0, 6.0)
