Learn how fast models read from all instances' samples

Cause: each instance learned reading rates for itself. Of 195 instances each sends a request of one busy model about once a minute, so it goes by the assumed 14,000 tokens a second, a quarter of what the small models do: waits are predicted four times too long, and the work told to the planner is as wrong.

Samples go to the lease's holder with the reports; what it learns from them is told with the handover once a second (some 15 bytes a model). Test committed with it: one sample anywhere is known to all, also to who joins later.

--- a/src/wayslip/gateway/daemon.py
+++ b/src/wayslip/gateway/daemon.py
@@ -84,7 +84,7 @@
         self._ordering = ordering_module.Ordering(
             options, platform.store, platform.engines, self.metrics
         )
-        members = members_module.Members()
+        members = members_module.Members(self.view.reading)
         detaching = detaching_module.Detaching(
             options.peers, self.leadership, members
         )
--- a/src/wayslip/gateway/datagrams.py
+++ b/src/wayslip/gateway/datagrams.py
@@ -36,6 +36,7 @@
     "claims": facts.ClaimRevision,
     "rates": facts.Rate,
     "listed": facts.Listed,
+    "readings": facts.Reading,
 }
 
 
--- a/src/wayslip/gateway/facts.py
+++ b/src/wayslip/gateway/facts.py
@@ -53,6 +53,14 @@
     patient: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reading:
+    """How fast a model reads prompts, tokens a second."""
+
+    model: str
+    rate: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Listed:
     """An endpoint's entry in the platform's list.
@@ -128,6 +136,7 @@
         is_cut_off: Whether the store did not answer when it last asked for
             the lease, or has not yet.
         is_leaving: Whether it stops as planned; it takes no lease then.
+        readings: How fast models read prompts, a sample each.
     """
 
     instance: str
@@ -141,6 +150,7 @@
     echo_ms: int = 0
     is_cut_off: bool = False
     is_leaving: bool = False
+    readings: tuple[Reading, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -277,12 +287,14 @@
 
     Attributes:
         peers: Instances as (address, data hall), empty if not in this part.
+        readings: What was learned from all samples.
     """
 
     term: int
     peers: tuple[tuple[str, str], ...]
     claims: tuple[ClaimRevision, ...]
     rates: tuple[Rate, ...]
+    readings: tuple[Reading, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/wayslip/gateway/members.py
+++ b/src/wayslip/gateway/members.py
@@ -14,6 +14,7 @@
 from wayslip.decisions import fanout
 from wayslip.decisions import loading
 from wayslip.decisions import manifest
+from wayslip.decisions import reading
 from wayslip.gateway import facts
 from wayslip.gateway import hub as hub_module
 
@@ -56,7 +57,16 @@
 class Members:
     """The instances' reports. Used on the event loop only."""
 
-    def __init__(self) -> None:
+    def __init__(self, readings: reading.ReadingRates | None = None) -> None:
+        """Initializes without any member.
+
+        Args:
+            readings: Where samples of how fast models read are collected;
+                a collection of its own if None.
+        """
+        self._readings = (
+            reading.ReadingRates() if readings is None else readings
+        )
         self._members: dict[str, _Member] = {}
         self._told: tuple[fanout.Peer, ...] = ()
         # Instances that fell silent without a word, and since when.
@@ -114,6 +124,8 @@
                 self._missed_at[key] = now
             if one.adapter:
                 self._adapters.add((*key, one.adapter), one.count, now)
+        for sample in report.readings:
+            self._readings.note(sample.model, sample.rate)
 
     def meet(self, want: facts.Want, source: hub_module.Address) -> None:
         """Takes in where an instance hears us before its first report."""
@@ -122,6 +134,11 @@
             now = time.monotonic()
             self._members[want.instance] = _Member(peer, "", 0, now, ())
 
+    def adopt_readings(self, readings: tuple[facts.Reading, ...]) -> None:
+        """Takes over what the holder learned from all samples."""
+        for known in readings:
+            self._readings.adopt(known.model, known.rate)
+
     def adopt(self, rates: tuple[facts.Rate, ...]) -> None:
         """Takes over the demand as the holder tells it, and what is owed."""
         now = time.monotonic()
@@ -166,6 +183,13 @@
         )
         return models + adapters
 
+    def list_readings(self) -> tuple[facts.Reading, ...]:
+        """Returns how fast models read, as learned from all instances."""
+        return tuple(
+            facts.Reading(model, round(rate))
+            for model, rate in self._readings.all().items()
+        )
+
     def find_demand(
         self, service: str, pool: manifest.Pool
     ) -> dict[str, loading.Demand]:
--- a/src/wayslip/gateway/placement.py
+++ b/src/wayslip/gateway/placement.py
@@ -197,6 +197,10 @@
             *self._echo,
             self._leadership.is_cut_off,
             self._is_leaving,
+            tuple(
+                facts.Reading(*sample)
+                for sample in self._view.reading.take_untold()
+            ),
         )
         self._demand.clear()
         self._work.clear()
--- a/src/wayslip/gateway/planner.py
+++ b/src/wayslip/gateway/planner.py
@@ -170,6 +170,7 @@
             if message.term < self._leadership.seen_term:
                 return
             self.members.adopt(message.rates)
+            self.members.adopt_readings(message.readings)
             if message.peers:
                 self.members.adopt_peers(message.peers)
             for claim in message.claims:
--- a/src/wayslip/gateway/telling.py
+++ b/src/wayslip/gateway/telling.py
@@ -116,7 +116,8 @@
             for name, seen in self._ordering.claims.items()
         ]
         rates = self._members.list_rates()
-        self._spread(facts.Handover(term, peers, (), ()))
+        readings = self._members.list_readings()
+        self._spread(facts.Handover(term, peers, (), (), readings))
         for i in range(0, max(len(claims), len(rates)), _PART):
             part = facts.Handover(
                 term, (), tuple(claims[i : i + _PART]), rates[i : i + _PART]
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -155,6 +155,7 @@
         (("10.0.0.1:7380", "h"),),
         (facts.ClaimRevision("e1", 77),),
         (facts.Rate("s", "m1", "", 2.5, 0.4),),
+        (facts.Reading("m1", 54000),),
     ),
     facts.Changes(3, 80, 88, (LISTED,), ("e2",), ("e3",), ("e1",)),
     facts.Report(
--- a/tests/gateway/test_telling.py
+++ b/tests/gateway/test_telling.py
@@ -168,3 +168,16 @@
     term = holder.leadership.seen_term
     holder._stopping.set()
     await system.until(lambda: term in yielded)
+
+
+@harness.run
+async def test_all_know_how_fast_a_model_reads_from_one_sample(system):
+    # Without it each instance of a large fleet takes small models for four
+    # times as slow as they are, refuses requests for their wait and has too
+    # many copies of them loaded, until it sees a sample of its own.
+    holder, follower = find_roles(system, await system.join("g2"))
+    follower.view.reading.learn("m1", 5400, 0.112)
+    await system.until(lambda: holder.view.reading.all() == {"m1": 54_000})
+    third = await system.join("g3")
+    await system.until(lambda: third.view.reading.all() == {"m1": 54_000})
+    assert third.view.reading.estimate("m1", 5400) == 0.1
