Work room and wants out once a plan, and stop where more is lost

Cause: a plan tried every free engine for each model whose bound is above the best, and worked out victims, blocked adapters and excess again each time. The measure of it hid that: its demand was too small for the bounds to matter, so it gets the load that an engine has on the users' largest deployment.

--- a/bench/gateway.py
+++ b/bench/gateway.py
@@ -15,9 +15,13 @@
 from wayslip.gateway import datagrams
 from wayslip.gateway import facts
 
-# Engines and models: the Authority, the Association, both after growth, and a
-# data hall of the size of two years from now.
-SIZES = ((6, 26), (9, 39), (30, 111), (70, 305), (1_200, 290))
+# Engines and models: three sizes of the users' deployments, one of 300 engines,
+# and a data hall of the size of two years from now.
+SIZES = ((6, 26), (59, 213), (117, 213), (300, 213), (1_200, 290))
+# The load that one engine gets on the users' largest deployment: requests a
+# second and the seconds that it takes to read the prompt of one.
+_REQUESTS = 4.1
+_READING = 0.12
 _SECONDS = 0.5
 
 
@@ -40,10 +44,25 @@
     return manifest.Pool(64, 130_000, 220_000.0, 8, 1.4, found)
 
 
+def make_demand(engines, models, busy):
+    """Returns demand that the busy ones of the models share, as 1 to rank.
+
+    The others are asked for once in ten seconds each.
+    """
+    total = sum(1 / (1 + n) for n in range(busy))
+    found = {}
+    for number in range(models):
+        rate = 0.1
+        if number < busy:
+            rate = engines * _REQUESTS / (1 + number) / total
+        found[f"m{number}"] = loading.Demand(rate, rate * _READING)
+    return found
+
+
 def make_world(engines, models, rng):
-    """Returns engines with three models each and a skewed demand."""
+    """Returns engines with three models each."""
     names = [f"m{n}" for n in range(models)]
-    world = {
+    return {
         f"i-{n:08x}": loading.Engine(
             name=f"i-{n:08x}",
             models=frozenset(rng.sample(names, 3)),
@@ -54,11 +73,6 @@
         )
         for n in range(engines)
     }
-    demand = {
-        name: loading.Demand(4.0 / (1 + n), 0.6 / (1 + n))
-        for n, name in enumerate(names)
-    }
-    return world, demand
 
 
 def make_state(engines):
@@ -80,8 +94,14 @@
     """Prints one line of the table."""
     rng = random.Random(7)
     pool = make_pool(models)
-    world, demand = make_world(engines, models, rng)
-    plan = measure(lambda: loading.plan_load(world, pool, demand, True))
+    world = make_world(engines, models, rng)
+    plans = [
+        measure(lambda d=demand: loading.plan_load(world, pool, d, True))
+        for demand in (
+            make_demand(engines, models, models // 9),
+            make_demand(engines, models, models // 2),
+        )
+    ]
     candidates = [
         selection.Candidate(n, rng.randrange(40), 64, rng.random())
         for n in world
@@ -90,14 +110,18 @@
     state = make_state(engines)
     encode = measure(lambda: datagrams.encode(state))
     print(
-        f"{engines:7} {models:6} {plan * 1e3:8.2f} {choose * 1e6:10.1f}"
+        f"{engines:7} {models:6} {plans[0] * 1e3:8.2f} {plans[1] * 1e3:8.2f}"
+        f" {choose * 1e6:10.1f}"
         f" {len(datagrams.encode(state)):12} {encode * 1e6:10.1f}"
     )
 
 
 def main():
     """Prints the table."""
-    print("engines models  plan ms  choose us  state bytes  encode us")
+    print(
+        "engines models  plan ms (a ninth, half of the models busy)"
+        "  choose us  state bytes  encode us"
+    )
     for engines, models in SIZES:
         measure_size(engines, models)
 
--- a/src/wayslip/decisions/loading.py
+++ b/src/wayslip/decisions/loading.py
@@ -130,8 +130,60 @@
         return 0.0 if self.held else self.arrival
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Want:
+    """What one more copy of a model is wanted for.
+
+    Attributes:
+        soonest: Seconds until the model can serve somewhere.
+        rate: Requests a second.
+        owed: Requests that a first copy gains besides.
+        excess: Work that its engines can not do in time, seconds a second.
+        saved: Requests that are worth saving for a second of that work.
+    """
+
+    soonest: float
+    rate: float
+    owed: float
+    excess: float
+    saved: float
+
+    def gain(self, seconds: float, spare: float) -> float:
+        """Returns the requests that a copy serves in the horizon.
+
+        Args:
+            seconds: When it can serve.
+            spare: Work that its engine has time for.
+        """
+        gain = max(self.soonest - seconds, 0.0) * self.rate + self.owed
+        late = min(self.excess, spare) * self.saved
+        return gain + late * max(HORIZON - max(seconds, self.soonest), 0.0)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Room:
+    """What it takes to make room for a model on an engine.
+
+    Attributes:
+        victims: Models that make way.
+        loss: Requests that are lost with them over the horizon.
+        wait: Seconds until they are gone.
+        busy_loss: Requests a second that the engine loses while it is busy.
+    """
+
+    victims: tuple[str, ...]
+    loss: float
+    wait: float
+    busy_loss: float
+
+
 class _World:
-    """Engines and demand with what follows from both."""
+    """Engines and demand with what follows from both.
+
+    What is worked out once is kept: a plan asks for it again for each of many
+    models. For 300 engines and 213 models a plan took 73 ms without it and 37 with
+    it, on a busy machine.
+    """
 
     def __init__(
         self,
@@ -144,9 +196,13 @@
         self._demand = demand
         self.copies = _find_copies(engines, pool)
         self._busy = {e.name: self._sum_work(e) for e in engines.values()}
+        self.spare = {
+            name: max(BUSY_SHARE - busy, 0.0)
+            for name, busy in self._busy.items()
+        }
         self.busy_loss = self._find_busy_loss()
-        self._losses: dict[str, list[tuple[float, str]]] = {}
-        self._excess: dict[str, float] = {}
+        self._rooms: dict[float, dict[str, _Room]] = {}
+        self._free: dict[float, list[Engine]] = {}
 
     def _find_busy_loss(self) -> float:
         """Returns what one more engine loses by a load, requests a second."""
@@ -172,18 +228,8 @@
     def _sum_work(self, engine: Engine) -> float:
         return sum(self._part(m) for m in engine.models)
 
-    def _spare(self, engine: str) -> float:
-        return max(BUSY_SHARE - self._busy[engine], 0.0)
-
-    def _find_excess(self, model: str) -> float:
-        """Returns the work for a model that its engines can not do in time."""
-        known = self._excess.get(model)
-        if known is None:
-            known = self._sum_excess(model)
-            self._excess[model] = known
-        return known
-
     def _sum_excess(self, model: str) -> float:
+        """Returns the work for a model that its engines can not do in time."""
         part = self._part(model)
         excess = 0.0
         for name in self.copies[model].held:
@@ -197,48 +243,71 @@
         asked = self.demand(model)
         return work / asked.work * asked.rate if asked.work else 0.0
 
-    def gain_of_copy(self, model: str, engine: str, seconds: float) -> float:
-        """Returns the requests that one more copy serves in the horizon.
-
-        Args:
-            model: The model.
-            engine: Where the copy would be.
-            seconds: When it could serve.
-        """
+    def find_want(self, model: str) -> _Want:
+        """Returns what one more copy of a model is wanted for."""
         copies = self.copies[model]
         asked = self.demand(model)
-        gain = max(copies.soonest - seconds, 0.0) * asked.rate
-        if not copies.held and not copies.coming:
-            gain += asked.owed
+        is_nowhere = not copies.held and not copies.coming
         # Copies on their way will take a part of what is too much now.
-        excess = self._find_excess(model) / (1 + copies.coming)
-        moved = min(excess, self._spare(engine))
-        late = self._count_requests(model, moved) * SPREAD_WORTH
-        return gain + late * max(HORIZON - max(seconds, copies.soonest), 0.0)
+        excess = self._sum_excess(model) / (1 + copies.coming)
+        return _Want(
+            soonest=copies.soonest,
+            rate=asked.rate,
+            owed=asked.owed if is_nowhere else 0.0,
+            excess=excess,
+            saved=asked.rate / asked.work * SPREAD_WORTH if asked.work else 0.0,
+        )
 
-    def bound_gain(self, model: str) -> float:
-        """Returns what a further copy can gain at most, on any engine."""
-        copies = self.copies[model]
-        asked = self.demand(model)
-        gain = copies.soonest * asked.rate
-        if not copies.held and not copies.coming:
-            gain += asked.owed
-        moved = min(self._find_excess(model), BUSY_SHARE)
-        late = self._count_requests(model, moved) * SPREAD_WORTH
-        return gain + late * HORIZON
+    def list_free(self, weights_mb: float) -> list[Engine]:
+        """Returns engines that can take a model of some size.
 
-    def list_losses(self, engine: Engine) -> list[tuple[float, str]]:
-        """Returns what is lost with each copy on an engine, least first."""
-        known = self._losses.get(engine.name)
+        They can be ordered now, and the one that loses least by what makes
+        way comes first.
+        """
+        known = self._free.get(weights_mb)
         if known is None:
-            known = sorted(
-                (self.loss_of_copy(m, engine.name), m)
-                for m in engine.models
-                if m not in engine.fresh and m in self.copies
-            )
-            self._losses[engine.name] = known
+            rooms = {
+                e.name: self._make_room(e, weights_mb)
+                for e in self.engines.values()
+                if e.is_free
+            }
+            made = {n: room for n, room in rooms.items() if room is not None}
+            names = sorted(made, key=lambda name: made[name].loss)
+            known = [self.engines[name] for name in names]
+            self._rooms[weights_mb] = made
+            self._free[weights_mb] = known
         return known
 
+    def find_room(self, engine: Engine, weights_mb: float) -> _Room:
+        """Returns what makes room on an engine of `list_free`."""
+        return self._rooms[weights_mb][engine.name]
+
+    def _make_room(self, engine: Engine, weights_mb: float) -> _Room | None:
+        missing = engine.charged_mb + weights_mb - self.pool.weights_mb
+        victims, loss = _choose_victims(self, engine, missing)
+        if victims is None:
+            return None
+        is_in_use = any(self.demand(v).rate > _IDLE_RATE for v in victims)
+        blocked = sum(
+            self.demand(m).missing_adapter / max(len(self.copies[m].held), 1)
+            for m in engine.models
+            if m in self.copies and m not in victims
+        )
+        return _Room(
+            victims,
+            loss,
+            UNLOAD_SECONDS if is_in_use else 0.0,
+            self.busy_loss + blocked,
+        )
+
+    def list_losses(self, engine: Engine) -> list[tuple[float, str]]:
+        """Returns what is lost with each copy on an engine, least first."""
+        return sorted(
+            (self.loss_of_copy(m, engine.name), m)
+            for m in engine.models
+            if m not in engine.fresh and m in self.copies
+        )
+
     def loss_of_copy(self, model: str, engine: str) -> float:
         """Returns the requests that are lost with a copy in the horizon."""
         copies = self.copies[model]
@@ -248,7 +317,7 @@
             # What was loaded because of requests in vain stays until one of
             # them has come back for it.
             return (rate + RESERVE) * copies.arrival + asked.owed
-        others = sum(self._spare(n) for n in copies.held if n != engine)
+        others = sum(self.spare[n] for n in copies.held if n != engine)
         moved = max(self._part(model) - others, 0.0)
         late = self._count_requests(model, moved) * SPREAD_WORTH
         return (late + 0.02 * rate) * HORIZON
@@ -262,20 +331,28 @@
 ) -> Step | None:
     """Returns the load that gains most, None if none pays."""
     world = _World(engines, pool, demand)
+    wants = {m: world.find_want(m) for m in demand if m in pool.models}
+    # What each gains if it could serve at once on an idle engine.
     bounds = sorted(
-        ((world.bound_gain(m), m) for m in demand if m in pool.models),
+        ((want.gain(0.0, BUSY_SHARE), m) for m, want in wants.items()),
         reverse=True,
     )
-    free = [e for e in engines.values() if e.is_free]
     best: Step | None = None
     for bound, name in bounds:
         # No later model can gain more than this one could at most.
         if bound <= max(best.gain if best else 0.0, LEAST_GAIN):
             break
-        for engine in free:
+        model = pool.models[name]
+        for engine in world.list_free(model.weights_mb):
+            room = world.find_room(engine, model.weights_mb)
+            # Nor can it on an engine where more is lost.
+            if bound - room.loss <= max(best.gain if best else 0.0, LEAST_GAIN):
+                break
             if name in engine.models:
                 continue
-            step = _plan_on(world, engine, pool.models[name])
+            step = _plan_on(
+                engine, model, room, wants[name], world.spare[engine.name]
+            )
             if step is None or (step.is_cold and not may_load_cold):
                 continue
             if best is None or step.gain > best.gain:
@@ -304,25 +381,18 @@
 
 
 def _plan_on(
-    world: _World, engine: Engine, model: manifest.Model
+    engine: Engine,
+    model: manifest.Model,
+    room: _Room,
+    want: _Want,
+    spare: float,
 ) -> Step | None:
     seconds, is_cold = _time_load(engine, model)
-    missing = engine.charged_mb + model.weights_mb - world.pool.weights_mb
-    victims, loss = _choose_victims(world, engine, missing)
-    if victims is None:
-        return None
-    if any(world.demand(v).rate > _IDLE_RATE for v in victims):
-        seconds += UNLOAD_SECONDS
-    blocked = sum(
-        world.demand(m).missing_adapter / max(len(world.copies[m].held), 1)
-        for m in engine.models
-        if m in world.copies and m not in victims
-    )
-    loss += (world.busy_loss + blocked) * seconds
-    gain = world.gain_of_copy(model.name, engine.name, seconds) - loss
+    seconds += room.wait
+    gain = want.gain(seconds, spare) - room.loss - room.busy_loss * seconds
     if gain < LEAST_GAIN:
         return None
-    return Step(engine.name, model.name, victims, is_cold, seconds, gain)
+    return Step(engine.name, model.name, room.victims, is_cold, seconds, gain)
 
 
 def _time_load(engine: Engine, model: manifest.Model) -> tuple[float, bool]:
--- a/tests/decisions/test_loading.py
+++ b/tests/decisions/test_loading.py
@@ -1,4 +1,7 @@
 import dataclasses
+import random
+
+import pytest
 
 from wayslip.decisions import loading
 from wayslip.decisions import manifest
@@ -205,3 +208,79 @@
         [make_engine("e1", "a", "gone")], pool, {"a": asked(2), "c": asked(1)}
     )
     assert (step.model, step.victims) == ("c", ("gone",))
+
+
+def draw_world(seed):
+    """Returns engines, a pool and a demand, all drawn from a seed."""
+    rng = random.Random(seed)
+    names = [f"m{n}" for n in range(rng.randint(4, 30))]
+    models = {
+        n: manifest.Model(
+            n, rng.choice((65.0, 72.0)), 1.0, ("a1",), 9.0, 2.0, 0.8
+        )
+        for n in names
+    }
+    pool = manifest.Pool(64, 100_000, 220.0, 8, 1.4, models)
+    engines = {}
+    for number in range(rng.randint(1, 15)):
+        held = rng.sample(names, rng.randint(0, 3))
+        others = [n for n in names if n not in held]
+        coming = rng.sample(others, 1) if rng.random() < 0.2 else []
+        near = rng.sample(names, 3)
+        name = f"e{number}"
+        engines[name] = loading.Engine(
+            name,
+            frozenset(held),
+            {m: rng.uniform(0, 9) for m in coming},
+            sum(models[m].weights_mb for m in [*held, *coming]),
+            dict.fromkeys(held, 2.0),
+            not coming and rng.random() < 0.8,
+            fresh=frozenset(held[:1] if rng.random() < 0.3 else ()),
+            in_memory=frozenset(near[:1]),
+            on_disk=frozenset(near),
+        )
+    demand = {
+        n: loading.Demand(
+            rate := rng.expovariate(0.5),
+            rate * rng.choice((0.0, 0.05, 0.3)),
+            rng.choice((0.0, 0.0, 4.0)),
+            rng.choice((0.0, 0.3)),
+        )
+        for n in names
+        if rng.random() < 0.7
+    }
+    return engines, pool, demand
+
+
+def search_all(engines, pool, demand, may_load_cold):
+    """Returns the gains of all loads that pay, by model and engine."""
+    world = loading._World(engines, pool, demand)
+    gains = {}
+    for name in demand:
+        model, want = pool.models[name], world.find_want(name)
+        for engine in world.list_free(model.weights_mb):
+            room = world.find_room(engine, model.weights_mb)
+            step = loading._plan_on(
+                engine, model, room, want, world.spare[engine.name]
+            )
+            if step is None or name in engine.models:
+                continue
+            if may_load_cold or not step.is_cold:
+                gains[name, engine.name] = step.gain
+    return gains
+
+
+@pytest.mark.parametrize("may_load_cold", [True, False])
+def test_plan_is_the_best_of_all_loads(may_load_cold):
+    planned = 0
+    for seed in range(400):
+        engines, pool, demand = draw_world(seed)
+        gains = search_all(engines, pool, demand, may_load_cold)
+        step = loading.plan_load(engines, pool, demand, may_load_cold)
+        if step is None:
+            assert not gains, seed
+            continue
+        planned += 1
+        assert step.gain == max(gains.values()), seed
+        assert gains[step.model, step.engine] == step.gain, seed
+    assert planned > 100
