--- a/tests/stateful/test_store_calls.py
+++ b/tests/stateful/test_store_calls.py
@@ -61,6 +61,39 @@
     assert seconds < 2.0
 
 
+async def _play_lack():
+    """Returns when the last instance has a change, after it can read again."""
+    world = order_world.World(4, engines=2, instances=60, rate=0.01)
+    await asyncio.sleep(10.0)
+    holder = f"g{world.find_holder()}"
+    others = {i.options.name for i in world.instances.values()} - {holder}
+    world.faults.cut_off = set(sorted(others)[:20])
+    manifest = order_engine.make_manifest(version=2)
+    world.store.put("config", "main", manifest)
+    await asyncio.sleep(2.0)
+    world.faults.cut_off = set()
+    began = world.now
+    while not all(
+        i.gateway.holder.version == 2 for i in world.instances.values()
+    ):
+        await asyncio.sleep(0.05)
+    seconds = world.now - began
+    world.stop()
+    return seconds
+
+
+def test_instance_that_lacks_a_configuration_reads_it_as_soon_as_it_can():
+    # Symptom: on 195 instances the rules on configurations and on requests
+    # refused wrongly were broken, 142 and 118 times on a day in which the
+    # store was disturbed from 7 to 13 s.
+    # Sequence: 9.54 store_lost kind=config on front-howrah-hall-24; the
+    # holder tells of version 11 from 13.2 s on; the instance is in its pause
+    # before the next attempt, shared out over the fleet, until 24.29 s, and
+    # goes by version 3: configuration_in_force version=15 before=3.
+    # Cause: the pause ended only with word that lacks nothing.
+    assert simulated_loop.run(_play_lack()) < 1.5
+
+
 async def _play_change():
     """Returns calls for the configuration after a change, by staleness."""
     count = 30
