Test that an entry with old reports finds a model's new version, failing

Cause of the known red test_version_change_keeps_the_model_reachable: an entry whose polls come late sends a request for the version that was evicted; it is refused with 404, and the retry leaves that engine out or knows no other. Sequence at the test.

--- a/tests/faults/test_endpoints.py
+++ b/tests/faults/test_endpoints.py
@@ -76,8 +76,7 @@
     assert all(not e.overcommitted for e in fleet.engines.values())
 
 
-def test_version_change_keeps_the_model_reachable(fleet):
-    intent = """
+VERSION_CHANGE = """
 [[models]]
 name = "n"
 pool = "p"
@@ -90,6 +89,10 @@
 kind = "version"
 name = "n@v1"
 """
+
+
+def test_version_change_keeps_the_model_reachable(fleet):
+    intent = VERSION_CHANGE
     proposed = fleet.operate("POST", "/v1/plans", intent.encode())
     assert proposed.status == 200, proposed.body
     plan = proposed.json["id"]
@@ -104,3 +107,34 @@
     system_module.wait_until(is_new, "v2 answers")
     assert statuses == {200}
     fleet.wait_done(plan)
+
+
+def test_entry_with_an_old_report_finds_the_new_version():
+    # Symptom: a 503 while a model's version was changed, once in a whole CI
+    # run beside load, in the test of that name above.
+    # Sequence: polls of engines come late; a plan loads v2 and evicts v1
+    # between two of them; the entry sends a request for v1, which is refused
+    # with 404, not started; the retry leaves that engine out, though it holds
+    # v2 by now, and no other engine is known to hold either.
+    # Cause: an engine that lacks one version was taken to be unable to answer
+    # at all, and nobody waited for the report that shows the other one.
+    # Polls of 0.8 s make the entry that late on every machine.
+    slow = {"routing": {"poll_seconds": 0.8}}
+    with system_module.System(sections=slow) as fleet:
+        fleet.apply()
+        proposed = fleet.operate("POST", "/v1/plans", VERSION_CHANGE.encode())
+        assert proposed.status == 200, proposed.body
+        plan = proposed.json["id"]
+        assert fleet.operate("POST", f"/v1/plans/{plan}/confirm").status == 200
+        system_module.wait_until(
+            lambda: (
+                not any(
+                    "n@v1" in e.report()["resident"]
+                    for e in fleet.engines.values()
+                )
+            ),
+            "v1 is evicted",
+        )
+        reply = fleet.complete(model="n")
+        assert reply.status == 200, reply.body
+        assert reply.json["model"] == "n@v2"
