Let a retry find a model's new version where the old one was evicted

An engine that refuses a model with 404 is noted to lack it, is left out for that name only, and two more reports are waited for before the request is refused.

--- /dev/null
+++ b/src/wayslip/entry/choosing.py
@@ -0,0 +1,165 @@
+"""Which engine gets a completion next, or why none does."""
+
+from collections.abc import Mapping
+import dataclasses
+import random
+import time
+from typing import Any
+
+from wayslip import refusals
+from wayslip import settings as settings_module
+from wayslip.decisions import admission
+from wayslip.decisions import catalog as catalogs
+from wayslip.decisions import membership
+from wayslip.decisions import routing
+from wayslip.entry import callers as callers_module
+from wayslip.entry import view as view_module
+from wayslip.peers import node as node_module
+
+_COLD_RETRY_SECONDS = 2.0
+# Reports that are waited for once an engine lacks what its last one showed: the
+# next one may have been asked for before, so the one after it; and how late
+# they may come on a busy machine, seconds.
+_REPORTS_AWAITED = 2
+_REPORT_SLACK_SECONDS = 0.5
+_LOOK_SECONDS = 0.02
+
+
+@dataclasses.dataclass(frozen=True)
+class Job:
+    """A checked completion request.
+
+    Attributes:
+        body: As it goes to an engine, but for the model's name.
+        started, deadline: Monotonic seconds.
+        may_repeat: Whether it may run again after an unclear failure.
+    """
+
+    caller: settings_module.Caller
+    path: str
+    body: Mapping[str, Any]
+    target: catalogs.Target
+    text: str
+    is_stream: bool
+    started: float
+    deadline: float
+    may_repeat: bool = True
+
+
+@dataclasses.dataclass(frozen=True)
+class Chosen:
+    """An engine, the model's name there and the prompt's features."""
+
+    choice: routing.Choice
+    engine_model: str
+    prompt: view_module.Prompt
+
+
+@dataclasses.dataclass(frozen=True)
+class Try:
+    """An attempt that failed: at which engine, under which model's name."""
+
+    endpoint: str
+    engine_model: str
+
+
+class Chooser:
+    """Chooses engines by what this entry knows. Safe for many threads."""
+
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        node: node_module.Node,
+        view: view_module.EndpointView,
+        in_flight: callers_module.InFlight,
+    ) -> None:
+        self._settings = settings
+        self._node = node
+        self._view = view
+        self._in_flight = in_flight
+        self._choose = routing.POLICIES.get(settings.routing.policy)
+        self._admit = admission.POLICIES.get(settings.admission.policy)
+        self._rng = random.Random()
+
+    def choose(
+        self, job: Job, tried: frozenset[Try]
+    ) -> Chosen | refusals.Refusal:
+        """Returns where a job goes next.
+
+        Args:
+            job: The request.
+            tried: Its attempts so far. An engine that lacks a model's old
+                version may hold the new one, so it is left out for the name
+                that was tried only.
+
+        Returns:
+            The choice, or why the job is refused. If an engine lacked what
+            its report showed, reports that show who holds it now are waited
+            for first: the old version goes once the new one is there.
+        """
+        limit = time.monotonic() + self._find_patience(tried)
+        found = self._choose_now(job, tried)
+        while isinstance(found, refusals.Refusal):
+            is_over = time.monotonic() >= min(limit, job.deadline)
+            if is_over or found.reason is not refusals.Reason.NOT_LOADED:
+                break
+            time.sleep(_LOOK_SECONDS)
+            found = self._choose_now(job, tried)
+        return found
+
+    def _find_patience(self, tried: frozenset[Try]) -> float:
+        """Returns the seconds for which new reports are worth waiting for."""
+        if not any(self._view.lacks(t.endpoint, t.engine_model) for t in tried):
+            return 0.0
+        polls = _REPORTS_AWAITED * self._settings.routing.poll_seconds
+        return polls + _REPORT_SLACK_SECONDS
+
+    def _choose_now(
+        self, job: Job, tried: frozenset[Try]
+    ) -> Chosen | refusals.Refusal:
+        items, engine_model = view_module.resolve_items(self._view, job.target)
+        blocks = routing.hash_blocks(engine_model, job.text)
+        rank = self._settings.admission.classes[job.caller.priority].rank
+        prompt = view_module.Prompt(
+            routing.count_tokens(job.text), blocks, rank
+        )
+        besides = frozenset(
+            t.endpoint for t in tried if t.engine_model == engine_model
+        )
+        found = self._view.candidates(
+            job.target.engines, items, prompt, besides
+        )
+        if not found:
+            return refusals.Refusal(
+                refusals.Reason.NOT_LOADED,
+                f"{job.target.name} is not ready on any endpoint now;"
+                " it is being loaded, come back after Retry-After",
+                _COLD_RETRY_SECONDS,
+            )
+        limits = self._settings.admission
+        share = limits.classes[job.caller.priority].share
+        room = [
+            c for c in found if c.in_flight < limits.endpoint_in_flight * share
+        ]
+        sample = routing.sample_candidates(room or found, self._rng)
+        choice = self._choose(sample, prompt.tokens, self._rng)
+        refusal = self._check_load(job, choice)
+        if refusal is not None and not tried:
+            return refusal
+        return Chosen(choice, engine_model, prompt)
+
+    def _check_load(
+        self, job: Job, choice: routing.Choice
+    ) -> refusals.Refusal | None:
+        entries = self._node.live_names(membership.Role.ENTRY)
+        load = admission.Load(
+            # This request is counted already.
+            total=self._in_flight.total - 1,
+            caller=self._in_flight.of(job.caller.name) - 1,
+            endpoint=self._view.in_flight(choice.name),
+            entries=len(entries),
+            predicted=choice.predicted,
+            seconds_left=job.deadline - time.monotonic(),
+            occupancy=choice.occupancy,
+        )
+        return self._admit(load, job.caller, self._settings.admission)
--- a/src/wayslip/entry/completions.py
+++ b/src/wayslip/entry/completions.py
@@ -4,7 +4,6 @@
 import dataclasses
 import json
 import logging
-import random
 import time
 from typing import Any
 import uuid
@@ -15,17 +14,14 @@
 from wayslip import refusals
 from wayslip import settings as settings_module
 from wayslip import web
-from wayslip.decisions import admission
-from wayslip.decisions import catalog as catalogs
-from wayslip.decisions import membership
 from wayslip.decisions import retry
-from wayslip.decisions import routing
 from wayslip.endpoints import engine as engine_module
 from wayslip.endpoints import exchange
 from wayslip.entry import answers
 from wayslip.entry import attempts
 from wayslip.entry import callers as callers_module
 from wayslip.entry import cancellations
+from wayslip.entry import choosing
 from wayslip.entry import relay as relay_module
 from wayslip.entry import tokens
 from wayslip.entry import view as view_module
@@ -33,7 +29,6 @@
 from wayslip.peers import node as node_module
 
 _LOG = logging.getLogger(__name__)
-_COLD_RETRY_SECONDS = 2.0
 _TELL_SECONDS = 1.0
 _RESUME_SECONDS = 5.0
 _STREAM_HEADERS = {
@@ -43,27 +38,6 @@
 }
 
 
-@dataclasses.dataclass(frozen=True)
-class Job:
-    """A checked completion request.
-
-    Attributes:
-        body: As it goes to an engine, but for the model's name.
-        started, deadline: Monotonic seconds.
-        may_repeat: Whether it may run again after an unclear failure.
-    """
-
-    caller: settings_module.Caller
-    path: str
-    body: Mapping[str, Any]
-    target: catalogs.Target
-    text: str
-    is_stream: bool
-    started: float
-    deadline: float
-    may_repeat: bool = True
-
-
 @dataclasses.dataclass(frozen=True)
 class Sent:
     """An engine's answer, its head read, and where it comes from."""
@@ -115,10 +89,8 @@
         self._in_flight = in_flight
         self._metrics = metrics
         self._dialect = engine_module.DIALECTS.get("openai")
-        self._choose = routing.POLICIES.get(settings.routing.policy)
-        self._admit = admission.POLICIES.get(settings.admission.policy)
+        self._chooser = choosing.Chooser(settings, node, view, in_flight)
         self._resume_key = settings.security.resume_key.encode()
-        self._rng = random.Random()
         self.cancellations = cancellations.Cancellations(
             view, metrics, settings.limits.resume_seconds
         )
@@ -127,7 +99,7 @@
 
     def check(
         self, request: web.Request, caller: settings_module.Caller
-    ) -> Job | refusals.Refusal:
+    ) -> choosing.Job | refusals.Refusal:
         """Returns a request as a job, or why it can not be one.
 
         Raises:
@@ -145,7 +117,7 @@
             return target
         rules = self._settings.admission.classes[caller.priority]
         seconds = read_deadline(request, rules.deadline)
-        return Job(
+        return choosing.Job(
             caller=caller,
             path=request.path,
             body=body,
@@ -158,7 +130,9 @@
 
     # Running
 
-    def serve(self, request: web.Request, job: Job) -> web.Answer | None:
+    def serve(
+        self, request: web.Request, job: choosing.Job
+    ) -> web.Answer | None:
         """Answers a job; returns None when the relay took it over."""
         if self._relay.active >= self._settings.limits.streams:
             return answers.answer_refusal(_refuse_streams())
@@ -175,7 +149,7 @@
             if not request.is_detached:
                 self._in_flight.end(job.caller.name)
 
-    def run_whole(self, job: Job) -> web.Answer:
+    def run_whole(self, job: choosing.Job) -> web.Answer:
         """Returns the whole answer of a job that is not a stream."""
         with self._in_flight.counted(job.caller.name):
             sent = self._send(job)
@@ -183,7 +157,7 @@
                 return sent
             return self._read_whole(job, sent)
 
-    def _send(self, job: Job) -> Sent | web.Answer:
+    def _send(self, job: choosing.Job) -> Sent | web.Answer:
         """Tries endpoints until one answers or the verdict is final."""
         tries = attempts.Attempts(
             self._in_flight,
@@ -192,15 +166,15 @@
             job.may_repeat,
             job.deadline,
         )
-        tried: frozenset[str] = frozenset()
+        tried: frozenset[choosing.Try] = frozenset()
         while True:
-            chosen = self._route(job, tried)
+            chosen = self._chooser.choose(job, tried)
             if isinstance(chosen, refusals.Refusal):
                 return self._answer_refused(chosen, tries.may_have_run)
             result = self._attempt(job, chosen)
             if isinstance(result, Sent):
                 return result
-            tried |= {chosen.choice.name}
+            tried |= {choosing.Try(chosen.choice.name, chosen.engine_model)}
             verdict = tries.fail(result)
             if verdict is not retry.Verdict.RETRY:
                 return self._answer_verdict(verdict)
@@ -228,56 +202,11 @@
             )
         )
 
-    # Choosing
-
-    def _route(
-        self, job: Job, tried: frozenset[str]
-    ) -> "_Chosen | refusals.Refusal":
-        items, engine_model = view_module.resolve_items(self._view, job.target)
-        blocks = routing.hash_blocks(engine_model, job.text)
-        rank = self._settings.admission.classes[job.caller.priority].rank
-        prompt = view_module.Prompt(
-            routing.count_tokens(job.text), blocks, rank
-        )
-        found = self._view.candidates(job.target.engines, items, prompt, tried)
-        if not found:
-            return refusals.Refusal(
-                refusals.Reason.NOT_LOADED,
-                f"{job.target.name} is not ready on any endpoint now;"
-                " it is being loaded, come back after Retry-After",
-                _COLD_RETRY_SECONDS,
-            )
-        limits = self._settings.admission
-        share = limits.classes[job.caller.priority].share
-        room = [
-            c for c in found if c.in_flight < limits.endpoint_in_flight * share
-        ]
-        sample = routing.sample_candidates(room or found, self._rng)
-        choice = self._choose(sample, prompt.tokens, self._rng)
-        refusal = self._check_load(job, choice)
-        if refusal is not None and not tried:
-            return refusal
-        return _Chosen(choice, engine_model, prompt)
-
-    def _check_load(
-        self, job: Job, choice: routing.Choice
-    ) -> refusals.Refusal | None:
-        entries = self._node.live_names(membership.Role.ENTRY)
-        load = admission.Load(
-            # This request is counted already.
-            total=self._in_flight.total - 1,
-            caller=self._in_flight.of(job.caller.name) - 1,
-            endpoint=self._view.in_flight(choice.name),
-            entries=len(entries),
-            predicted=choice.predicted,
-            seconds_left=job.deadline - time.monotonic(),
-            occupancy=choice.occupancy,
-        )
-        return self._admit(load, job.caller, self._settings.admission)
-
     # Attempting
 
-    def _attempt(self, job: Job, chosen: "_Chosen") -> Sent | retry.Failure:
+    def _attempt(
+        self, job: choosing.Job, chosen: choosing.Chosen
+    ) -> Sent | retry.Failure:
         name = chosen.choice.name
         address = self._view.address(name)
         if address is None:
@@ -288,20 +217,21 @@
         body = json.dumps({**job.body, **changes}).encode()
         timeout = max(job.deadline - time.monotonic(), 0.001)
         self._view.begin(name, chosen.prompt)
-        result = self._begin(name, address, job, body, request_id, timeout)
+        result = self._begin(chosen, address, job, body, request_id, timeout)
         if not isinstance(result, Sent):
             self._view.end(name)
         return result
 
     def _begin(
         self,
-        name: str,
+        chosen: choosing.Chosen,
         address: str,
-        job: Job,
+        job: choosing.Job,
         body: bytes,
         request_id: str,
         timeout: float,
     ) -> Sent | retry.Failure:
+        name, model = chosen.choice.name, chosen.engine_model
         try:
             upstream = self._dialect.begin(
                 address, job.path, body, request_id, timeout
@@ -323,6 +253,8 @@
             upstream.close()
             if upstream.status == 503:
                 self._view.note_refusal(name)
+            elif upstream.status == 404:
+                self._view.note_missing(name, model)
             return retry.Failure.REFUSED
         if upstream.status >= 500:
             upstream.close()
@@ -331,7 +263,7 @@
 
     # Answering
 
-    def _read_whole(self, job: Job, sent: Sent) -> web.Answer:
+    def _read_whole(self, job: choosing.Job, sent: Sent) -> web.Answer:
         try:
             data = sent.upstream.read(self._settings.limits.answer_bytes)
         except errors.EndpointError as e:
@@ -345,7 +277,9 @@
         headers = {web.OUTCOME: web.RAN}
         return web.Answer(sent.upstream.status, data, kind, headers)
 
-    def _hand_over(self, request: web.Request, job: Job, sent: Sent) -> None:
+    def _hand_over(
+        self, request: web.Request, job: choosing.Job, sent: Sent
+    ) -> None:
         token = tokens.StreamToken(
             sent.endpoint, sent.request_id, self._node.identity.name
         )
@@ -453,15 +387,6 @@
             return
 
 
-@dataclasses.dataclass(frozen=True)
-class _Chosen:
-    """An engine, the model's name there and the prompt's features."""
-
-    choice: routing.Choice
-    engine_model: str
-    prompt: view_module.Prompt
-
-
 def _refuse_streams() -> refusals.Refusal:
     return refusals.Refusal(
         refusals.Reason.OVERLOADED,
--- a/src/wayslip/entry/routes.py
+++ b/src/wayslip/entry/routes.py
@@ -13,6 +13,7 @@
 from wayslip import web
 from wayslip.entry import answers
 from wayslip.entry import callers as callers_module
+from wayslip.entry import choosing
 from wayslip.entry import completions as completions_module
 from wayslip.entry import keyed as keyed_module
 from wayslip.entry import services as services_module
@@ -255,7 +256,7 @@
         target = self._node.holder.catalog.resolve(body["model"])
         if isinstance(target, refusals.Refusal):
             return services_module.to_forwarded(answers.answer_refusal(target))
-        job = completions_module.Job(
+        job = choosing.Job(
             caller,
             forward.path,
             body,
--- a/src/wayslip/entry/view.py
+++ b/src/wayslip/entry/view.py
@@ -254,6 +254,22 @@
         """Notes that an endpoint took no connection or broke one off."""
         self._change(name, lambda h: h.fail())
 
+    def note_missing(self, name: str, item: str) -> None:
+        """Notes that an engine does not hold an item its report shows."""
+        with self._lock:
+            tracked = self._tracked.get(name)
+            if tracked is None or tracked.report is None:
+                return
+            held = tracked.report.resident - {item}
+            tracked.report = dataclasses.replace(tracked.report, resident=held)
+
+    def lacks(self, name: str, item: str) -> bool:
+        """Whether a listed engine is known not to hold an item."""
+        with self._lock:
+            tracked = self._tracked.get(name)
+            report = tracked.report if tracked is not None else None
+            return report is not None and item not in report.resident
+
     def note_refusal(self, name: str) -> None:
         """Notes that an endpoint refused work because it leaves."""
         self._leave(name, health_module.Sign.REFUSAL)
