--- a/src/wayslip/gateway/watching.py
+++ b/src/wayslip/gateway/watching.py
@@ -143,8 +143,9 @@
 
         It is where only the content is lacking, because the holder says what
         is the newest, and for the first answer after a start: the holder's
-        word follows within a moment. Of 30 instances that start or miss a
-        change together 2 ask for the newest then instead of 62 and 29.
+        word follows within a moment. Of 30 instances that start together, or
+        miss a change, 10 and 2 lists at most are then asked for the newest
+        instead of 62 and 29.
         """
         if self.currency.leads:
             return False
