Test reads from copies of the store that are behind

Cause: what may be stale was shown in the world of simulated time only, whose copies are never behind. The stand-in of the store lets its copies fall behind now: a list goes through all pages of them, a change that was told arrives all the same, an instance that starts on old copies catches up, and the lease is taken over.

--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -1,10 +1,12 @@
 """Stand-in for the platform's store, on the event loop, with faults.
 
 It keeps objects with one revision counter, answers lists, watches and
-conditional writes, and forgets its history when told to.
+conditional writes, and forgets its history when told to. Reads that may be
+stale are answered from copies, which it lets fall behind when told to.
 """
 
 import asyncio
+import copy
 import dataclasses
 import json
 from typing import Any
@@ -16,6 +18,8 @@
 _PREFIX = "/wayslip/objects/"
 _JSON = ((b"content-type", b"application/json"),)
 _STEP = 0.01
+# Objects by kind and name.
+_Objects = dict[str, dict[str, dict[str, Any]]]
 
 
 @dataclasses.dataclass
@@ -43,11 +47,13 @@
 
     def __init__(self) -> None:
         self.faults = Faults()
-        self.objects: dict[str, dict[str, dict[str, Any]]] = {}
+        self.objects: _Objects = {}
         self.revision = 1
         self.oldest = 0
         self.history: list[tuple[int, str, bool, dict[str, Any]]] = []
         self.calls: list[tuple[str, str]] = []
+        # Objects and revision that the copies stay at, None if at the newest.
+        self._copies: tuple[_Objects, int] | None = None
         self._server = server.Server(
             ("127.0.0.1", 0), self._answer, manifest.Limits
         )
@@ -97,6 +103,10 @@
         self.oldest = self.revision
         self.history.clear()
 
+    def hold_copies(self) -> None:
+        """Lets reads that may be stale see nothing newer from now on."""
+        self._copies = (copy.deepcopy(self.objects), self.revision)
+
     # Calls
 
     async def _answer(self, exchange: server.Exchange) -> None:
@@ -115,7 +125,7 @@
         elif method == "GET" and not name:
             status, value = self._list(kind, query)
         elif method == "GET":
-            status, value = self._get(kind, name)
+            status, value = self._get(kind, name, query)
         else:
             status, value = self._write(method, kind, name, query, exchange)
             if status == 200 and self.faults.loses_writes:
@@ -127,19 +137,29 @@
                 await asyncio.Event().wait()
         exchange.answer(status, _JSON, json.dumps(value).encode())
 
-    def _get(self, kind: str, name: str) -> tuple[int, Any]:
-        value = self.objects.get(kind, {}).get(name)
+    def _find(self, query: dict[str, str]) -> tuple[_Objects, int]:
+        """Returns the objects and the revision that a read sees."""
+        if self._copies is not None and query.get("serializable") == "1":
+            return self._copies
+        return self.objects, self.revision
+
+    def _get(
+        self, kind: str, name: str, query: dict[str, str]
+    ) -> tuple[int, Any]:
+        objects, _ = self._find(query)
+        value = objects.get(kind, {}).get(name)
         return (200, value) if value else (404, {})
 
     def _list(self, kind: str, query: dict[str, str]) -> tuple[int, Any]:
         after = query.get("after", "")
-        values = self.objects.get(kind, {})
+        objects, revision = self._find(query)
+        values = objects.get(kind, {})
         names = sorted(n for n in values if n > after)
         page = names[: self.faults.page]
         return 200, {
             "items": [values[n] for n in page],
             "has_more": len(names) > len(page),
-            "as_of": self.revision,
+            "as_of": revision,
         }
 
     async def _watch(self, kind: str, query: dict[str, str]) -> tuple[int, Any]:
--- a/tests/gateway/test_telling.py
+++ b/tests/gateway/test_telling.py
@@ -191,3 +191,31 @@
     assert metrics.value("datagram_bytes", way="sent") > 100
     await system.until(lambda: metrics.latency("loop_lag").count > 2)
     assert b"wayslip_loop_lag_seconds" in metrics.render()
+
+
+@harness.run
+async def test_copies_that_are_behind_delay_nothing_that_was_told(system):
+    _, follower = find_roles(system, await system.join("g2"))
+    system.store.hold_copies()
+    system.store.put("config", "main", platform_site.manifest(version=9))
+    await system.until(lambda: follower.holder.manifest.version == 9, 3.0)
+
+
+@harness.run
+async def test_instance_that_starts_on_old_copies_catches_up(system):
+    await system.add("e1", "plain")
+    system.store.hold_copies()
+    await system.add("e2", "plain")
+    system.store.remove("servers", "e1")
+    system.store.put("config", "main", platform_site.manifest(version=9))
+    joined = await system.join("g2")
+    await system.until(lambda: joined.holder.manifest.version == 9, 5.0)
+    await system.until(lambda: set(joined.view.tracked) == {"e2"}, 5.0)
+
+
+@harness.run
+async def test_lease_is_taken_over_on_old_copies(system):
+    holder, follower = find_roles(system, await system.join("g2"))
+    system.store.hold_copies()
+    await system.kill(holder)
+    await system.until(lambda: follower.leadership.is_valid, 8.0)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -46,6 +46,28 @@
     assert [s.name for s in listing.items] == ["e0", "e1", "e2", "e3", "e4"]
 
 
+@with_store
+async def test_stale_list_goes_through_all_pages_of_the_copies(standin, client):
+    standin.faults.page = 2
+    add_endpoints(standin, 5)
+    standin.hold_copies()
+    standin.remove("servers", "e3")
+    stale = await client.list(kinds.ENDPOINTS, may_be_stale=True)
+    assert [s.name for s in stale.items] == ["e0", "e1", "e2", "e3", "e4"]
+    newest = await client.list(kinds.ENDPOINTS)
+    assert [s.name for s in newest.items] == ["e0", "e1", "e2", "e4"]
+    assert newest.revision == stale.revision + 1
+
+
+@with_store
+async def test_stale_object_may_be_missing(standin, client):
+    standin.hold_copies()
+    value = lease.Lease("g1", "127.0.0.1:1", 1)
+    await client.create(records.LEASE, "x", value)
+    assert await client.get(records.LEASE, "x", may_be_stale=True) is None
+    assert (await client.get(records.LEASE, "x")).value == value
+
+
 @with_store
 async def test_watch_tells_changes_and_removals(standin, client):
     add_endpoints(standin, 2)
