Share attempts out only while a holder speaks, and wait exactly once

Who hears nobody tries as often as one alone; who hears a holder that can not renew leaves it to it, since it tries five times a second and tells. And the pause was waited twice where sums of times came out a little short of it, as they do in simulated time.

--- a/src/wayslip/decisions/pacing.py
+++ b/src/wayslip/decisions/pacing.py
@@ -3,11 +3,13 @@
 Load pattern: the store answers nobody for some seconds, and each instance
 wants to know when it is back. Calls without success are priced like others,
 and 195 instances that try every half second make 1,100 calls a second. One
-that gets through is enough, because the lease's holder tells all. So the
-attempts are shared out: their rate over the fleet does not grow with it.
+that gets through is enough, because the lease's holder tells all. So while it
+is heard the attempts are shared out: their rate over the fleet does not grow
+with it.
 
-An instance that hears nobody may be the only one left, whatever was last told
-of the fleet. It waits no longer than its own bound allows.
+An instance that hears nobody tries as often as if it were alone. After a start
+of the whole fleet, or where the holder died, everything waits for the one that
+may take the lease; with shared attempts that took 1.9 s instead of 0.6.
 """
 
 # Attempts a second for one purpose, over all instances: the first success is
@@ -15,18 +17,15 @@
 ATTEMPTS_MOST = 10.0
 
 
-def find_pause(
-    usual: float, instances: int, is_heard: bool, most: float
-) -> float:
+def find_pause(usual: float, instances: int, is_heard: bool) -> float:
     """Returns the seconds to wait before an attempt is repeated.
 
     Args:
         usual: What one instance alone would wait, seconds.
         instances: How many the fleet has, as last told.
-        is_heard: Whether the lease's holder is heard now.
-        most: The longest wait of one that hears nobody, seconds.
+        is_heard: Whether the lease's holder is heard now, be it that it can
+            not renew.
     """
-    shared = instances / ATTEMPTS_MOST
     if not is_heard:
-        shared = min(shared, most)
-    return max(usual, shared)
+        return usual
+    return max(usual, instances / ATTEMPTS_MOST)
--- a/src/wayslip/gateway/daemon.py
+++ b/src/wayslip/gateway/daemon.py
@@ -172,10 +172,7 @@
     def _find_pause(self, usual: float) -> float:
         """Returns the pause before an attempt that all instances make."""
         return pacing.find_pause(
-            usual,
-            self._placement.instances,
-            self._placement.hears_holder,
-            self._options.bounds.word,
+            usual, self._placement.instances, self._placement.is_spoken_to
         )
 
     def _ask_for_changes(self) -> None:
--- a/src/wayslip/gateway/leadership.py
+++ b/src/wayslip/gateway/leadership.py
@@ -16,6 +16,8 @@
 NAME = "placement"
 # Between looks at the lease while its holder is silent, seconds.
 _LOOK_SECONDS = 0.6
+# Less than this is not waited for: sums of times are not exact, seconds.
+_TICK_SECONDS = 0.001
 # Between writes of a holder whose last one had no answer, seconds.
 _REPEAT_SECONDS = 0.05
 # The same once others were told that it can not renew, seconds: it is still
@@ -227,9 +229,13 @@
         began = time.monotonic()
         draw = random.uniform(0.7, 1.0)
         # Looked up again and again, since the holder may fall silent.
-        while time.monotonic() - began < self._find_pause(_LOOK_SECONDS) * draw:
+        while True:
+            end = began + self._find_pause(_LOOK_SECONDS) * draw
+            left = end - time.monotonic()
+            if left < _TICK_SECONDS:
+                return
             try:
-                async with asyncio.timeout(_LOOK_SECONDS * draw):
+                async with asyncio.timeout(min(left, _LOOK_SECONDS)):
                     await self._renewed.wait()
                     return
             except TimeoutError:
--- a/src/wayslip/gateway/placement.py
+++ b/src/wayslip/gateway/placement.py
@@ -69,6 +69,8 @@
         # When items that were ordered can serve; bounded by their number.
         self._ready_at: dict[tuple[str, str], float] = {}
         self._heard = 0.0
+        # When the holder last spoke, perhaps to say that it can not renew.
+        self._spoken = 0.0
         # Term and time of the holder's last state.
         self._echo = (0, 0)
         self._is_leaving = False
@@ -84,6 +86,14 @@
         """Whether the lease's holder was heard a moment ago."""
         return self.word_age <= _SILENCE_SECONDS
 
+    @property
+    def is_spoken_to(self) -> bool:
+        """Whether the holder, or one that can not renew, spoke a moment ago.
+
+        It goes on trying and tells of what it learns.
+        """
+        return time.monotonic() - self._spoken <= _SILENCE_SECONDS
+
     # For requests
 
     def note_demand(
@@ -227,6 +237,7 @@
                 state.term, state.revision, state.address
             )
         self._echo = (state.term, state.sent_ms)
+        self._spoken = time.monotonic()
         if not state.is_holder:
             self._leadership.hear_yield(state.term)
             return
--- a/src/wayslip/gateway/watching.py
+++ b/src/wayslip/gateway/watching.py
@@ -25,6 +25,8 @@
 _RETRY_MOST = 0.6
 # How long a watch waits that should not wait, seconds.
 _LOOK_SECONDS = 0.001
+# Less than this is not waited for: sums of times are not exact, seconds.
+_TICK_SECONDS = 0.001
 # Where one that may be old did not have what is lacking, none is read again
 # within this time, seconds: the store's copies are some seconds behind at most.
 _STALE_SECONDS = 5.0
@@ -118,11 +120,12 @@
         draw = random.uniform(0.7, 1.0)
         await asyncio.sleep(pause * draw)
         while not (self.currency.leads or self.currency.has_word):
-            waited = time.monotonic() - began
             # Looked up again, since the holder may have fallen silent.
-            if waited >= self._find_pause(pause) * draw:
+            end = began + self._find_pause(pause) * draw
+            left = end - time.monotonic()
+            if left < _TICK_SECONDS:
                 return
-            await self.currency.wait_for_word(pause)
+            await self.currency.wait_for_word(min(left, pause))
 
     async def _read(self) -> None:
         if self.revision is not None and not self._must_list:
