--- a/src/wayslip/decisions/copies.py
+++ b/src/wayslip/decisions/copies.py
@@ -16,8 +16,8 @@
 # Share of an engine's time that reading prompts may take before the first
 # tokens come late. Prompts differ sixfold in length and come in clumps: at 0.65
 # of the time, by the rates that engines have, one that comes waits for most of
-# a second. On a fleet of 195 instances and 79 engines 0.45 had 3 in 100 more
-# requests answered in the first half of a day of moving demand.
+# a second. On a fleet of 195 instances and 79 engines 0.830 of the tries were
+# answered with 0.45 and 0.820 with 0.65, in 16 s of moving demand, a play each.
 BUSY_SHARE = 0.45
 # Part of the worth of a request that is saved where an engine is not busier
 # than that: a late answer earns a half at one user and a tenth at the other.
