--- a/standins/engine.py
+++ b/standins/engine.py
@@ -85,6 +85,8 @@
         self.overcommitted = 0
         self.served = 0
         self.lose_answers = 0
+        # Whether it breaks off whoever asks for its load report.
+        self.cut_reports = False
         self.cut_streams_after = 0
         self.orders: list[Any] = []
         self._items: dict[str, tuple[int, float]] = {}
@@ -98,6 +100,8 @@
     def dispatch(self, handler: web.Handler, path: str) -> None:
         """Answers one request."""
         match handler.command, path:
+            case "GET", "/report" if self.cut_reports:
+                return handler.cut()
             case "GET", "/report":
                 return handler.reply(200, self.report())
             case "POST", "/orders":
--- a/tests/faults/test_endpoints.py
+++ b/tests/faults/test_endpoints.py
@@ -25,10 +25,34 @@
     system_module.wait_until(lambda: _is_unused(fleet, "e0"), "e0 unused")
     before = _served(fleet)["e0"]
     for n in range(10):
-        assert fleet.complete(n % 2).status == 200
+        reply = fleet.complete(n % 2)
+        assert reply.status == 200, reply.body
     assert _served(fleet)["e0"] == before
 
 
+def test_sole_holder_that_missed_a_report_still_gets_requests():
+    # Symptom: a 503 in the test above, once in a whole CI run; 400 runs of it
+    # beside load did not show it again, and that run kept no answer's body.
+    # Sequence: one of two engines that hold a model leaves; a poll of the other
+    # one is not answered in time; a request for the model is refused as not
+    # loaded, "it is being loaded", though its engine serves.
+    # Cause: one poll without an answer made an engine unusable, even where no
+    # other one holds the model. That it was this in that run is not shown: it
+    # is the one way found to a 503 there.
+    slow = {"routing": {"poll_seconds": 3.0}}
+    with system_module.System(sections=slow) as fleet:
+        fleet.apply()
+        fleet.list_leaving("e0")
+        system_module.wait_until(lambda: _is_unused(fleet, "e0"), "e0 unused")
+        entry = fleet.entries[0]
+        fleet.engines["e1"].cut_reports = True
+        system_module.wait_until(
+            lambda: entry.view.dump()["e1"]["health"].failures, "a poll failed"
+        )
+        reply = fleet.complete(0)
+        assert reply.status == 200, reply.body
+
+
 def test_refusal_at_one_entry_is_told_to_the_other_with_the_list_down(fleet):
     fleet.objects.faults.down = True
     fleet.engines["e1"].state = "draining"
