Send to a sole holder that missed one report instead of refusing

Cause: one poll without an answer made an engine unusable, though no other held the model; callers were told that it is being loaded. Change: where no usable engine holds the items, those with one failure and no sign of leaving get the request; two failures make them unusable as before. A connection that is refused has not sent anything, so nothing runs twice. Figures: test_sole_holder_that_missed_a_report_still_gets_requests fails before (503 not_loaded) and passes after; tests/faults and tests/decisions pass.

--- a/src/wayslip/decisions/health.py
+++ b/src/wayslip/decisions/health.py
@@ -45,6 +45,15 @@
         """Whether the endpoint may get new work."""
         return self.left_at is None and self.failures == 0
 
+    @property
+    def is_suspect(self) -> bool:
+        """Whether it may get work only where no usable endpoint can do it.
+
+        One failure alone may be a late report. Refusing what only this
+        endpoint can do would make a model unreachable until the next poll.
+        """
+        return self.left_at is None and self.failures == 1
+
     def leave(self, sign: Sign, now: float) -> "Health":
         """Returns the health after a sign of leaving."""
         listed = self.listed_leaving or sign is Sign.LIST
--- a/src/wayslip/entry/view.py
+++ b/src/wayslip/entry/view.py
@@ -129,20 +129,17 @@
         prompt: Prompt,
         besides: frozenset[str],
     ) -> list[routing.Candidate]:
-        """Returns the usable engines that hold all items."""
+        """Returns the engines that hold all items and may get a request.
+
+        Those are the usable ones, or the suspect ones where there is none.
+        """
         told = self._find_told()
         peers = max(len(self._node.live(membership.Role.ENTRY)) - 1, 0)
-        found = []
         with self._lock:
-            for name in names:
-                tracked = self._tracked.get(name)
-                if tracked is None or name in besides:
-                    continue
-                if not tracked.health.is_usable or tracked.report is None:
-                    continue
-                if not tracked.report.resident.issuperset(items):
-                    continue
-                found.append(tracked)
+            holders = self._find_holders(names, items, besides)
+            usable = [t for t in holders if t.health.is_usable]
+            suspect = [t for t in holders if t.health.is_suspect]
+            found = usable or suspect
             home = routing.find_home(
                 prompt.blocks, [t.endpoint.name for t in found]
             )
@@ -150,6 +147,22 @@
                 self._candidate(t, prompt, told, peers, home) for t in found
             ]
 
+    def _find_holders(
+        self,
+        names: Sequence[str],
+        items: tuple[str, ...],
+        besides: frozenset[str],
+    ) -> list[_Tracked]:
+        """Returns the engines whose last report shows all items."""
+        tracked = [self._tracked.get(n) for n in names if n not in besides]
+        return [
+            t
+            for t in tracked
+            if t is not None
+            and t.report is not None
+            and t.report.resident.issuperset(items)
+        ]
+
     def _candidate(
         self,
         tracked: _Tracked,
@@ -209,7 +222,7 @@
             ]
 
     def is_engine_holding(self, names: Sequence[str], item: str) -> bool:
-        """Whether a usable engine among some holds an item."""
+        """Whether an engine among some holds an item and may get a request."""
         return bool(self.candidates(names, (item,), Prompt(1), frozenset()))
 
     def dump(self) -> dict[str, object]:
