Keep a proposal to go on without the store while one word is old

Cause: at 195 instances a word is some 0.8 s old when the next report comes and counted for 1.0 s, so each lost datagram withdrew the proposal, and all 195 had to hear a new one. Change: old word pauses the orders and leaves the proposal; a word counts for 2 s, four reports of a fleet of 200. Who heard a detached holder keeps away from its engines for as much longer.

--- a/src/wayslip/decisions/detachment.py
+++ b/src/wayslip/decisions/detachment.py
@@ -14,8 +14,10 @@
 import dataclasses
 
 # An instance's word counts for this long after the holder sent what it
-# answers, seconds: four reports.
-ECHO = 1.0
+# answers, seconds: four reports of a fleet of 200, where each instance reports
+# every 0.5 s and its word is 0.8 s old when the next one comes. Less than that
+# turned every lost datagram of one instance into a pause of all orders.
+ECHO = 2.0
 # An instance that reaches the store again is given to the holder for so long
 # before it yields, seconds; the holder tries several times meanwhile.
 RETURN = 0.8
@@ -66,13 +68,17 @@
     ) -> "Detachment":
         """Returns what the holder may do, given all instances' last words.
 
+        Old word of one instance pauses the orders and does not withdraw the
+        proposal: what the others have heard of it stays true, and the next
+        word of that one is enough to go on.
+
         Args:
             words: One of every other instance that runs.
             is_anyone_missing: Whether one fell silent without saying why.
             now: Steady seconds.
         """
         known = list(words)
-        if is_anyone_missing or any(now - w.echoed_at > ECHO for w in known):
+        if is_anyone_missing:
             return NONE
         since = None
         if not all(w.cut_off for w in known):
@@ -82,7 +88,8 @@
             if now - since >= RETURN:
                 return NONE
         proposed = now if self.proposed_at is None else self.proposed_at
-        has_all = all(w.echoed_at >= proposed for w in known)
+        oldest = max(proposed, now - ECHO)
+        has_all = all(w.echoed_at >= oldest for w in known)
         return Detachment(proposed, has_all, since)
 
 
