Test that the lease goes to instances with more processor, failing

Cause: see the test's account; a silent holder is found out somewhere in 0.5 s, and who looks before its lease has run out sleeps 0.6 s before the next look, so that those that wait longest take it.

--- a/tests/stateful/order_world.py
+++ b/tests/stateful/order_world.py
@@ -20,12 +20,13 @@
 class Instance:
     """One gateway without its servers, and the requests that come to it."""
 
-    def __init__(self, world, name, address):
+    def __init__(self, world, name, address, cores=1.0):
         self.world = world
         self.address = address
         self.options = options_module.Options(
             name, "127.0.0.1", "h", "", "", "", f"{address[0]}:{address[1]}", 0
         )
+        self.options = dataclasses.replace(self.options, cores=cores)
         platform = daemon.Platform(
             store=order_network.StoreClient(world, name),
             dialect=None,
@@ -107,11 +108,13 @@
 class World:
     """All of it, from one seed."""
 
-    def __init__(self, seed, engines=5, instances=4, rate=8.0):
+    def __init__(self, seed, engines=5, instances=4, rate=8.0, cores=None):
         self.rng = random.Random(seed)
         random.seed(seed)
         self.loop = asyncio.get_running_loop()
         self.rate = rate
+        # Of instances by number; the others have one.
+        self.cores = cores or {}
         self.faults = order_network.Faults()
         self.adapter_seconds = order_engine.ADAPTER_SECONDS
         self.over = []
@@ -179,7 +182,9 @@
 
     def start(self, number):
         address = (f"10.0.1.{number}", 1)
-        self.instances[address] = Instance(self, f"g{number}", address)
+        self.instances[address] = Instance(
+            self, f"g{number}", address, self.cores.get(number, 1.0)
+        )
 
     def kill(self, number):
         instance = self.instances.pop((f"10.0.1.{number}", 1), None)
