--- a/tests/decisions/test_loading.py
+++ b/tests/decisions/test_loading.py
@@ -307,3 +307,27 @@
     assert (step.engine, step.model) == ("e2", "a")
     # What is only late does not pay for a load of nine seconds.
     assert plan(engines, pool, {**demand, "a": asked(8.0, 0.98)}) is None
+
+
+def test_overloaded_model_of_a_large_fleet_gets_another_copy():
+    # Symptom: on 59 engines a model with two copies had waits of 0.7 to 1.7 s
+    # from 10 to 25 s, and 200 of 550 requests for it were refused.
+    # Sequence: demand moves to it from 9 s on; 16.53 load_planned, the first,
+    # gain=1.55 rate=14.56, cold, which serves at 25.1 s; the next at 20.8 s.
+    # Cause: a busy engine was reckoned to cost what it costs where five others
+    # are left. With ten of 59 busy that came to 0.4 requests a second, 3.5 over
+    # a load from the weight store, and ate up what a copy gains.
+    names = [f"m{n}" for n in range(57)]
+    pool = make_pool("busy", *names)
+    engines = [
+        make_engine(
+            f"e{n}",
+            "busy" if n < 2 else names[n - 2],
+            is_free=not 2 <= n < 12,
+        )
+        for n in range(59)
+    ]
+    demand = {n: asked(4.0, 0.2) for n in names} | {"busy": asked(14.0, 1.2)}
+    step = plan(engines, pool, demand)
+    assert step is not None and step.model == "busy"
+    assert step.is_cold
