--- a/src/wayslip/decisions/lease.py
+++ b/src/wayslip/decisions/lease.py
@@ -171,12 +171,17 @@
     return Sight(lease, revision, now)
 
 
-def may_take(sight: Sight, name: str, now: float) -> bool:
-    """Whether an instance may write itself into the lease.
+def find_rest(sight: Sight, name: str, now: float) -> float:
+    """Returns the seconds until an instance may take the lease.
 
     An instance whose process started again may take its own lease at once:
     the process before is gone.
     """
     if sight.lease.holder == name or sight.lease.is_released:
-        return True
-    return now - sight.since >= EXPIRY
+        return 0.0
+    return max(EXPIRY - (now - sight.since), 0.0)
+
+
+def may_take(sight: Sight, name: str, now: float) -> bool:
+    """Whether an instance may write itself into the lease."""
+    return find_rest(sight, name, now) <= 0.0
--- a/src/wayslip/gateway/leadership.py
+++ b/src/wayslip/gateway/leadership.py
@@ -9,6 +9,7 @@
 from wayslip import errors
 from wayslip import logs
 from wayslip.decisions import lease
+from wayslip.gateway import doubt
 from wayslip.gateway import options as options_module
 from wayslip.gateway import store as store_module
 
@@ -27,9 +28,6 @@
 # takes when it is fifty times as slow as usual. Then it is sent again on a new
 # connection, because the answer may have been lost.
 _ANSWER_SECONDS = 0.3
-# Renewals without an answer for so long let another instance plan, seconds:
-# two of them, and less than what is left of the lease.
-_DOUBT_SECONDS = 0.6
 # Instances that see a free lease together try at different times, seconds.
 _SPREAD_SECONDS = 0.3
 # One with little processor time leaves the lease to others for this long,
@@ -83,14 +81,12 @@
         self._is_held = False
         # The term whose holder said that it can not renew the lease.
         self._yielded_term = 0
-        self._is_doubtful = False
         # Until the store has answered once, it is taken as away.
         self._is_cut_off = True
         self._own_term = 0
         self._is_stopping = False
         self._valid_until = 0.0
-        # Runs from the first of the renewals that were not answered.
-        self._doubt_timer: asyncio.TimerHandle | None = None
+        self._doubt = doubt.Doubt()
         self.sight: lease.Sight | None = None
 
     # What others ask
@@ -161,7 +157,7 @@
     @property
     def is_doubtful(self) -> bool:
         """Whether our renewals have had no answer for too long."""
-        return self._is_doubtful
+        return self._doubt.is_grave
 
     @property
     def is_cut_off(self) -> bool:
@@ -173,7 +169,7 @@
         """Whether we hold the lease and may rely on that now."""
         return (
             self._is_held
-            and not self._is_doubtful
+            and not self._doubt.is_grave
             and time.monotonic() < self._valid_until
         )
 
@@ -201,18 +197,13 @@
             return
         # A holder whose lease ran out goes on writing: if that succeeds on
         # the old revision, nobody has taken the lease meanwhile.
-        is_answered = self.is_valid and self._doubt_timer is None
+        is_answered = self.is_valid and not self._doubt.is_any
         pause = lease.RENEWAL if is_answered else _REPEAT_SECONDS
-        if self._is_doubtful:
+        if self._doubt.is_grave:
             pause = _DOUBTFUL_SECONDS
         await asyncio.sleep(pause)
         await self.renew()
 
-    def _doubt(self) -> None:
-        """Yields the lease when its renewal is not answered soon."""
-        self._is_doubtful = True
-        logs.event(_LOG, "lease_doubtful", logging.WARNING)
-
     async def _note_outage(self, error: errors.ObjectError) -> None:
         logs.event(
             _LOG,
@@ -284,7 +275,7 @@
             self._lose("another instance took it")
             return
         # A renewal whose answer was lost has taken effect.
-        self._end_doubt()
+        self._doubt.end()
         self._valid_until = max(self._valid_until, began + lease.HOLD)
 
     async def _look(self) -> None:
@@ -333,10 +324,7 @@
             return 0.0
         if self._yielded_term == self.sight.lease.term:
             return 0.0
-        now = time.monotonic()
-        if lease.may_take(self.sight, self._options.name, now):
-            return 0.0
-        return self.sight.since + lease.EXPIRY - now
+        return lease.find_rest(self.sight, self._options.name, time.monotonic())
 
     def _is_heard_again(self) -> bool:
         """Whether a holder spoke while we let others go first."""
@@ -366,7 +354,7 @@
             )
         self.sight = lease.Sight(mine, stored.revision, time.monotonic())
         self._own_term = mine.term
-        self._end_doubt()
+        self._doubt.end()
         self._is_held = True
         self._valid_until = began + lease.HOLD
         logs.event(_LOG, "lease_taken", term=mine.term)
@@ -387,24 +375,16 @@
             assert self.sight is not None
             began = time.monotonic()
             mine = self.sight.lease.renew()
-            if self._doubt_timer is None:
-                loop = asyncio.get_running_loop()
-                self._doubt_timer = loop.call_later(_DOUBT_SECONDS, self._doubt)
+            self._doubt.begin()
             stored = await self._store.replace(
                 self._kind,
                 store_module.Stored(NAME, self.sight.revision, mine),
                 _ANSWER_SECONDS,
             )
-            self._end_doubt()
+            self._doubt.end()
             self.sight = lease.Sight(mine, stored.revision, time.monotonic())
             self._valid_until = began + lease.HOLD
 
-    def _end_doubt(self) -> None:
-        self._is_doubtful = False
-        if self._doubt_timer is not None:
-            self._doubt_timer.cancel()
-            self._doubt_timer = None
-
     async def release(self) -> None:
         """Gives the lease back at a planned stop."""
         self._is_stopping = True
@@ -425,7 +405,7 @@
 
     def _lose(self, reason: str) -> None:
         self._is_held = False
-        self._end_doubt()
+        self._doubt.end()
         logs.event(_LOG, "lease_lost", logging.WARNING, reason=reason)
         self._on_lost()
         self._asked.set()
--- a/tests/gateway/test_detaching.py
+++ b/tests/gateway/test_detaching.py
@@ -103,7 +103,7 @@
     holder = system.gateway
     await system.until(lambda: holder.leadership.is_valid)
     # Only the holder's calls fail.
-    holder.leadership._doubt()
+    holder.leadership._doubt.worsen()
     detaching = holder._teller._detaching
     for _ in range(20):
         assert not detaching.is_granted
--- a/tests/gateway/test_leadership.py
+++ b/tests/gateway/test_leadership.py
@@ -138,7 +138,7 @@
     await until(lambda: holders(members))
     holder = holders(members)[0]
     doubts = []
-    holder.leadership._doubt = lambda: doubts.append(1)
+    holder.leadership._doubt.worsen = lambda: doubts.append(1)
     revision = holder.leadership.revision
     standin.faults.mutes_writes = 1
     await until(lambda: not standin.faults.mutes_writes)
