Leave what a busy engine costs as it is; the try at size is told in its test

Hypothesis: in a large fleet a busy engine costs too much, so that an overloaded model waits for its copies: on 59 engines ten busy ones make a load from the weight store cost 3.5 requests, a figure measured with 6 engines. Try: MOVING_LOSS by the chance that no engine is free (share to the power of a sixth of the engines). Cause: places bind (177 for 213 models, of which busy ones need several); copies of busy models push rare ones out. Conclusion: reverted.

--- a/tests/decisions/test_loading.py
+++ b/tests/decisions/test_loading.py
@@ -309,25 +309,29 @@
     assert plan(engines, pool, {**demand, "a": asked(8.0, 0.98)}) is None
 
 
-def test_overloaded_model_of_a_large_fleet_gets_another_copy():
-    # Symptom: on 59 engines a model with two copies had waits of 0.7 to 1.7 s
-    # from 10 to 25 s, and 200 of 550 requests for it were refused.
-    # Sequence: demand moves to it from 9 s on; 16.53 load_planned, the first,
-    # gain=1.55 rate=14.56, cold, which serves at 25.1 s; the next at 20.8 s.
-    # Cause: a busy engine was reckoned to cost what it costs where five others
-    # are left. With ten of 59 busy that came to 0.4 requests a second, 3.5 over
-    # a load from the weight store, and ate up what a copy gains.
+def test_busy_engines_keep_a_load_for_what_is_late_from_a_large_fleet():
+    # Of 59 engines a model with two copies had waits of 0.7 to 1.7 s from 10 to
+    # 25 s, and the first load for it was planned at 16.5 s, because ten busy
+    # engines make a load cost 3.5 requests. Reckoning that by the chance that
+    # no engine is free brought 80 loads from the weight store in 28 s instead
+    # of 22, and halved the refusals for long waits (377 to 210); but those
+    # loads took the places of rare models, and more was refused as not loaded
+    # (656 to 839): 12,582 tries were answered instead of 12,881. So places
+    # bind, and this is left as it is.
     names = [f"m{n}" for n in range(57)]
     pool = make_pool("busy", *names)
     engines = [
-        make_engine(
-            f"e{n}",
-            "busy" if n < 2 else names[n - 2],
-            is_free=not 2 <= n < 12,
-        )
+        make_engine(f"e{n}", "busy" if n < 2 else names[n - 2])
         for n in range(59)
     ]
     demand = {n: asked(4.0, 0.2) for n in names} | {"busy": asked(14.0, 1.2)}
     step = plan(engines, pool, demand)
-    assert step is not None and step.model == "busy"
-    assert step.is_cold
+    assert (step.model, step.is_cold) == ("busy", True)
+    loading_now = [
+        dataclasses.replace(e, is_free=not 2 <= n < 12)
+        for n, e in enumerate(engines)
+    ]
+    assert plan(loading_now, pool, demand) is None
+    # What its engines can not do at all pays for it also then.
+    rush = {**demand, "busy": asked(35.0, 3.0)}
+    assert plan(loading_now, pool, rush).model == "busy"
