--- a/tests/stateful/test_detached_orders.py
+++ b/tests/stateful/test_detached_orders.py
@@ -254,6 +254,22 @@
     assert detached > 100
 
 
+@pytest.mark.parametrize("seed", [1388, 3879])
+def test_instance_that_started_again_keeps_away_too(seed):
+    # Symptom: two of 2,600 further worlds broke the distance, 1388 and 3879 (of
+    # the code before 1561, 2427 and 3879).
+    # Sequence of 1388: instance 1 orders the engine at 39 s and writes the
+    # claim; from 40 to 46.4 s instance 3 orders it without the store; 3
+    # freezes, 1 starts again at 47.25 s, 0 takes the lease at 48.05 s, yields
+    # it, and 1 takes it at 48.1 s and orders at once.
+    # Cause: the claim is its own, so it need not wait, and that a holder
+    # ordered without claims was known to its earlier process only.
+    world = World(seed)
+    world.run()
+    assert world.detached_orders
+    assert not find_broken(world.orders)
+
+
 def test_without_keeping_away_the_distance_is_broken(monkeypatch):
     # Shows that the worlds above reach what keeping away is there for.
     monkeypatch.setattr(f"{__name__}.KEEP_AWAY", 0.0)
