Keep a started process away from engines where it follows another holder

Cause: a process that starts again does not know that a holder ordered engines without claims a moment ago, and a claim of its own earlier process let it order at once; so two holders could order an engine 0.45 s apart. Change: it orders nothing for 5.8 s from its start (what who heard such a holder waits), unless the lease was its own or nobody's before. After a kill of the whole fleet the first order comes 5.8 s after the start, where it came 3.8 s after the claims were read, unless the holder returns.

--- a/src/wayslip/gateway/leadership.py
+++ b/src/wayslip/gateway/leadership.py
@@ -84,6 +84,7 @@
         # Until the store has answered once, it is taken as away.
         self._is_cut_off = True
         self._own_term = 0
+        self._follows_another = False
         self._is_stopping = False
         self._valid_until = 0.0
         self._doubt = doubt.Doubt()
@@ -106,6 +107,11 @@
         """Whether we hold the lease, perhaps without being able to renew."""
         return self._is_held
 
+    @property
+    def follows_another(self) -> bool:
+        """Whether another instance held the lease before our term."""
+        return self._follows_another
+
     def hear(self, revision: int) -> None:
         """Takes in the revision of the holder's last renewal, from itself.
 
@@ -352,6 +358,9 @@
             stored = await self._store.replace(
                 self._kind, store_module.Stored(NAME, sight.revision, mine)
             )
+        self._follows_another = (
+            sight is not None and sight.lease.holder != self._options.name
+        )
         self.sight = lease.Sight(mine, stored.revision, time.monotonic())
         self._own_term = mine.term
         self._doubt.end()
--- a/src/wayslip/gateway/ordering.py
+++ b/src/wayslip/gateway/ordering.py
@@ -60,8 +60,10 @@
         self.is_detached: Callable[[], bool] = lambda: False
         # The configuration in force; set by who knows.
         self.find_version: Callable[[], int | None] = lambda: None
-        # Until then a holder before us may still order without the store.
+        # Until then a holder before us may still order without the store, as
+        # was heard, and as the process before this one may have heard.
         self._kept_away_until = 0.0
+        self._unsure_until = self._find_end_of_detached_orders()
         # The store's revision at which this instance took the lease.
         self.least_token = 0
         # Claims as they were read, written, or told by another holder.
@@ -82,9 +84,16 @@
 
     def keep_away(self) -> None:
         """Notes that a holder orders engines without writing claims."""
-        now = time.monotonic()
+        self._kept_away_until = self._find_end_of_detached_orders()
+
+    def follow_nobody(self) -> None:
+        """Notes that no other instance held the lease before this one."""
+        self._unsure_until = 0.0
+
+    def _find_end_of_detached_orders(self) -> float:
+        """Returns until when a holder heard now may be too near with orders."""
         distance = self._options.bounds.lease + lease.TRAVEL
-        self._kept_away_until = now + detachment.HOLD_OFF + distance
+        return time.monotonic() + detachment.HOLD_OFF + distance
 
     async def read_claims(self) -> None:
         """Reads all claims, as a new planner.
@@ -120,7 +129,8 @@
     def may_claim(self, endpoint: str) -> bool:
         """Whether an engine may be ordered by this instance now."""
         now = time.monotonic()
-        return now >= self._kept_away_until and lease.may_claim(
+        away_until = max(self._kept_away_until, self._unsure_until)
+        return now >= away_until and lease.may_claim(
             self.claims.get(endpoint),
             self._options.name,
             self._options.bounds.lease,
--- a/src/wayslip/gateway/planner.py
+++ b/src/wayslip/gateway/planner.py
@@ -91,6 +91,8 @@
         self._follow_list()
         self._held = self._find_held()
         self._ordering.least_token = self._leadership.revision
+        if not self._leadership.follows_another:
+            self._ordering.follow_nobody()
         self._buckets.clear()
         self._is_prepared = False
         self.members.begin()
--- a/tests/gateway/test_leadership.py
+++ b/tests/gateway/test_leadership.py
@@ -127,6 +127,8 @@
         member.leadership.ask()
     async with asyncio.timeout(lease.EXPIRY):
         await until(lambda: holders(others))
+    assert not holder.leadership.follows_another
+    assert holders(others)[0].leadership.follows_another
 
 
 @with_members
--- a/tests/gateway/test_ordering.py
+++ b/tests/gateway/test_ordering.py
@@ -221,7 +221,7 @@
         self.book = books_module.Book(entry)
         self.ordering.books[engine.name] = self.book
 
-    def connect(self, address):
+    def connect(self, address, follows_nobody=True):
         self.address = address
         options = options_module.Options(
             self.name, "127.0.0.1", "h", "", "", address, "", 0
@@ -231,6 +231,8 @@
             options, self.store, engines.PlatformEngines(), metrics.Metrics()
         )
         self.ordering.least_token = 40
+        if follows_nobody:
+            self.ordering.follow_nobody()
 
     def stop(self):
         self.store.close()
@@ -322,6 +324,20 @@
     other.store.close()
 
 
+@with_engine
+async def test_process_that_follows_another_keeps_away_from_own_claims(fixture):
+    # Another holder may have ordered the engine without a claim since; see
+    # `stateful/test_detached_orders.py`, seeds 1388 and 3879.
+    await fixture.ordering.order(fixture.book, lease.Action.LOAD, M2)
+    again = Fixture("g1", fixture.standin)
+    again.connect(fixture.address, follows_nobody=False)
+    await again.ordering.read_claims()
+    assert not again.ordering.may_claim("e1")
+    again.ordering.follow_nobody()
+    assert again.ordering.may_claim("e1")
+    again.store.close()
+
+
 @with_engine
 async def test_what_does_not_fit_any_more_is_not_sent(fixture):
     outcome = await fixture.ordering.order(
--- a/tests/stateful/test_detached_orders.py
+++ b/tests/stateful/test_detached_orders.py
@@ -52,6 +52,9 @@
         self.echo = (0, 0.0)
         self.cut_off = True
         self.away_until = 0.0
+        # What the process before knew of it is lost; the first of all follows
+        # on nobody.
+        self.started_until = now + KEEP_AWAY if now else 0.0
         self.claim = (None, 0, now)
         self.held = 0
         self.valid_until = 0.0
@@ -172,6 +175,8 @@
             one.heard = self.now
             return
         if one.yielded == self.store.term or is_silent:
+            if self.store.holder in (None, one.name):
+                one.started_until = 0.0
             self.store.take(one.name)
             one.term = one.held = self.store.term
             one.valid_until = self.now + lease.HOLD
@@ -204,7 +209,7 @@
         if holder is not None:
             claim = lease.Claim("e", str(holder), 1)
             seen = lease.SeenClaim(claim, revision, since)
-        if self.now < one.away_until:
+        if self.now < max(one.away_until, one.started_until):
             return
         if not lease.may_claim(seen, str(one.name), DISTANCE, self.now):
             return
