--- a/src/wayslip/gateway/leadership.py
+++ b/src/wayslip/gateway/leadership.py
@@ -306,8 +306,7 @@
             await self._take(sight)
             return
         await asyncio.sleep(_LOOK_SECONDS)
-        # Unless the holder was heard meanwhile, it is looked at again by
-        # the next report that goes unanswered.
+        # Unless the holder was heard meanwhile, whoever watches it asks again.
 
     async def _wait_until_free(self) -> None:
         """Waits until a silent holder's lease has run out, if it is known when.
--- a/src/wayslip/gateway/placement.py
+++ b/src/wayslip/gateway/placement.py
@@ -78,8 +78,9 @@
         self._heard = 0.0
         # When the holder last spoke, perhaps to say that it can not renew.
         self._spoken = 0.0
-        # The holder's last state, and what set off the next report early.
+        # The holder's last state; each report answers it.
         self._last: facts.State | None = None
+        # Set when the next report must not wait for its time.
         self._is_report_due = asyncio.Event()
         self._is_leaving = False
         self.instances = _ASSUMED_INSTANCES
