Tell how much of an answer came before the store was given up

Cause: the log of an instance that could not read a configuration said TimeoutError only. Whether the store was silent, or an answer was cut while it came, could be told from the platform's own figures of its link alone.

The error names seconds and bytes now.

--- a/src/wayslip/platform/store.py
+++ b/src/wayslip/platform/store.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Mapping
 import json
+import time
 from typing import Any
 from typing import TypeVar
 import urllib.parse
@@ -185,6 +186,8 @@
         self._address = address
         self._connection: client.Connection | None = None
         self._lock = asyncio.Lock()
+        # Of the body of the present answer, bytes.
+        self._received = 0
 
     async def call(
         self, method: str, path: str, content: Any, seconds: float
@@ -192,6 +195,8 @@
         """Returns the status and the body of a call's answer."""
         async with self._lock:
             is_done = False
+            began = time.monotonic()
+            self._received = 0
             try:
                 if not self._is_open:
                     seconds += _CONNECT_SECONDS
@@ -202,7 +207,9 @@
             except (TimeoutError, errors.EndpointError, ValueError) as e:
                 raise errors.ObjectUnavailableError(
                     f"the store did not answer {method} {path}"
-                    f" ({type(e).__name__})",
+                    f" ({type(e).__name__} after"
+                    f" {time.monotonic() - began:.2f} s and"
+                    f" {self._received} bytes)",
                     "wait for it; a write may have taken effect",
                 ) from e
             finally:
@@ -224,6 +231,7 @@
         parts = []
         while part := await connection.read():
             parts.append(part)
+            self._received += len(part)
         data = b"".join(parts)
         return head.status, json.loads(data) if data else {}
 
