--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -41,10 +41,12 @@
     """Lets a run pass over the tests of KNOWN-RED.txt, and only those."""
     known = _read_known_red()
     for item in items:
-        if item.nodeid in known:
-            item.add_marker(
-                pytest.mark.xfail(reason=known[item.nodeid], strict=False)
-            )
+        # A line may name a test with all its parameters.
+        cause = known.get(item.nodeid) or known.get(
+            item.nodeid.partition("[")[0]
+        )
+        if cause is not None:
+            item.add_marker(pytest.mark.xfail(reason=cause, strict=False))
 
 
 def pytest_terminal_summary(terminalreporter):
--- a/tests/stateful/order_engine.py
+++ b/tests/stateful/order_engine.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import random
 
 from wayslip.decisions import fleet
 from wayslip.decisions import lease
@@ -43,9 +44,26 @@
     return manifest.Pool(64, 100_000, ROOM_MB, PLACES, 5.0, models)
 
 
-def make_manifest(version=1):
+def make_manifest(version=1, routes=0):
     service = manifest.Service(SERVICE, 1000, make_pool())
-    return manifest.Manifest(version, (), {SERVICE: service})
+    found = tuple(_make_route(version, n) for n in range(routes))
+    return manifest.Manifest(version, found, {SERVICE: service})
+
+
+def _make_route(version, number):
+    # Names of routes are drawn, as operators' are; they compress badly.
+    rng = random.Random(number)
+    name = f"{rng.getrandbits(48):x}"
+    return manifest.Route(
+        f"r-{name}",
+        f"{name[:4]}.example",
+        f"/{name}/",
+        manifest.RequestKind.IDEMPOTENT,
+        2.0 + version / 10,
+        0.4,
+        1,
+        (manifest.Split(SERVICE, 1.0),),
+    )
 
 
 class Engine:
--- a/tests/stateful/order_network.py
+++ b/tests/stateful/order_network.py
@@ -33,6 +33,23 @@
     isolated: set = dataclasses.field(default_factory=set)
 
 
+class Link:
+    """An instance's link: what it carries goes one after the other."""
+
+    def __init__(self, world, bytes_per_s):
+        self._world = world
+        self._bytes_per_s = bytes_per_s
+        self._free_at = 0.0
+        self.carried = 0
+
+    async def carry(self, size):
+        """Returns once so many bytes have gone through."""
+        self.carried += size
+        began = max(self._free_at, self._world.now)
+        self._free_at = began + size / self._bytes_per_s
+        await asyncio.sleep(self._free_at - self._world.now)
+
+
 @dataclasses.dataclass(frozen=True)
 class Call:
     """One call to the store: when, what, and whether it may be stale."""
@@ -52,6 +69,8 @@
         self.objects = {}
         self.events = []
         self.calls = []
+        # Of an object of a kind, bytes; the others are small.
+        self.sizes = {}
         self.changed = asyncio.Event()
 
     def put(self, kind, name, value):
@@ -120,7 +139,9 @@
             store_module.Stored(name, revision, value)
             for name, (revision, value) in found.items()
         ]
-        return store_module.Listing(tuple(items), self._store.revision, began)
+        revision = self._store.revision
+        await self._receive(kind, len(items))
+        return store_module.Listing(tuple(items), revision, began)
 
     async def watch(self, kind, revision, wait):
         await self._reach("watch", kind)
@@ -142,8 +163,15 @@
         seen = self._store.revision
         seen_at = self._world.now
         await self._travel()
+        await self._receive(kind, len(found))
         return store_module.Changes(tuple(found), seen, seen_at)
 
+    async def _receive(self, kind, count):
+        """Waits until objects of a kind have come over our link."""
+        size = self._store.sizes.get(kind.name, 0)
+        if size and count:
+            await self._world.links[self._owner].carry(size * count)
+
     async def get(self, kind, name, may_be_stale=False):
         await self._reach("get", kind, may_be_stale)
         found = self._store.objects.get(kind.name, {}).get(name)
--- a/tests/stateful/order_world.py
+++ b/tests/stateful/order_world.py
@@ -16,6 +16,9 @@
 from wayslip.gateway import options as options_module
 from wayslip.gateway import store as store_module
 
+# Bytes a second.
+FAST_LINK = 125_000_000
+
 
 class Instance:
     """One gateway without its servers, and the requests that come to it."""
@@ -109,13 +112,24 @@
 class World:
     """All of it, from one seed."""
 
-    def __init__(self, seed, engines=5, instances=4, rate=8.0, cores=None):
+    def __init__(
+        self,
+        seed,
+        engines=5,
+        instances=4,
+        rate=8.0,
+        cores=None,
+        links=None,
+    ):
         self.rng = random.Random(seed)
         random.seed(seed)
         self.loop = asyncio.get_running_loop()
         self.rate = rate
         # Of instances by number; the others have one.
         self.cores = cores or {}
+        # Bytes a second, of instances by number; the others have 1 Gbit/s.
+        self.rates = links or {}
+        self.links = {}
         self.faults = order_network.Faults()
         self.adapter_seconds = order_engine.ADAPTER_SECONDS
         self.over = []
@@ -183,8 +197,11 @@
 
     def start(self, number):
         address = (f"10.0.1.{number}", 1)
+        name = f"g{number}"
+        rate = self.rates.get(number, FAST_LINK)
+        self.links[name] = order_network.Link(self, rate)
         self.instances[address] = Instance(
-            self, f"g{number}", address, self.cores.get(number, 1.0)
+            self, name, address, self.cores.get(number, 1.0)
         )
 
     def kill(self, number):
--- /dev/null
+++ b/tests/stateful/test_large_configurations.py
@@ -0,0 +1,83 @@
+"""Configurations that are large for the links that carry them.
+
+Two changes came within seconds, of 1.05 MB each. Links of 5 Mbit/s carry that
+in 1.7 s, so an instance that reads every change for itself is still at the
+first one when the second comes, and has that up to 3.9 s later; 3 s are allowed.
+Until then it goes by the version before, and its callers share a link that is
+full:
+
+    64.86 configuration_in_force version=20 on those with wide links
+    67.34 version 23 is sent
+    65 to 76 s: 340 to 600 KB in each second on front-sala-milano-3
+
+Cause: the content of a change reached every instance from the store alone,
+whole, however many others had it already.
+"""
+
+import asyncio
+
+import pytest
+
+from tests.stateful import order_engine
+from tests.stateful import order_world
+from tests.stateful import simulated_loop
+
+_INSTANCES = 40
+_STRONG = range(3)
+# Of the first report: bytes a second, bytes, and seconds from an
+# acknowledgement until a configuration must be in force.
+_NARROW = 625_000
+_SIZE = 1_050_000
+_BOUND = 3.0
+
+
+def _make_world(seed):
+    world = order_world.World(
+        seed,
+        engines=2,
+        instances=_INSTANCES,
+        rate=0.01,
+        cores=dict.fromkeys(_STRONG, 4.0),
+        links={n: _NARROW for n in range(_INSTANCES) if n not in _STRONG},
+    )
+    world.store.sizes["config"] = _SIZE
+    return world
+
+
+async def _put(world, version):
+    """Puts a configuration; returns when all instances have it, seconds."""
+    manifest = order_engine.make_manifest(version, routes=4200)
+    world.store.put("config", "main", manifest)
+    began = world.now
+    while not all(
+        (i.gateway.holder.version or 0) >= version
+        for i in world.instances.values()
+    ):
+        assert world.now - began < 30.0
+        await asyncio.sleep(0.02)
+    return world.now - began
+
+
+async def _play_two_changes(seed):
+    world = _make_world(seed)
+    await asyncio.sleep(10.0)
+    before = sum(link.carried for link in world.links.values())
+    first = asyncio.create_task(_put(world, 2))
+    await asyncio.sleep(0.5)
+    second = await _put(world, 3)
+    await first
+    carried = sum(link.carried for link in world.links.values()) - before
+    world.stop()
+    return second, carried
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_second_change_is_in_force_in_time(seed):
+    seconds, _ = simulated_loop.run(_play_two_changes(seed))
+    assert seconds < _BOUND / 2
+
+
+def test_content_of_a_change_is_not_carried_whole_to_each_instance():
+    _, carried = simulated_loop.run(_play_two_changes(7))
+    # 76 MB if each reads both from the store.
+    assert carried < 20 * _SIZE
