Ask for copies for longer where one came

Cause: an instance that was still receiving the first of two changes had no time left to ask for the second, and read the store. Its limit ran from the first word on, though a copy had come: the same fault as a read that is cut while it comes.

--- a/src/wayslip/gateway/distribution.py
+++ b/src/wayslip/gateway/distribution.py
@@ -94,7 +94,10 @@
             address = self._choose()
             if address is None:
                 return
-            if not await self._fetch(address):
+            if await self._fetch(address):
+                # The next change may have come while a copy was on its way.
+                end = time.monotonic() + self._options.bounds.copies
+            else:
                 pause = self._rng.uniform(_LEAST_PAUSE, _LONGEST_PAUSE)
                 await asyncio.sleep(pause)
 
--- a/tests/stateful/order_world.py
+++ b/tests/stateful/order_world.py
@@ -69,6 +69,7 @@
         )
         hub = gateway._hub
         hub._rng = self.world.rng
+        gateway._distribution._rng = self.world.rng
         spread = hub.spread
         # In order, or a seed would play otherwise in every process.
         hub.spread = lambda message, peers: spread(
