Test that entries of other writers take no engine away, failing

Cause: an entry that can not be decoded raises, and the list or watch that holds it counts as the store being lost, for every instance and for as long as it is there. Types are taken by luck: true is a slot, text is a list of models.

--- /dev/null
+++ b/tests/platform/test_foreign_entries.py
@@ -0,0 +1,216 @@
+"""Entries that another writer left in the platform's store.
+
+A single entry that could not be decoded made every list and watch of its kind
+fail: decoding raised, the store was taken as lost, and the same entry came
+again with the next attempt. So one entry of a stranger took the whole list of
+engines away from every instance, and a configuration that could not be decoded
+held up the next, good one.
+"""
+
+import asyncio
+import json
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from standins import platform_site
+from standins import platform_store
+from tests.gateway import harness
+from wayslip import addresses
+from wayslip import errors
+from wayslip.platform import decoding
+from wayslip.platform import kinds
+from wayslip.platform import store
+
+_GOOD = platform_site.entry("models", "127.0.0.1:9", ["m1"])
+# A field of an entry, and something in its place that is none.
+_WRONG = [
+    ("service", None),
+    ("service", 7),
+    ("service", ""),
+    ("service", "x" * 10_000),
+    ("address", "nowhere"),
+    ("address", "127.0.0.1"),
+    ("address", "127.0.0.1:0"),
+    ("address", "127.0.0.1:70000"),
+    ("address", ["127.0.0.1", 9]),
+    ("zone", 3),
+    ("slots", "8"),
+    ("slots", True),
+    ("slots", 0),
+    ("slots", 2.5),
+    ("state", "thinking"),
+    ("state", True),
+    ("seq", "4"),
+    ("seq", -1),
+    ("seq", False),
+    ("born", "1771376907580"),
+    ("born", 1.5),
+    ("born", True),
+    ("models", "m1"),
+    ("models", ["m1"]),
+    ("models", [{"name": 4}]),
+    ("models", [{"name": "m1", "adapters": "a1"}]),
+    ("models", [{"name": "m1", "adapters": [7]}]),
+    ("at_hand", []),
+    ("at_hand", {"on_disk": "m1"}),
+    ("at_hand", {"in_memory": [1]}),
+]
+_VALUES = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats(allow_nan=False, allow_infinity=False)
+    | strategies.text(max_size=8),
+    lambda inner: (
+        strategies.lists(inner, max_size=3)
+        | strategies.dictionaries(
+            strategies.text(max_size=8), inner, max_size=3
+        )
+    ),
+    max_leaves=8,
+)
+_MUTATED = strategies.dictionaries(
+    strategies.sampled_from([*_GOOD, "born", "at_hand"]), _VALUES, max_size=4
+).map(lambda changes: {**_GOOD, **changes})
+
+
+@pytest.mark.parametrize(("field", "value"), _WRONG)
+def test_entry_with_a_wrong_field_is_refused(field, value):
+    with pytest.raises(errors.ObjectError, match=field):
+        decoding.decode_endpoint("e1", {**_GOOD, field: value})
+
+
+@pytest.mark.parametrize(
+    "field", ["service", "address", "zone", "slots", "state", "seq"]
+)
+def test_entry_without_a_field_is_refused(field):
+    entry = {k: v for k, v in _GOOD.items() if k != field}
+    with pytest.raises(errors.ObjectError, match=field):
+        decoding.decode_endpoint("e1", entry)
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("seq", "3"),
+        ("seq", True),
+        ("seq", -1),
+        ("busy", "no"),
+        ("models", {}),
+        ("coming", "m1/a1@1"),
+        ("coming", [3]),
+        ("born", "7"),
+    ],
+)
+def test_report_with_a_wrong_field_is_refused(field, value):
+    report = {"seq": 3, "busy": False, "models": [], field: value}
+    with pytest.raises(errors.EndpointError, match=field):
+        decoding.decode_state(report)
+
+
+@hypothesis.given(_VALUES | _MUTATED)
+def test_decoders_refuse_what_they_can_not_read(value):
+    for decode, error in (
+        (lambda v: decoding.decode_endpoint("e1", v), errors.ObjectError),
+        (decoding.decode_state, errors.EndpointError),
+        (decoding.decode_manifest, errors.ObjectError),
+    ):
+        try:
+            decode(value)
+        except error:
+            pass
+
+
+def with_client(test):
+    async def body(*args):
+        standin = platform_store.PlatformStore()
+        address = await standin.start()
+        client = store.PlatformStore(addresses.split_address(address))
+        try:
+            async with asyncio.timeout(20):
+                await test(standin, client, *args)
+        finally:
+            client.close()
+            standin.stop()
+
+    return body
+
+
+@with_client
+async def _read_mixture(standin, client, entries):
+    """Reads good and bad entries by a list and by a watch."""
+    revision = standin.revision
+    for number, (entry, _) in enumerate(entries):
+        standin.put("servers", f"e{number}", entry)
+    good = {f"e{n}" for n, (_, is_good) in enumerate(entries) if is_good}
+    listing = await client.list(kinds.ENDPOINTS)
+    assert {i.name for i in listing.items} == good
+    assert {r.name for r in listing.refused} | good == {
+        f"e{n}" for n in range(len(entries))
+    }
+    changes = await client.watch(kinds.ENDPOINTS, revision, 0.1)
+    assert {c.name for c in changes.items if c.value is not None} == good
+    assert changes.revision == standin.revision
+
+
+_ENTRIES = strategies.lists(
+    strategies.just((_GOOD, True))
+    | strategies.sampled_from(_WRONG).map(
+        lambda wrong: ({**_GOOD, wrong[0]: wrong[1]}, False)
+    )
+    | strategies.text(max_size=5).map(lambda text: (text, False)),
+    max_size=8,
+)
+
+
+@hypothesis.settings(max_examples=30)
+@hypothesis.given(_ENTRIES)
+def test_bad_entries_take_nothing_else_along(entries):
+    asyncio.run(_read_mixture(entries))
+
+
+def test_bytes_that_are_no_text_take_nothing_else_along():
+    good = json.dumps({"metadata": {"name": "e1"}, "spec": "\u0001"}).encode()
+    found = store.read_json(good.replace(b"\\u0001", b"\x01\xff\xc3"))
+    assert found["metadata"] == {"name": "e1"}
+
+
+@harness.run
+async def test_stranger_takes_no_engine_away(system):
+    await system.add("e1", "plain")
+    await system.add("e2", "plain")
+    system.store.put("servers", "bad", {"service": 3})
+    address = system.store.objects["servers"]["e1"]["spec"]["address"]
+    # Whoever lists the address of an engine replaces it, if it can be used.
+    system.store.put(
+        "servers", "odd", platform_site.entry("unheard-of", address)
+    )
+    await system.add("e3", "plain")
+    assert {"e1", "e2", "e3"} <= set(system.gateway.view.tracked)
+    assert "bad" not in system.gateway.view.tracked
+    assert (await system.ask("/get/a")).status == 200
+    metrics = system.gateway.metrics
+    assert metrics.value("refused_objects", kind="servers", field="service") > 0
+
+
+@harness.run
+async def test_entry_that_was_overwritten_names_no_engine(system):
+    await system.add("e1", "plain")
+    good = system.store.objects["servers"]["e1"]["spec"]
+    system.store.put("servers", "e1", {**good, "slots": "many"})
+    await system.until(lambda: "e1" not in system.gateway.view.tracked)
+    system.store.put("servers", "e1", {**good, "seq": 99})
+    await system.until(lambda: "e1" in system.gateway.view.tracked)
+
+
+@harness.run
+async def test_configuration_that_can_not_be_read_holds_up_no_other(system):
+    bad = {"version": 2, "routes": [{}], "services": []}
+    system.store.put("config", "main", bad)
+    await asyncio.sleep(0.1)
+    assert system.gateway.holder.version == 1
+    system.store.put("config", "main", platform_site.manifest(3))
+    await system.until(lambda: system.gateway.holder.version == 3)
+    assert system.gateway._configurations.lost_since is None
