Refuse objects that can not be read one at a time

Cause: the decoder of a list or a watch raised for the first object that it could not read, and the caller took that for the store being away. One entry of another writer took the list of engines from every instance.

Each object is now a value or a refusal that names the first wrong field. A refused entry names no endpoint, whatever was known before; it is logged once for each change, counted as refused_objects by kind and field, and the watch goes on. Types are strict: true is no number, an address is an IP and a port, a state is one of two. Bytes that are no text harm the object they stand in only. And an entry takes the place of the endpoint at its address only if the configuration names its service: another writer's may name any address.

--- a/src/wayslip/decisions/fleet.py
+++ b/src/wayslip/decisions/fleet.py
@@ -33,6 +33,7 @@
     in_memory: frozenset[str] = frozenset()
     on_disk: frozenset[str] = frozenset()
     beat: int = 0
+    born: int = 0
 
     def holds(self, model: str, adapter: str) -> bool:
         """Whether a model, and an adapter if one is named, is loaded."""
@@ -59,12 +60,14 @@
         orders: How many orders it has taken since its start.
         is_busy: Whether it is loading or unloading a model.
         coming: Adapters on their way to it.
+        born: When it started; see `Endpoint`.
     """
 
     orders: int
     is_busy: bool
     models: dict[str, frozenset[str]]
     coming: frozenset[Item] = frozenset()
+    born: int = 0
 
 
 def list_items(models: dict[str, frozenset[str]]) -> set[Item]:
--- a/src/wayslip/errors.py
+++ b/src/wayslip/errors.py
@@ -31,6 +31,18 @@
     """The object API did not do what was asked."""
 
 
+class ObjectFieldError(ObjectError):
+    """An object is not what its kind should be.
+
+    Attributes:
+        field: The first field that is wrong.
+    """
+
+    def __init__(self, reason: str, remedy: str, field: str) -> None:
+        super().__init__(reason, remedy)
+        self.field = field
+
+
 class ObjectConflictError(ObjectError):
     """A conditional update met a newer version, so nothing was written."""
 
--- a/src/wayslip/gateway/configuration.py
+++ b/src/wayslip/gateway/configuration.py
@@ -26,6 +26,13 @@
             return manifest_module.Limits()
         return self.manifest.limits
 
+    def names_service(self, name: str) -> bool:
+        """Whether the configuration in force has a service.
+
+        Before one is known every service may be there.
+        """
+        return self.manifest is None or name in self.manifest.services
+
     def offer(self, manifest: manifest_module.Manifest) -> bool:
         """Takes a configuration in if it is newer; returns whether it was."""
         known = self.manifest
--- a/src/wayslip/gateway/daemon.py
+++ b/src/wayslip/gateway/daemon.py
@@ -150,6 +150,7 @@
             self._take_changes,
             options.bounds.watch,
             self._find_pause,
+            self.metrics,
             lists_anew=True,
         )
         self._endpoints = following.EndpointFollower(
@@ -162,6 +163,8 @@
             self._teller.tell_changes,
             options.bounds.watch,
             self._find_pause,
+            self.metrics,
+            self.holder.names_service,
         )
         self._callers = server.Server(
             addresses.split_address(options.callers),
--- a/src/wayslip/gateway/following.py
+++ b/src/wayslip/gateway/following.py
@@ -18,6 +18,7 @@
 import dataclasses
 import time
 
+from wayslip import metrics as metrics_module
 from wayslip.decisions import fleet
 from wayslip.gateway import currency as currency_module
 from wayslip.gateway import facts
@@ -41,6 +42,7 @@
 
     Args:
         tell: Is given what changed; it is told to the others if we lead.
+        knows_service: Whether the configuration in force names a service.
     """
 
     def __init__(
@@ -54,8 +56,11 @@
         tell: Callable[[facts.Changes], None],
         wait: float,
         find_pause: Callable[[float], float],
+        metrics: metrics_module.Metrics,
+        knows_service: Callable[[str], bool],
     ) -> None:
         self._view = view
+        self._knows_service = knows_service
         self._on_change = on_change
         self._on_gone = on_gone
         self._tell = tell
@@ -73,6 +78,7 @@
             self._take_changes,
             wait,
             find_pause,
+            metrics,
             _REST_SECONDS,
         )
 
@@ -117,7 +123,9 @@
         for endpoint in fresh:
             before = known.get(endpoint.address, endpoint.name)
             is_new = endpoint.name not in self._view.tracked
-            if is_new and before != endpoint.name:
+            # Another writer's entry may name any address.
+            is_ours = self._knows_service(endpoint.service)
+            if is_new and is_ours and before != endpoint.name:
                 self._replaced.add(before)
                 self._remove(before)
         for endpoint in fresh:
--- a/src/wayslip/gateway/store.py
+++ b/src/wayslip/gateway/store.py
@@ -34,17 +34,36 @@
     value: T
 
 
+@dataclasses.dataclass(frozen=True)
+class Refused:
+    """An object that can not be read; it counts as not being there.
+
+    Attributes:
+        name: Empty where not even that can be read.
+        revision: Of its last change, 0 where that can not be read.
+        field: What is wrong with it.
+        reason: One sentence for the log.
+    """
+
+    name: str
+    revision: int
+    field: str
+    reason: str
+
+
 @dataclasses.dataclass(frozen=True)
 class Listing(Generic[T]):
     """Objects of a kind, and the revision to watch from.
 
     Attributes:
         seen_at: Monotonic time from which on something newer may be there.
+        refused: Objects that are left out.
     """
 
     items: tuple[Stored[T], ...]
     revision: int
     seen_at: float
+    refused: tuple[Refused, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -61,11 +80,13 @@
 
     Attributes:
         seen_at: Monotonic time from which on something newer may be there.
+        refused: Objects that can not be read, among the changes as removed.
     """
 
     items: tuple[Change[T], ...]
     revision: int
     seen_at: float
+    refused: tuple[Refused, ...] = ()
 
 
 class Store(Protocol):
--- a/src/wayslip/gateway/watching.py
+++ b/src/wayslip/gateway/watching.py
@@ -5,6 +5,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterable
 import logging
 import random
 import time
@@ -13,6 +14,7 @@
 
 from wayslip import errors
 from wayslip import logs
+from wayslip import metrics as metrics_module
 from wayslip.gateway import currency as currency_module
 from wayslip.gateway import store as store_module
 
@@ -30,6 +32,9 @@
 # Where one that may be old did not have what is lacking, none is read again
 # within this time, seconds: the store's copies are some seconds behind at most.
 _STALE_SECONDS = 5.0
+# Objects that can not be read whose last change is remembered, so that each is
+# logged once; with more of them some are logged again.
+_REFUSED_MOST = 1000
 
 
 class Watcher(Generic[T]):
@@ -44,6 +49,7 @@
         wait: How long a watch waits, seconds; see `Bounds.watch`.
         find_pause: Returns the seconds to wait before an attempt that others
             make too; given what one instance alone would wait.
+        metrics: Where objects that can not be read are counted.
         rest: Pause after changes, seconds, so that several come with one
             call; calls are priced.
         lists_anew: Whether to read the list rather than all changes after a
@@ -66,6 +72,7 @@
         take_changes: Callable[[store_module.Changes[T]], None],
         wait: float,
         find_pause: Callable[[float], float],
+        metrics: metrics_module.Metrics,
         rest: float = 0.0,
         lists_anew: bool = False,
     ) -> None:
@@ -76,10 +83,13 @@
         self._take_changes = take_changes
         self._wait = wait
         self._find_pause = find_pause
+        self._metrics = metrics
         self._rest = rest
         self._lists_anew = lists_anew
         self._must_list = True
         self._read_stale_at = float("-inf")
+        # Objects that can not be read: their revision when it was logged.
+        self._refused: dict[str, int] = {}
         self.revision: int | None = None
         self.is_synced = False
         self.lost_since: float | None = None
@@ -169,6 +179,9 @@
     async def _list(self, may_be_stale: bool) -> float:
         """Takes the list in; returns the time up to which it is complete."""
         listing = await self._store.list(self._kind, may_be_stale)
+        listed = {r.name for r in listing.refused}
+        self._refused = {n: r for n, r in self._refused.items() if n in listed}
+        self._note_refused(listing.refused)
         self._take_list(listing)
         self.revision = listing.revision
         self._must_list = False
@@ -180,6 +193,7 @@
         # Only who leads waits for changes; the others look now and then.
         wait = self._wait if self.currency.leads else _LOOK_SECONDS
         changes = await self._store.watch(self._kind, revision, wait)
+        self._note_refused(changes.refused)
         if changes.items:
             self._take_changes(changes)
         # What the holder told meanwhile may be newer than this answer.
@@ -188,6 +202,27 @@
             await asyncio.sleep(self._rest)
         return changes.seen_at
 
+    def _note_refused(self, refused: Iterable[store_module.Refused]) -> None:
+        """Logs and counts objects that can not be read, once for a change."""
+        for one in refused:
+            if self._refused.get(one.name) == one.revision:
+                continue
+            if len(self._refused) >= _REFUSED_MOST:
+                self._refused.clear()
+            self._refused[one.name] = one.revision
+            self._metrics.count(
+                "refused_objects", kind=self._kind.name, field=one.field
+            )
+            logs.event(
+                _LOG,
+                "object_refused",
+                logging.WARNING,
+                kind=self._kind.name,
+                object=one.name,
+                revision=one.revision,
+                reason=one.reason,
+            )
+
     def _lose(self, error: errors.ObjectError) -> None:
         if self.lost_since is not None:
             return
--- a/src/wayslip/platform/decoding.py
+++ b/src/wayslip/platform/decoding.py
@@ -6,6 +6,7 @@
 from wayslip import errors
 from wayslip.decisions import fleet
 from wayslip.decisions import manifest
+from wayslip.platform import fields
 
 _KINDS = {
     "idempotent": manifest.RequestKind.IDEMPOTENT,
@@ -13,9 +14,10 @@
     "streaming": manifest.RequestKind.STREAM,
 }
 _LEAVING = "draining"
+_STATES = ("ready", _LEAVING)
 
 
-def decode_manifest(spec: Mapping[str, Any]) -> manifest.Manifest:
+def decode_manifest(spec: Any) -> manifest.Manifest:
     """Returns the configuration that an operator wrote.
 
     Raises:
@@ -29,7 +31,13 @@
             services={s.name: s for s in services},
             limits=_decode_limits(spec.get("limits") or {}),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as e:
+    except (
+        KeyError,
+        TypeError,
+        ValueError,
+        AttributeError,
+        OverflowError,
+    ) as e:
         raise errors.ObjectError(
             f"the configuration is malformed ({type(e).__name__}: {e})",
             "correct it in the platform's store",
@@ -111,70 +119,99 @@
     )
 
 
-def decode_endpoint(name: str, spec: Mapping[str, Any]) -> fleet.Endpoint:
+def decode_endpoint(name: str, spec: Any) -> fleet.Endpoint:
     """Returns an endpoint from its own entry in the store.
 
     The entry's `seq` counts its heartbeats, not the orders it took, which
     have the same name in a report.
 
     Raises:
-        ObjectError: A field is missing or has the wrong form.
+        ObjectFieldError: A field is missing or has the wrong form.
     """
     try:
-        at_hand = spec.get("at_hand") or {}
+        raw = fields.read_object(spec, "spec")
+        at_hand = fields.read_object(raw.get("at_hand", {}), "at_hand")
+        with fields.name_inside("at_hand"):
+            in_memory = _read_names(at_hand, "in_memory")
+            on_disk = _read_names(at_hand, "on_disk")
         return fleet.Endpoint(
             name=name,
-            service=spec["service"],
-            address=spec["address"],
-            data_hall=spec.get("zone") or "",
-            slots=int(spec.get("slots") or 1),
-            is_leaving=spec.get("state") == _LEAVING,
-            models=_decode_models(spec.get("models") or ()),
-            in_memory=frozenset(at_hand.get("in_memory") or ()),
-            on_disk=frozenset(at_hand.get("on_disk") or ()),
-            beat=int(spec.get("seq") or 0),
+            service=fields.read_text(raw, "service"),
+            address=fields.read_address(raw, "address"),
+            data_hall=fields.read_text(raw, "zone"),
+            slots=fields.read_whole(raw, "slots", 1),
+            is_leaving=_read_stage(raw) == _LEAVING,
+            models=_decode_models(raw),
+            in_memory=in_memory,
+            on_disk=on_disk,
+            beat=fields.read_whole(raw, "seq", 0),
+            born=fields.read_whole(raw, "born", 0, default=0),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as e:
-        raise errors.ObjectError(
+    except fields.FieldError as e:
+        raise errors.ObjectFieldError(
             f"the entry of endpoint {name} is malformed ({e})",
-            "see the endpoint's log",
+            "see who wrote it; it names no endpoint until it is whole",
+            e.field,
         ) from e
 
 
-def decode_state(body: Mapping[str, Any]) -> fleet.EngineState:
+def decode_state(body: Any) -> fleet.EngineState:
     """Returns an engine's report; its `seq` counts the orders it took.
 
     Raises:
         EndpointError: A field is missing or has the wrong form.
     """
     try:
+        raw = fields.read_object(body, "report")
+        if "models" not in raw:
+            raise fields.FieldError("models", "is missing")
         return fleet.EngineState(
-            orders=int(body["seq"]),
-            is_busy=bool(body.get("busy")),
-            models=_decode_models(body.get("models") or ()),
-            coming=frozenset(
-                _decode_coming(c) for c in body.get("coming") or ()
-            ),
+            orders=fields.read_whole(raw, "seq", 0),
+            is_busy=fields.read_flag(raw, "busy"),
+            models=_decode_models(raw),
+            coming=frozenset(fields.read_list(raw, "coming", _decode_coming)),
+            born=fields.read_whole(raw, "born", 0, default=0),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as e:
+    except fields.FieldError as e:
         raise errors.EndpointError(
             f"an engine's report is malformed ({e})", "see the engine's log"
         ) from e
 
 
-def _decode_models(raw: Any) -> dict[str, frozenset[str]]:
-    return {
-        m["name"]: frozenset(_adapter_name(a) for a in m.get("adapters") or ())
-        for m in raw
-    }
+def _read_stage(raw: Mapping[str, Any]) -> str:
+    state = fields.read_text(raw, "state")
+    if state not in _STATES:
+        raise fields.FieldError("state", f"is none of {', '.join(_STATES)}")
+    return state
+
+
+def _read_names(raw: Mapping[str, Any], name: str) -> frozenset[str]:
+    return frozenset(fields.read_list(raw, name, fields.check_text))
+
+
+def _decode_models(raw: Mapping[str, Any]) -> dict[str, frozenset[str]]:
+    return dict(fields.read_list(raw, "models", _decode_held))
+
+
+def _decode_held(part: Any, name: str) -> tuple[str, frozenset[str]]:
+    """Returns a model and its adapters that an engine holds."""
+    model = fields.read_object(part, name)
+    with fields.name_inside(name):
+        adapters = fields.read_list(model, "adapters", _decode_adapter)
+        return fields.read_text(model, "name"), frozenset(adapters)
+
+
+def _decode_adapter(part: Any, name: str) -> str:
+    text = part.get("name") if isinstance(part, Mapping) else part
+    return _adapter_name(fields.check_text(text, name))
 
 
-def _decode_coming(text: str) -> fleet.Item:
+def _decode_coming(part: Any, name: str) -> fleet.Item:
     """Returns the item of "MODEL/ADAPTER@VERSION"."""
+    text = fields.check_text(part, name)
     return text.partition("/")[0], _adapter_name(text)
 
 
-def _adapter_name(raw: Any) -> str:
+def _adapter_name(text: str) -> str:
     """Returns an adapter's plain name, whichever way it is spelt."""
-    text = raw["name"] if isinstance(raw, Mapping) else str(raw)
     return text.rpartition("/")[2].partition("@")[0]
--- a/src/wayslip/platform/store.py
+++ b/src/wayslip/platform/store.py
@@ -68,7 +68,7 @@
         self, kind: store.Kind[T], may_be_stale: bool = False
     ) -> store.Listing[T]:
         """Returns all objects of a kind."""
-        items: list[store.Stored[T]] = []
+        found: list[_Read[T]] = []
         fields = dict(_STALE) if may_be_stale else {}
         first: _Answer | None = None
         while True:
@@ -77,13 +77,16 @@
             # A page may be newer than the first; watching from the first
             # one's revision repeats changes and leaves none out.
             first = first or answer
-            for raw in answer.body["items"]:
-                items.append(_decode(kind, raw))
-            if not answer.body.get("has_more") or not items:
+            page = [_read_object(kind, raw) for raw in answer.body["items"]]
+            found += page
+            if not answer.body.get("has_more") or not page:
                 return store.Listing(
-                    tuple(items), int(first.body["as_of"]), first.asked_at
+                    tuple(f for f in found if isinstance(f, store.Stored)),
+                    int(first.body["as_of"]),
+                    first.asked_at,
+                    tuple(f for f in found if isinstance(f, store.Refused)),
                 )
-            fields["after"] = items[-1].name
+            fields["after"] = page[-1].name
 
     async def watch(
         self, kind: store.Kind[T], revision: int, wait: float
@@ -100,14 +103,22 @@
                 "list again",
             )
         _expect(answer.status, 200)
-        changes = []
+        changes: list[store.Change[T]] = []
+        refused = []
         for event in answer.body.get("events") or ():
-            raw = event["object"]
-            name = raw["metadata"]["name"]
-            value = None if event.get("removed") else _decode(kind, raw).value
-            changes.append(store.Change(name, value))
+            found = _read_object(kind, event["object"])
+            if event.get("removed"):
+                changes.append(store.Change(found.name, None))
+            elif isinstance(found, store.Refused):
+                refused.append(found)
+                changes.append(store.Change(found.name, None))
+            else:
+                changes.append(store.Change(found.name, found.value))
         return store.Changes(
-            tuple(changes), int(answer.body["as_of"]), answer.told_at
+            tuple(changes),
+            int(answer.body["as_of"]),
+            answer.told_at,
+            tuple(refused),
         )
 
     async def get(
@@ -270,7 +281,7 @@
             _format(self._address, method, path, content), lambda head: True
         )
         head, data = await reader.read(connection, patience)
-        body = json.loads(data) if data else {}
+        body = read_json(data) if data else {}
         return _Answer(head.status, body, asked_at, reader.told_at)
 
     @property
@@ -305,6 +316,43 @@
         )
 
 
+def read_json(data: bytes) -> Any:
+    """Returns the value of an answer's body.
+
+    Other writers' objects may hold bytes that are no text. They harm the
+    object they stand in and must not harm the answer.
+
+    Raises:
+        ValueError: It is no JSON.
+    """
+    return json.loads(data.decode("utf-8", "replace"), strict=False)
+
+
+_Read = store.Stored[T] | store.Refused
+
+
+def _read_object(kind: store.Kind[T], raw: Any) -> _Read[T]:
+    """Returns an object, or why it can not be read."""
+    try:
+        return _decode(kind, raw)
+    except errors.ObjectError as e:
+        field = e.field if isinstance(e, errors.ObjectFieldError) else "any"
+        name, revision = _identify(raw)
+        return store.Refused(name, revision, field, e.reason)
+
+
+def _identify(raw: Any) -> tuple[str, int]:
+    """Returns an object's name and revision, as far as they can be read."""
+    metadata = raw.get("metadata") if isinstance(raw, Mapping) else None
+    if not isinstance(metadata, Mapping):
+        return "", 0
+    name, revision = metadata.get("name"), metadata.get("revision")
+    return (
+        name if isinstance(name, str) else "",
+        revision if isinstance(revision, int) else 0,
+    )
+
+
 def _decode(kind: store.Kind[T], raw: Any) -> store.Stored[T]:
     try:
         metadata = raw["metadata"]
