--- a/tests/stateful/order_engine.py
+++ b/tests/stateful/order_engine.py
@@ -80,11 +80,32 @@
         self.orders = 0
         self.in_use = {}
         self.is_alive = True
+        self.born = 1
         self.had = set(models)
         self.history = []
         self.entries = []
         self.note()
 
+    def restart(self):
+        """Starts again under its name: it holds and knows nothing."""
+        self.born += 1
+        self.models = {}
+        self.coming = {}
+        self.loading = None
+        self.unloading = None
+        self.orders = 0
+        self.in_use = {}
+        self.note()
+        self.list_soon()
+
+    def later(self, seconds, finish, *args):
+        """Has work of this start finished, unless it starts again."""
+        self.world.later(seconds, self._finish, self.born, finish, args)
+
+    def _finish(self, born, finish, args):
+        if born == self.born:
+            finish(*args)
+
     # What it tells
 
     def state(self):
@@ -93,6 +114,7 @@
             self.loading is not None or self.unloading is not None,
             {m: frozenset(a) for m, a in self.models.items()},
             frozenset(self.coming),
+            self.born,
         )
 
     def note(self):
@@ -114,6 +136,7 @@
             64,
             models={m: frozenset(a) for m, a in self.models.items()},
             on_disk=frozenset(self.had),
+            born=self.born,
         )
 
     async def beat(self):
@@ -167,11 +190,11 @@
             seconds = self.world.adapter_seconds
             seconds *= self.world.rng.uniform(0.1, 2.0)
             self.coming[item] = self.world.now + seconds
-            self.world.later(seconds, self.finish_adapter, item)
+            self.later(seconds, self.finish_adapter, item)
         else:
             self.loading = order.model
             seconds = 1.0 if order.model in self.had else LOAD_SECONDS
-            self.world.later(seconds, self.finish_load)
+            self.later(seconds, self.finish_load)
         self.note()
         return engines_module.OrderOutcome.TAKEN
 
@@ -208,7 +231,7 @@
             self.note()
             return engines_module.OrderOutcome.HELD
         self.unloading = item
-        self.world.later(max(end - self.world.now, 0.05), self.finish_unload)
+        self.later(max(end - self.world.now, 0.05), self.finish_unload)
         self.note()
         return engines_module.OrderOutcome.TAKEN
 
--- a/tests/stateful/order_troubles.py
+++ b/tests/stateful/order_troubles.py
@@ -117,12 +117,21 @@
     world.shift += world.rng.randint(1, 4)
 
 
-async def _play(seed, seconds, troubles):
+async def _restart_engines(world, rate):
+    while True:
+        await asyncio.sleep(world.rng.expovariate(rate))
+        world.engines[world.rng.choice(list(world.engines))].restart()
+        world.restarts += 1
+
+
+async def _play(seed, seconds, troubles, restarts):
     world = order_world.World(seed)
     kinds = list(_STRIKES)
     weights = list(_STRIKES.values())
     end = world.now + seconds
     await asyncio.sleep(3.0)
+    if restarts:
+        world.keep(asyncio.create_task(_restart_engines(world, restarts)))
     while world.now < end:
         await asyncio.sleep(world.rng.expovariate(troubles))
         world.rng.choices(kinds, weights)[0](world)
@@ -131,6 +140,13 @@
     return world
 
 
-def play(seed, seconds=40.0, troubles=0.7):
-    """Plays one world; returns it."""
-    return simulated_loop.run(_play(seed, seconds, troubles))
+def play(seed, seconds=40.0, troubles=0.7, restarts=0.0):
+    """Plays one world; returns it.
+
+    Args:
+        seed: Of all that is drawn.
+        seconds: How long.
+        troubles: A second.
+        restarts: Engines that start again under their name, a second.
+    """
+    return simulated_loop.run(_play(seed, seconds, troubles, restarts))
--- a/tests/stateful/order_world.py
+++ b/tests/stateful/order_world.py
@@ -140,6 +140,7 @@
         self.adapter_seconds = order_engine.ADAPTER_SECONDS
         self.over = []
         self.taken = 0
+        self.restarts = 0
         self.shift = 0
         self.started = 0
         self.store = order_network.Store(self)
--- /dev/null
+++ b/tests/stateful/test_restarts.py
@@ -0,0 +1,123 @@
+"""Engines that start again under their name.
+
+An engine that starts again holds nothing, and its counts begin anew. Its name
+was all that it was known by. So an entry of the new start was dropped as old,
+because its heartbeats are counted from zero again: callers were sent there for
+what it had held, and its memory was planned for as if it were full. And orders
+of before that come late meet the same counts again.
+"""
+
+import asyncio
+
+import pytest
+
+from tests.stateful import order_engine
+from tests.stateful import order_troubles
+from tests.stateful import order_world
+from tests.stateful import simulated_loop
+from wayslip.decisions import fleet
+from wayslip.decisions import inventory
+from wayslip.decisions import lease
+from wayslip.gateway import books
+from wayslip.gateway import view
+
+_OLD = fleet.Endpoint(
+    "e1", "s", "127.0.0.1:1", "h", models={"m1": frozenset()}, beat=70, born=5
+)
+_NEW = fleet.Endpoint("e1", "s", "127.0.0.1:1", "h", beat=1, born=9)
+_LOAD = lease.Pending("e1", 4, lease.Action.LOAD, "m2", "")
+
+
+def test_new_start_ends_what_was_known_of_the_one_before():
+    endpoints = view.EndpointView("h")
+    endpoints.take(_OLD)
+    endpoints.tell("e1", "m3", "", True)
+    assert endpoints.holds_anywhere("s", "m1")
+    before = endpoints.tracked["e1"]
+    endpoints.take(_NEW)
+    assert not endpoints.holds_anywhere("s", "m1")
+    assert not endpoints.holds_anywhere("s", "m3")
+    assert before.is_gone
+    # What an earlier start said comes late, with a higher count of its own.
+    endpoints.take(_OLD)
+    assert endpoints.tracked["e1"].endpoint is _NEW
+
+
+def test_report_of_another_start_is_not_taken_in():
+    book = books.Book(_NEW)
+    old = fleet.EngineState(3, False, {"m1": frozenset()}, born=5)
+    assert not book.take_state(old, 1.0)
+    assert book.inventory is None
+    later = fleet.EngineState(0, False, {}, born=12)
+    assert not book.take_state(later, 1.0)
+    assert book.take_state(fleet.EngineState(0, False, {}, born=9), 1.0)
+    assert book.is_certain
+
+
+def test_late_order_is_charged_to_the_next_start():
+    book = books.Book(_OLD)
+    book.note_unanswered(_LOAD, 100.0)
+    after = book.begin_anew(_NEW, 101.0)
+    after.take_state(fleet.EngineState(0, False, {}, born=9), 101.0)
+    assert ("m2", "") in after.charged()
+    # It can not be carried out any more once its count has passed.
+    after.take_state(fleet.EngineState(5, False, {}, born=9), 104.0)
+    assert ("m2", "") not in after.charged()
+
+
+def test_late_order_is_charged_for_as_long_as_it_may_come():
+    book = books.Book(_OLD)
+    book.inventory = inventory.Inventory(4, frozenset())
+    book.note_unanswered(_LOAD, 100.0)
+    after = book.begin_anew(_NEW, 101.0)
+    after.take_state(fleet.EngineState(0, False, {}, born=9), 114.0)
+    assert ("m2", "") in after.charged()
+    after.take_state(fleet.EngineState(0, False, {}, born=9), 116.0)
+    assert ("m2", "") not in after.charged()
+
+
+def test_worlds_of_restarts():
+    restarts = 0
+    for seed in range(3000, 3020):
+        world = order_troubles.play(seed, seconds=25.0, restarts=0.4)
+        assert not world.over, seed
+        assert world.taken
+        restarts += world.restarts
+    assert restarts > 100
+
+
+async def _play_one_restart(seed):
+    """Returns seconds until nobody believes the old start, and until a load."""
+    world = order_world.World(seed, engines=5, instances=6)
+    await asyncio.sleep(12.0)
+    engine = world.engines["e2"]
+    engine.restart()
+    began = world.now
+    heard = loaded = None
+    while heard is None or loaded is None:
+        await asyncio.sleep(0.02)
+        assert world.now - began < 10.0
+        if loaded is None and engine.orders:
+            loaded = world.now - began
+        if heard is None and not _believe_too_much(world, engine):
+            heard = world.now - began
+    world.stop()
+    return heard, loaded
+
+
+def _believe_too_much(world, engine):
+    return any(
+        instance.gateway.view.holds(tracked.endpoint, f"m{n}", "")
+        for instance in world.instances.values()
+        for tracked in instance.gateway.view.of_service(order_engine.SERVICE)
+        for n in range(order_engine.MODELS)
+        if tracked.endpoint.name == engine.name and f"m{n}" not in engine.models
+    )
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_engine_that_started_again_is_known_as_empty_and_loaded(seed):
+    heard, loaded = simulated_loop.run(_play_one_restart(seed))
+    # It is listed 0.8 s later at most; what is heard late is told again.
+    assert heard < 1.6
+    assert loaded < 2.0
