Take a later start of an engine for another engine

Cause: an engine was its name. After a start under the same name its heartbeats and orders count from zero, so that what it said was dropped as old, and what it had held went on to be offered to callers and planned for.

An entry, a report and what is told of them carry when the engine started (born). A later start ends the one before: its word, prefixes, connections, conditions and book go, and nothing of an earlier start is taken in any more, from whatever source. The planner begins with an empty book. Orders of before that had no answer may be carried out by the new start once its count comes to theirs; they are charged to it for the 14 s in which that can be. A lower born is always taken as older; an engine whose clock went back is used again once its entry has lapsed.

--- a/src/wayslip/decisions/fleet.py
+++ b/src/wayslip/decisions/fleet.py
@@ -8,10 +8,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Endpoint:
-    """One start of an endpoint; a restart is another endpoint.
+    """One start of an endpoint, its incarnation.
 
     Attributes:
-        name: Its id, new at every start.
+        name: Its id. A later start may have it again; see `born`.
         address: "IP:PORT"; may belong to another endpoint later.
         data_hall: Where it runs.
         slots: Requests that it works on at once.
@@ -35,6 +35,16 @@
     beat: int = 0
     born: int = 0
 
+    def is_before(self, other: "Endpoint") -> bool:
+        """Whether this entry is older than another of the same name."""
+        if self.born and other.born and self.born != other.born:
+            return self.born < other.born
+        return self.beat < other.beat
+
+    def succeeds(self, other: "Endpoint") -> bool:
+        """Whether this is a later start than another of the same name."""
+        return bool(other.born) and self.born > other.born
+
     def holds(self, model: str, adapter: str) -> bool:
         """Whether a model, and an adapter if one is named, is loaded."""
         held = self.models.get(model)
--- a/src/wayslip/gateway/books.py
+++ b/src/wayslip/gateway/books.py
@@ -12,6 +12,9 @@
 # Reports are some hundred milliseconds old. One that still tells of fewer
 # orders after this shows that we counted one too many, seconds.
 _REPORT_LAG_MOST = 2.0
+# An order without an answer may be carried out so much later, seconds: engines
+# take up to 12, and a report is some hundred milliseconds old.
+_LATE_MOST = 14.0
 
 
 @dataclasses.dataclass
@@ -44,6 +47,9 @@
         pending: The order whose effect is not known yet.
         stray: An order that was given up on. It may still arrive, and is
             charged until the engine's count has passed it.
+        unanswered: Orders whose answer did not come, and when they were sent.
+        inherited: Those of an earlier start of the engine, and until when they
+            may be carried out by this one: it counts from zero again.
         task: The series of orders that is under way.
         lock: Held while an order is given.
         changed: Set by every new entry.
@@ -65,6 +71,10 @@
     rests_until: float = 0.0
     pending: lease.Pending | None = None
     stray: lease.Pending | None = None
+    unanswered: list[tuple[lease.Pending, float]] = dataclasses.field(
+        default_factory=list
+    )
+    inherited: tuple[tuple[lease.Pending, float], ...] = ()
     task: asyncio.Task[None] | None = None
     lock: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
     changed: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
@@ -76,9 +86,10 @@
         items = set(self.inventory.items) if self.inventory else set()
         if not self.is_certain:
             items |= self.listed() | set(self.added)
+        late = [order for order, _ in self.inherited]
         return items | {
             (order.model, order.adapter)
-            for order in (self.pending, self.stray)
+            for order in (self.pending, self.stray, *late)
             if order is not None and order.action is lease.Action.LOAD
         }
 
@@ -122,11 +133,21 @@
 
     def take_state(self, state: fleet.EngineState, now: float) -> bool:
         """Takes in a report; returns whether it was new enough."""
+        if not self._is_of_this_start(state):
+            # Until the entry of a later start comes, nothing that is planned
+            # is meant for it.
+            self.is_certain &= state.born < self.endpoint.born
+            return False
         is_old = now - self.counted_at < _REPORT_LAG_MOST
         if state.orders < self.least_orders and is_old:
             return False
         self.least_orders = state.orders
         self._pass_stray(state.orders)
+        self.inherited = tuple(
+            (order, until)
+            for order, until in self.inherited
+            if order.orders >= state.orders and until > now
+        )
         self.reported_at = now
         known = self.inventory if self.is_certain else None
         read = inventory_module.update(known, state)
@@ -139,11 +160,39 @@
         self._forget_withdrawn()
         return True
 
+    def _is_of_this_start(self, state: fleet.EngineState) -> bool:
+        born = self.endpoint.born
+        return not born or not state.born or born == state.born
+
     def _forget_withdrawn(self) -> None:
         """Forgets what is seen by nobody any more."""
         if self.is_certain and self.inventory is not None:
             self.withdrawn &= self.inventory.items | self.listed()
 
+    # A later start of the engine
+
+    def note_unanswered(self, order: lease.Pending, now: float) -> None:
+        """Notes that an order got no answer and may be carried out late."""
+        limit = now - _LATE_MOST
+        self.unanswered = [(o, at) for o, at in self.unanswered if at > limit]
+        self.unanswered.append((order, now))
+
+    def begin_anew(self, endpoint: fleet.Endpoint, now: float) -> "Book":
+        """Returns the book of the engine's next start.
+
+        It holds nothing and counts from zero, so an order for the start before
+        that comes late names a count that is reached once more.
+        """
+        late = [(o, at + _LATE_MOST) for o, at in self.unanswered]
+        if self.pending is not None:
+            late.append((self.pending, now + _LATE_MOST))
+        if self.stray is not None:
+            late.append((self.stray, now + _LATE_MOST))
+        late += self.inherited
+        book = Book(endpoint, inherited=tuple(late))
+        book.take_entry(endpoint, now)
+        return book
+
     # What follows on an order
 
     def note_taken(self, order: lease.Pending, now: float) -> None:
@@ -248,4 +297,5 @@
             "withdrawn": sorted(self.withdrawn),
             "pending": self.pending,
             "stray": self.stray,
+            "inherited": [order for order, _ in self.inherited],
         }
--- a/src/wayslip/gateway/facts.py
+++ b/src/wayslip/gateway/facts.py
@@ -70,6 +70,7 @@
         in_memory: Models whose weights lie in its host memory.
         on_disk: Models whose weights lie on its disk.
         beat: Number of the heartbeat that wrote it.
+        born: When the endpoint started; see `fleet.Endpoint`.
     """
 
     endpoint: str
@@ -82,6 +83,7 @@
     in_memory: tuple[str, ...] = ()
     on_disk: tuple[str, ...] = ()
     beat: int = 0
+    born: int = 0
 
     @classmethod
     def of(cls, endpoint: fleet.Endpoint) -> "Listed":
@@ -100,6 +102,7 @@
             tuple(sorted(endpoint.in_memory)),
             tuple(sorted(endpoint.on_disk)),
             endpoint.beat,
+            endpoint.born,
         )
 
     def restore(self) -> fleet.Endpoint:
@@ -121,6 +124,7 @@
             in_memory=frozenset(self.in_memory),
             on_disk=frozenset(self.on_disk),
             beat=self.beat,
+            born=self.born,
         )
 
 
--- a/src/wayslip/gateway/following.py
+++ b/src/wayslip/gateway/following.py
@@ -129,6 +129,10 @@
                 self._replaced.add(before)
                 self._remove(before)
         for endpoint in fresh:
+            tracked = self._view.tracked.get(endpoint.name)
+            if tracked is not None and endpoint.succeeds(tracked.endpoint):
+                # Connections to the start before say nothing more.
+                self._remove(endpoint.name)
             self._view.take(endpoint)
 
     def _forget(self, name: str) -> None:
--- a/src/wayslip/gateway/ordering.py
+++ b/src/wayslip/gateway/ordering.py
@@ -286,7 +286,11 @@
             return None
         authority = engines_module.Authority(claim.holder, claim.token)
         self._metrics.count("orders", action=pending.action.value)
-        return await self._client.order(book.endpoint, pending, authority)
+        sent_at = time.monotonic()
+        outcome = await self._client.order(book.endpoint, pending, authority)
+        if outcome is engines_module.OrderOutcome.UNKNOWN:
+            book.note_unanswered(pending, sent_at)
+        return outcome
 
     async def _repeat(
         self,
--- a/src/wayslip/gateway/planner.py
+++ b/src/wayslip/gateway/planner.py
@@ -258,6 +258,8 @@
                 book = books_module.Book(tracked.endpoint)
                 books[name] = book
                 book.take_entry(tracked.endpoint, now)
+            elif tracked.endpoint.succeeds(book.endpoint):
+                books[name] = book.begin_anew(tracked.endpoint, now)
             elif book.endpoint is not tracked.endpoint:
                 book.take_entry(tracked.endpoint, now)
 
--- a/src/wayslip/gateway/view.py
+++ b/src/wayslip/gateway/view.py
@@ -91,15 +91,21 @@
     def take(self, endpoint: fleet.Endpoint) -> None:
         """Takes in an endpoint's entry, unless a newer one is known."""
         tracked = self.tracked.get(endpoint.name)
-        if tracked is not None and endpoint.beat < tracked.endpoint.beat:
+        if tracked is not None and endpoint.succeeds(tracked.endpoint):
+            # Whatever ran there, was held or was told of it ended with it.
+            self.remove(endpoint.name)
+            tracked = None
+        if tracked is not None and endpoint.is_before(tracked.endpoint):
             # It may be told late, or by an earlier holder of the lease. What
             # it does not show, as that the endpoint is leaving, still holds.
             logs.event(
                 _LOG,
                 "entry_is_old",
                 endpoint=endpoint.name,
+                born=endpoint.born,
                 beat=endpoint.beat,
-                known=tracked.endpoint.beat,
+                known_born=tracked.endpoint.born,
+                known_beat=tracked.endpoint.beat,
             )
             return
         if tracked is None:
@@ -122,6 +128,7 @@
         tracked.is_gone = True
         self._by_service.get(tracked.endpoint.service, {}).pop(name, None)
         self.prefixes.forget(name)
+        self._word = {k: w for k, w in self._word.items() if k[0] != name}
         self._log("endpoint_gone", tracked.endpoint)
 
     def replace_all(self, endpoints: Iterable[fleet.Endpoint]) -> None:
@@ -139,6 +146,7 @@
             endpoint=endpoint.name,
             service=endpoint.service,
             address=endpoint.address,
+            born=endpoint.born,
             models=",".join(sorted(endpoint.models)),
         )
 
--- a/tests/stateful/test_restarts.py
+++ b/tests/stateful/test_restarts.py
@@ -70,7 +70,7 @@
     book.inventory = inventory.Inventory(4, frozenset())
     book.note_unanswered(_LOAD, 100.0)
     after = book.begin_anew(_NEW, 101.0)
-    after.take_state(fleet.EngineState(0, False, {}, born=9), 114.0)
+    after.take_state(fleet.EngineState(0, False, {}, born=9), 113.0)
     assert ("m2", "") in after.charged()
     after.take_state(fleet.EngineState(0, False, {}, born=9), 116.0)
     assert ("m2", "") not in after.charged()
