Test that make run ends engines last and says why a command failed, failing

Cause: scripts/run_local.py tells all processes to end at the same moment, the engines too, so that a stream of more than a moment is broken off; and it prints stderr of a refused command, whose reason goes to stdout.

--- /dev/null
+++ b/tests/test_run_local.py
@@ -0,0 +1,76 @@
+"""The script behind `make run`: its order of ends, and what it says.
+
+Ctrl-C during a long stream broke the caller's answer off: all processes were
+told to end at the same moment, the engines among them, while the instances
+were to finish their streams there. And a first command that was refused ended
+the script without a reason on the screen, since the reason goes to stdout.
+"""
+
+import json
+import subprocess
+import sys
+
+import pytest
+
+from scripts import run_local
+
+_ENGINE = """
+import pathlib, signal, sys
+def end(*_):
+    pathlib.Path(sys.argv[1]).write_text("ended")
+    sys.exit(0)
+signal.signal(signal.SIGTERM, end)
+print("up", flush=True)
+signal.pause()
+"""
+_INSTANCE = """
+import pathlib, signal, sys, time
+def end(*_):
+    time.sleep(0.5)
+    found = pathlib.Path(sys.argv[1]).exists()
+    pathlib.Path(sys.argv[2]).write_text("late" if found else "in time")
+    sys.exit(0)
+signal.signal(signal.SIGTERM, end)
+print("up", flush=True)
+signal.pause()
+"""
+
+
+def _start(text, *paths):
+    process = subprocess.Popen(
+        [sys.executable, "-c", text, *map(str, paths)],
+        stdout=subprocess.PIPE,
+    )
+    assert process.stdout.readline() == b"up\n"
+    return process
+
+
+def test_engines_outlast_the_instances(tmp_path):
+    engine = _start(_ENGINE, tmp_path / "engine")
+    instance = _start(_INSTANCE, tmp_path / "engine", tmp_path / "seen")
+    run_local.stop([engine], [instance])
+    assert (tmp_path / "seen").read_text() == "in time"
+    assert engine.poll() == instance.poll() == 0
+
+
+def _run(answers):
+    """Returns a stand-in for wayslipctl that gives one answer after another."""
+    left = iter(answers)
+
+    def run(*args):
+        code, out = next(left)
+        return subprocess.CompletedProcess(args, code, out, "")
+
+    return run
+
+
+def test_refused_command_says_why():
+    refused = json.dumps({"error": "no quorum", "remedy": "wait"})
+    with pytest.raises(SystemExit, match="no quorum"):
+        run_local.apply_models(_run([(1, refused)] * 3), tries=3, pause=0.0)
+
+
+def test_command_that_came_too_early_is_repeated():
+    refused = (1, "the list of members is not known yet")
+    run = _run([refused, (0, json.dumps({"id": "p1"}))])
+    assert run_local.apply_models(run, tries=3, pause=0.0) == "p1"
