End the instances of make run before what they need

Cause: all processes were told to end at the same moment, so that a caller's stream lost its engine; and a refused first command ended the script with an empty line, because its reason goes to stdout.

The stand-ins end after the instances. A command that comes before the instances know each other is repeated for 10 s, and what a refused one said, on either output, is printed. Why the first command was refused once in five starts beside load was not seen here; the next time it says so.

--- a/scripts/run_local.py
+++ b/scripts/run_local.py
@@ -5,6 +5,7 @@
 curl line and waits. Ctrl-C or SIGTERM ends all processes by a planned stop.
 """
 
+from collections.abc import Callable
 import json
 import os
 import pathlib
@@ -24,6 +25,11 @@
 SERVICE_PORT = 6201
 CAPACITY = 80_000_000
 HALLS = ("salt-lake", "howrah-hall", "newtown")
+# A first command may come before the instances know each other, seconds.
+_TRIES = 20
+_PAUSE_SECONDS = 0.5
+# Longer than an instance's `drain.finish_seconds`.
+_END_SECONDS = 40
 _PREFIX = f"http://127.0.0.1:{OBJECT_PORT}/apis/wayslip.io/v1"
 
 SETTINGS = """\
@@ -62,22 +68,26 @@
 
 def main() -> int:
     """Runs until a signal; returns the exit code."""
-    processes: list[subprocess.Popen] = []
+    stand_ins: list[subprocess.Popen] = []
+    instances: list[subprocess.Popen] = []
     signal.signal(signal.SIGTERM, _raise_interrupt)
     try:
-        _start_stand_ins(processes)
+        _start_stand_ins(stand_ins)
         _put_endpoints()
-        _start_instances(processes)
+        _start_instances(instances)
         _seed()
         _print_help()
-        while all(p.poll() is None for p in processes):
+        while all(p.poll() is None for p in [*stand_ins, *instances]):
             time.sleep(0.5)
         print("a process ended; see the log above", file=sys.stderr)
         return 1
     except KeyboardInterrupt:
         return 0
     finally:
-        _stop(processes)
+        # A second Ctrl-C would leave processes behind.
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, signal.SIG_IGN)
+        stop(stand_ins, instances)
 
 
 def _raise_interrupt(number: int, frame: object) -> None:
@@ -168,24 +178,54 @@
 
 def _seed() -> None:
     """Applies the example's models as an operator would."""
+    plan = apply_models(_control)
+    confirmed = _control("confirm", plan, "--wait", "30")
+    if confirmed.returncode:
+        raise SystemExit(_describe("confirm", confirmed))
+    # The engines now hold the models; the entries hear of it by their polls.
+    ready = "http://127.0.0.1:9180/readyz"
+    _wait_until(lambda: urllib.request.urlopen(ready, timeout=2))
+    time.sleep(1.5)
+
+
+def _control(*args: str) -> subprocess.CompletedProcess[str]:
+    """Runs wayslipctl as the local operator."""
     env = {
         **os.environ,
         "WAYSLIP_KEY": OPERATOR_KEY,
         "PYTHONPATH": f"{ROOT}/src",
     }
-    ctl = [sys.executable, "-m", "wayslip.cli.ctl"]
+    command = [sys.executable, "-m", "wayslip.cli.ctl", *args]
+    return subprocess.run(command, env=env, capture_output=True, text=True)
+
+
+def apply_models(
+    run: Callable[..., subprocess.CompletedProcess[str]],
+    tries: int = _TRIES,
+    pause: float = _PAUSE_SECONDS,
+) -> str:
+    """Applies the example's models; returns the plan's id.
+
+    Instances that have just started may not know each other yet and refuse.
+
+    Args:
+        run: Runs wayslipctl with some arguments.
+        tries: Times that it is asked.
+        pause: Between them, seconds.
+    """
     models = str(ROOT / "examples" / "models.toml")
-    applied = subprocess.run(
-        [*ctl, "--json", "apply", models], env=env, capture_output=True
-    )
-    if applied.returncode:
-        raise SystemExit(applied.stderr.decode())
-    plan = json.loads(applied.stdout)["id"]
-    subprocess.run([*ctl, "confirm", plan, "--wait", "30"], env=env, check=True)
-    # The engines now hold the models; the entries hear of it by their polls.
-    ready = "http://127.0.0.1:9180/readyz"
-    _wait_until(lambda: urllib.request.urlopen(ready, timeout=2))
-    time.sleep(1.5)
+    for _ in range(tries):
+        applied = run("--json", "apply", models)
+        if not applied.returncode:
+            return str(json.loads(applied.stdout)["id"])
+        time.sleep(pause)
+    raise SystemExit(_describe("apply", applied))
+
+
+def _describe(verb: str, ended: subprocess.CompletedProcess[str]) -> str:
+    """Returns why a command failed; with --json it says so on stdout."""
+    said = f"{ended.stderr}\n{ended.stdout}".strip()
+    return f"wayslipctl {verb} ended with {ended.returncode}: {said}"
 
 
 def _print_help() -> None:
@@ -206,17 +246,23 @@
     )
 
 
-def _stop(processes: list[subprocess.Popen]) -> None:
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, signal.SIG_IGN)
-    # Instances first, so that their streams can finish at the engines.
-    for process in reversed(processes):
-        process.terminate()
-    for process in reversed(processes):
-        try:
-            process.wait(timeout=40)
-        except subprocess.TimeoutExpired:
-            process.kill()
+def stop(
+    stand_ins: list[subprocess.Popen], instances: list[subprocess.Popen]
+) -> None:
+    """Ends all processes, those that the instances need after them."""
+    for group in (instances, stand_ins):
+        for process in group:
+            process.terminate()
+        for process in group:
+            _wait_for_end(process)
+
+
+def _wait_for_end(process: subprocess.Popen) -> None:
+    try:
+        process.wait(timeout=_END_SECONDS)
+    except subprocess.TimeoutExpired:
+        print(f"process {process.pid} is killed: it did not end in time")
+        process.kill()
 
 
 if __name__ == "__main__":
