--- a/src/wayslip/decisions/sourcing.py
+++ b/src/wayslip/decisions/sourcing.py
@@ -4,8 +4,8 @@
 same moment each of 60 to 400 instances wants it, over links of 5 Mbit/s and
 more. Read from the store by each it takes 1.7 s of such a link, in which
 callers' answers are late, and a second change waits for the first. Handed on
-between instances it is a tenth of that, compressed, and the store's calls do
-not grow with the fleet.
+between instances it is a fifteenth of that, compressed, and the store's calls
+do not grow with the fleet.
 
 The lease's holder has it first. Were it asked by all, it would send the whole
 fleet's copies over one link; so some ask it, and the others ask each other a
@@ -15,8 +15,8 @@
 from collections.abc import Sequence
 import random
 
-# Instances that ask the lease's holder at once, on average: 24 copies of 0.07 MB
-# take 0.14 s of a link of 100 Mbit/s.
+# Instances that ask the lease's holder at once, on average: 24 copies of
+# 0.07 MB take 0.14 s of a link of 100 Mbit/s.
 HOLDER_MOST = 24.0
 # Copies already on their way may delay the next one by this much, seconds. An
 # instance that is refused finds another one sooner.
