--- a/src/wayslip/gateway/distribution.py
+++ b/src/wayslip/gateway/distribution.py
@@ -85,9 +85,10 @@
     # Asking
 
     async def obtain(self) -> None:
-        """Asks other instances for what we lack, until we have it or for long.
+        """Asks other instances for the configuration that we lack.
 
-        The store is read afterwards if we still lack it.
+        Returns once we have it, or after `Bounds.copies` without a copy; the
+        store is read then.
         """
         end = time.monotonic() + self._options.bounds.copies
         while self.is_behind and time.monotonic() < end:
--- a/src/wayslip/story.py
+++ b/src/wayslip/story.py
@@ -44,7 +44,10 @@
     "timed_out_waiting": "its time ended before it was sent; it was not run",
     "no_configuration": "this instance knew no configuration; it was not run",
     "no_route": "no route has its host and path",
-    "old_configuration": "no route is known, and a newer configuration may be",
+    "old_configuration": (
+        "no route has its host and path here, but a newer configuration may"
+        " have one; it was not run"
+    ),
     "unclear": "the endpoint broke off; it may have run",
     "endpoint_failed": "the endpoint failed and its failure was passed on",
     "broken_off": "its stream broke off and may not go on elsewhere",
