Test that a second signal does not break the end of make run off, failing

Seen in a fresh clone: SIGTERM to the group reached the script twice, since make hands it on; the second raised amid the clean-up, and nine processes went on.

--- a/tests/test_run_local.py
+++ b/tests/test_run_local.py
@@ -7,6 +7,7 @@
 """
 
 import json
+import signal
 import subprocess
 import sys
 
@@ -74,3 +75,22 @@
     refused = (1, "the list of members is not known yet")
     run = _run([refused, (0, json.dumps({"id": "p1"}))])
     assert run_local.apply_models(run, tries=3, pause=0.0) == "p1"
+
+
+def test_second_signal_does_not_break_the_end_off():
+    # SIGTERM to the group comes twice, once more from make. The second came
+    # before it was ignored, raised amid the clean-up, and left all processes:
+    #
+    #   line 89, in main: signal.signal(number, signal.SIG_IGN)
+    #   line 94, in _raise_interrupt: raise KeyboardInterrupt
+    numbers = (signal.SIGTERM, signal.SIGINT)
+    before = [signal.getsignal(n) for n in numbers]
+    try:
+        run_local.listen_for_signals()
+        with pytest.raises(KeyboardInterrupt):
+            signal.raise_signal(signal.SIGTERM)
+        for number in numbers:
+            signal.raise_signal(number)
+    finally:
+        for number, handler in zip(numbers, before, strict=True):
+            signal.signal(number, handler)
