Ignore further signals from the first one on in make run

Cause: the handler raised for every signal, and the script began to ignore them only once it was in its clean-up. make hands SIGTERM on, so that a group's signal comes twice.

The handler itself has later ones ignored before it raises.

--- a/scripts/run_local.py
+++ b/scripts/run_local.py
@@ -25,6 +25,7 @@
 SERVICE_PORT = 6201
 CAPACITY = 80_000_000
 HALLS = ("salt-lake", "howrah-hall", "newtown")
+_ENDING_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 # A first command may come before the instances know each other, seconds.
 _TRIES = 20
 _PAUSE_SECONDS = 0.5
@@ -70,7 +71,7 @@
     """Runs until a signal; returns the exit code."""
     stand_ins: list[subprocess.Popen] = []
     instances: list[subprocess.Popen] = []
-    signal.signal(signal.SIGTERM, _raise_interrupt)
+    listen_for_signals()
     try:
         _start_stand_ins(stand_ins)
         _put_endpoints()
@@ -84,13 +85,22 @@
     except KeyboardInterrupt:
         return 0
     finally:
-        # A second Ctrl-C would leave processes behind.
-        for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, signal.SIG_IGN)
         stop(stand_ins, instances)
 
 
+def listen_for_signals() -> None:
+    """Has the first SIGTERM or SIGINT end the script, and later ones ignored.
+
+    A group's signal comes twice, once more from make. A second one that
+    interrupts the clean-up would leave processes behind.
+    """
+    for number in _ENDING_SIGNALS:
+        signal.signal(number, _raise_interrupt)
+
+
 def _raise_interrupt(number: int, frame: object) -> None:
+    for ending in _ENDING_SIGNALS:
+        signal.signal(ending, signal.SIG_IGN)
     raise KeyboardInterrupt
 
 
