Wait for a due report before a model is refused after a loss

A request waits for one report of each engine that was not asked since the loss, for two polls and 0.5 s at most; else it is refused at once as before.

--- a/src/wayslip/entry/choosing.py
+++ b/src/wayslip/entry/choosing.py
@@ -93,26 +93,32 @@
                 that was tried only.
 
         Returns:
-            The choice, or why the job is refused. If an engine lacked what
-            its report showed, reports that show who holds it now are waited
-            for first: the old version goes once the new one is there.
+            The choice, or why the job is refused. Reports that show who holds
+            its model now are waited for first where they are due.
         """
-        limit = time.monotonic() + self._find_patience(tried)
+        polls = _REPORTS_AWAITED * self._settings.routing.poll_seconds
+        limit = time.monotonic() + polls + _REPORT_SLACK_SECONDS
         found = self._choose_now(job, tried)
         while isinstance(found, refusals.Refusal):
             is_over = time.monotonic() >= min(limit, job.deadline)
-            if is_over or found.reason is not refusals.Reason.NOT_LOADED:
+            is_missing = found.reason is refusals.Reason.NOT_LOADED
+            if is_over or not is_missing or not self._is_news_due(job, tried):
                 break
             time.sleep(_LOOK_SECONDS)
             found = self._choose_now(job, tried)
         return found
 
-    def _find_patience(self, tried: frozenset[Try]) -> float:
-        """Returns the seconds for which new reports are worth waiting for."""
-        if not any(self._view.lacks(t.endpoint, t.engine_model) for t in tried):
-            return 0.0
-        polls = _REPORTS_AWAITED * self._settings.routing.poll_seconds
-        return polls + _REPORT_SLACK_SECONDS
+    def _is_news_due(self, job: Job, tried: frozenset[Try]) -> bool:
+        """Whether new reports may show who holds a job's model now.
+
+        An engine that lacked a model's old version may hold the new one: the
+        old one goes once the new one is there. And where the only known holder
+        leaves, another may have loaded the model since its last report. Without
+        the wait such requests were refused though an engine could serve them.
+        """
+        return any(
+            self._view.lacks(t.endpoint, t.engine_model) for t in tried
+        ) or self._view.is_report_due(job.target.engines)
 
     def _choose_now(
         self, job: Job, tried: frozenset[Try]
--- a/src/wayslip/entry/view.py
+++ b/src/wayslip/entry/view.py
@@ -80,6 +80,8 @@
         self._dialect = engine_module.DIALECTS.get("openai")
         self._lock = threading.Lock()
         self._tracked: dict[str, _Tracked] = {}
+        # When an endpoint last left, or went from the list.
+        self._lost_at = float("-inf")
         self.prefixes = prefixes.PrefixIndex()
         self._pool = concurrent.futures.ThreadPoolExecutor(
             _POLL_THREADS, thread_name_prefix="poll"
@@ -283,6 +285,19 @@
             report = tracked.report if tracked is not None else None
             return report is not None and item not in report.resident
 
+    def is_report_due(self, names: Sequence[str]) -> bool:
+        """Whether an endpoint was not asked for a report since the last loss.
+
+        An endpoint that leaves, or goes from the list, may have been the only
+        one known to hold a model that another has loaded since its report.
+        """
+        with self._lock:
+            return any(
+                self._tracked[n].asked_at <= self._lost_at
+                for n in names
+                if n in self._tracked and self._tracked[n].health.is_usable
+            )
+
     def note_refusal(self, name: str) -> None:
         """Notes that an endpoint refused work because it leaves."""
         self._leave(name, health_module.Sign.REFUSAL)
@@ -302,6 +317,8 @@
             if tracked is None:
                 return
             was_leaving = tracked.health.is_leaving
+            if not was_leaving:
+                self._lost_at = now
             tracked.health = tracked.health.leave(sign, now)
         if was_leaving:
             return
@@ -323,7 +340,8 @@
     def _take_listed(self, name: str, value: kinds.Endpoint | None) -> None:
         if value is None:
             with self._lock:
-                self._tracked.pop(name, None)
+                if self._tracked.pop(name, None) is not None:
+                    self._lost_at = time.monotonic()
             self.prefixes.forget(name)
             return
         self.adopt(value)
--- a/tests/faults/test_endpoints.py
+++ b/tests/faults/test_endpoints.py
@@ -35,7 +35,8 @@
     # here, once in each of two whole CI runs beside load.
     # Sequence: two engines hold m; an entry's last report of one is older
     # than the load there, so it knows of the other only; that one is listed as
-    # leaving; until its next poll the entry refuses every request for m as not loaded.
+    # leaving; until its next poll the entry refuses every request for m as
+    # not loaded.
     # Cause: who knows no holder refuses at once, though the model's only known
     # holder has just been taken out and a report that shows another is due.
     # Polls of 0.8 s make the entry that late on every machine.
@@ -49,11 +50,11 @@
             for name, engine in fleet.engines.items()
             if item in engine.report()["resident"]
         ]
+        entry.view.note_missing(other, item)
         fleet.list_leaving(known)
         system_module.wait_until(
             lambda: not entry.view.usable([known]), "the known holder is unused"
         )
-        entry.view.note_missing(other, item)
         reply = fleet.complete(0)
         assert reply.status == 200, reply.body
 
