--- /dev/null
+++ b/tests/decisions/test_access.py
@@ -0,0 +1,72 @@
+import pytest
+
+from wayslip.decisions import access
+from wayslip.decisions import manifest as manifest_module
+from wayslip.decisions import organisations
+
+KEY = organisations.hash_key(b"k1")
+SHOP = organisations.Organisation("shop", (KEY,))
+SURE = access.Sight(True, True)
+
+
+def make_route(is_public=False):
+    return manifest_module.Route(
+        "r",
+        "h",
+        "/a/",
+        manifest_module.RequestKind.ONCE,
+        1.0,
+        1.0,
+        0,
+        (manifest_module.Split("s", 1.0),),
+        is_public=is_public,
+    )
+
+
+def make_manifest(*callers):
+    return manifest_module.Manifest(1, (), {}, organisations=callers)
+
+
+@pytest.mark.parametrize(
+    ("key", "is_public", "sight", "verdict", "caller"),
+    [
+        (KEY, False, SURE, access.Verdict.ALLOWED, SHOP),
+        (KEY, False, access.Sight(True, False), access.Verdict.ALLOWED, SHOP),
+        (None, False, SURE, access.Verdict.UNKNOWN_KEY, None),
+        (b"other", False, SURE, access.Verdict.UNKNOWN_KEY, None),
+        (
+            b"other",
+            False,
+            access.Sight(True, False),
+            access.Verdict.OLD_CONFIGURATION,
+            None,
+        ),
+        (
+            KEY,
+            False,
+            access.Sight(False, False),
+            access.Verdict.UNCONFIRMED,
+            None,
+        ),
+        (
+            b"other",
+            False,
+            access.Sight(False, True),
+            access.Verdict.UNCONFIRMED,
+            None,
+        ),
+        (None, True, access.Sight(False, False), access.Verdict.ALLOWED, None),
+        (KEY, True, SURE, access.Verdict.ALLOWED, SHOP),
+        (KEY, True, access.Sight(False, True), access.Verdict.ALLOWED, None),
+    ],
+)
+def test_key_is_judged(key, is_public, sight, verdict, caller):
+    found = access.judge(make_manifest(SHOP), make_route(is_public), key, sight)
+    assert found == (verdict, caller)
+
+
+def test_without_organisations_nobody_needs_a_key():
+    found = access.judge(
+        make_manifest(), make_route(), None, access.Sight(False, False)
+    )
+    assert found == (access.Verdict.ALLOWED, None)
--- /dev/null
+++ b/tests/decisions/test_freshness.py
@@ -0,0 +1,77 @@
+import hypothesis
+from hypothesis import strategies as st
+
+from wayslip.decisions import freshness
+
+BOUND = 5.0
+
+
+def make(**fields):
+    return freshness.Freshness(BOUND, **fields)
+
+
+def test_nothing_is_relied_on_before_a_confirmation():
+    assert not make().is_reliable(0.0)
+
+
+def test_confirmation_lasts_for_less_than_the_bound():
+    known = make(held=3).confirm(3, 100.0)
+    assert known.is_reliable(103.8)
+    assert not known.is_reliable(104.0)
+
+
+def test_old_word_does_not_shorten_newer_word():
+    known = make(held=3).confirm(3, 100.0).confirm(3, 90.0)
+    assert known.is_reliable(103.8)
+
+
+def test_word_of_an_older_version_proves_what_came_after_it():
+    known = make(held=5).confirm(3, 100.0)
+    assert known.is_reliable(103.8)
+
+
+def test_word_of_a_newer_version_proves_nothing_of_ours_until_it_is_held():
+    known = make(held=3).confirm(3, 100.0).confirm(4, 103.0)
+    # What was known of version 3 stays true.
+    assert known.is_reliable(103.8)
+    assert not known.is_reliable(104.5)
+    assert known.hold(4).is_reliable(104.5)
+
+
+def test_a_bound_that_is_not_set_never_lapses():
+    assert freshness.Freshness(None).is_reliable(1e9)
+
+
+@hypothesis.given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(("change", "read", "vouch", "pause", "take")),
+            st.floats(0.0, 3.0),
+        ),
+        max_size=60,
+    )
+)
+def test_no_version_is_relied_on_once_it_was_replaced_for_the_bound(steps):
+    """One instance among changes, reads, word of a peer and pauses.
+
+    A read shows the newest when it is sent; its answer may come much later.
+    """
+    now, newest, changed_at = 0.0, 1, {1: 0.0}
+    known = make()
+    for step, seconds in steps:
+        if step == "change":
+            newest += 1
+            changed_at[newest] = now
+        elif step in ("read", "vouch"):
+            asked_at, version = now, newest
+            now += seconds
+            if step == "read":
+                known = known.hold(version)
+            known = known.confirm(version, asked_at)
+        elif step == "take":
+            known = known.hold(newest)
+        else:
+            now += seconds
+        replaced = changed_at.get(known.held + 1)
+        if replaced is not None and now > replaced + BOUND:
+            assert not known.is_reliable(now)
--- /dev/null
+++ b/tests/gateway/test_organisations.py
@@ -0,0 +1,147 @@
+"""Keys and quotas through a whole gateway."""
+
+import dataclasses
+
+from standins import platform_site
+from tests.gateway import harness
+from wayslip.gateway import facts
+
+KEYS = {"shop": "key-of-shop-1", "bank": "key-of-bank-1"}
+
+
+def organisation(name, **fields):
+    return {
+        "name": name,
+        "api_keys": [KEYS[name]],
+        "unit": "tokens",
+        "plain_tokens": 200,
+        "rate_per_s": 0,
+        **fields,
+    }
+
+
+def configure(system, version, *organisations, **routes):
+    value = platform_site.manifest(version)
+    value["tenants"] = list(organisations)
+    for route in value["routes"]:
+        route.update(routes.get(route["name"], {}))
+    system.store.put("config", "main", value)
+
+
+async def begin(system, *organisations, **routes):
+    configure(system, 2, *organisations, **routes)
+    await system.until(lambda: system.gateway.holder.version == 2)
+    await system.until(lambda: system.gateway._confirmations.is_reliable)
+    await system.until(lambda: system.gateway._placement.instances == 1)
+    return await system.add("e1", "plain")
+
+
+@harness.run
+async def test_key_becomes_the_organisation_and_goes_no_further(system):
+    engine = await begin(system, organisation("shop"), organisation("bank"))
+    answer = await system.ask(
+        "/get/a",
+        Wayslip_Key=KEYS["shop"],
+        Wayslip_Tenant="bank",
+        wayslip__tenant="bank",
+    )
+    assert answer.status == 200
+    received = engine.received[0].headers
+    assert received["wayslip-tenant"] == "shop"
+    assert "wayslip-key" not in received
+    assert KEYS["shop"] not in str(engine.received[0])
+
+
+@harness.run
+async def test_unknown_key_is_refused_for_good(system):
+    engine = await begin(system, organisation("shop"))
+    for fields in ({}, {"Wayslip_Key": "no-key"}, {"Wayslip_Key": ""}):
+        answer = await system.ask("/get/a", **fields)
+        assert answer.status == 401
+    assert not engine.received
+
+
+@harness.run
+async def test_public_route_needs_no_key(system):
+    engine = await begin(system, organisation("shop"), get={"public": True})
+    answer = await system.ask("/get/a", Wayslip_Tenant="shop")
+    assert answer.status == 200
+    assert "wayslip-tenant" not in engine.received[0].headers
+
+
+@harness.run
+async def test_key_that_is_taken_away_stops(system):
+    engine = await begin(system, organisation("shop"), organisation("bank"))
+    assert (await system.ask("/get/a", Wayslip_Key=KEYS["bank"])).status == 200
+    configure(system, 3, organisation("shop"))
+    await system.until(lambda: system.gateway.holder.version == 3)
+    answer = await system.ask("/get/a", Wayslip_Key=KEYS["bank"])
+    assert answer.status == 401
+    assert len(engine.received) == 1
+
+
+@harness.run
+async def test_keys_lapse_where_nobody_confirms_them(system):
+    # With a bound of 1.6 s keys are relied on for 0.5 s without a word.
+    bounds = dataclasses.replace(system.options.bounds, revocation=1.6)
+    await begin(system, organisation("shop"), get={"public": True})
+    gateway = await system.join("g2", bounds)
+    await system.until(lambda: gateway._confirmations.is_reliable)
+    system.store.faults.is_down = True
+    await system.kill(system.gateway)
+    await system.until(lambda: not gateway._confirmations.is_reliable)
+    assert gateway.is_ready()
+
+
+@harness.run
+async def test_instance_that_the_store_turns_away_is_confirmed_by_another(
+    system,
+):
+    bounds = dataclasses.replace(system.options.bounds, revocation=5.0)
+    await begin(system, organisation("shop"))
+    gateway = await system.join("g2", bounds)
+    other = await system.join("g3", bounds)
+    before = gateway._confirmations.freshness.proven_at
+    other._configurations._on_read(before + 1.0, frozenset())
+    gateway._hub.send(facts.Confirm(1), ("127.0.0.1", 9))
+    gateway._confirmations._attempts = 5
+    gateway._confirmations._choose = lambda: [other._options.peers]
+    gateway._confirmations._ask(before + 1.5)
+    await system.until(
+        lambda: gateway._confirmations.freshness.proven_at > before
+    )
+
+
+@harness.run
+async def test_what_exceeds_the_quota_is_refused_with_a_time(system):
+    quota = organisation("shop", rate_per_s=1000, burst=1000)
+    engine = await begin(system, quota, organisation("bank"))
+    statuses = []
+    for number in range(30):
+        answer = await system.ask(
+            "/get/a", f"r{number}", Wayslip_Key=KEYS["shop"]
+        )
+        statuses.append(answer.status)
+        if answer.status == 429:
+            assert float(answer.headers["retry-after"]) > 0
+    assert set(statuses) == {200, 429}
+    assert statuses[0] == 200
+    # 200 units each, and less than half a second passes.
+    assert len(engine.received) <= 10
+    answer = await system.ask("/get/a", Wayslip_Key=KEYS["bank"])
+    assert answer.status == 200
+
+
+@harness.run
+async def test_request_that_was_not_run_gives_its_units_back(system):
+    quota = organisation("shop", rate_per_s=1000, burst=1000)
+    configure(system, 2, quota)
+    await system.until(lambda: system.gateway.holder.version == 2)
+    await system.until(lambda: system.gateway._confirmations.is_reliable)
+    await system.until(lambda: system.gateway._placement.instances == 1)
+    for number in range(30):
+        answer = await system.ask(
+            "/get/a", f"r{number}", Wayslip_Key=KEYS["shop"]
+        )
+        # There is no endpoint; the quota must not be what refuses.
+        assert answer.status == 503
--- /dev/null
+++ b/tests/stateful/quota_world.py
@@ -0,0 +1,262 @@
+"""Instances that share quotas, in simulated time, over a lossy network.
+
+Every instance runs the real limiter, whoever holds the lease the real ledger.
+Clients keep to few instances, as a balancer that hashes them makes them.
+"""
+
+import collections
+import dataclasses
+import heapq
+import random
+from unittest import mock
+
+from wayslip.decisions import manifest as manifest_module
+from wayslip.decisions import organisations
+from wayslip.decisions import quota
+from wayslip.gateway import configuration
+from wayslip.gateway import facts
+from wayslip.gateway import limits
+
+STEP = 0.01
+REPORT = 0.25
+STATE = 0.25
+WINDOW = 8.0
+OVER = 0.1
+SLACK = 17_000.0
+PROMPT = 2_400
+ALLOWANCE = quota.Allowance(WINDOW, OVER, SLACK)
+
+
+class Clock:
+    """Stands in for the time module."""
+
+    def __init__(self):
+        self.now = 100.0
+
+    def monotonic(self):
+        return self.now
+
+
+@dataclasses.dataclass
+class Instance:
+    limiter: limits.Limiter
+    ledger: limits.Ledger
+    name: str
+    process: int = 0
+    number: int = 0
+    due: float = 0.0
+    is_cut: bool = False
+    # Whom it reports to: the holder that it heard last.
+    holder: int = 0
+    term: int = 0
+
+
+class QuotaWorld:
+    """Counts what is sent on, and what is refused beneath the quota.
+
+    Args:
+        seed: Of everything that is drawn.
+        count: Instances.
+        rates: Quota of each organisation, units a second; its burst is that
+            of one second.
+        delay: Of a message, seconds; drawn up to this.
+        loss: Share of the messages that get lost.
+    """
+
+    def __init__(self, seed, count, rates, delay=0.06, loss=0.02):
+        self.rng = random.Random(seed)
+        self.clock = Clock()
+        self.rates = rates
+        self.delay, self.loss = delay, loss
+        self.organisations = {
+            name: organisations.Organisation(
+                name,
+                quota=organisations.Quota(
+                    rate, rate, organisations.Unit.TOKENS, 200.0
+                ),
+            )
+            for name, rate in rates.items()
+        }
+        self.version = 1
+        self.instances = [self._start(f"i{n}", 0) for n in range(count)]
+        self.homes = {
+            name: self.rng.choices(range(count), k=11) for name in rates
+        }
+        self.holder = 0
+        self.term = 1
+        self.told = ()
+        self.state_due = 0.0
+        self._messages = []
+        self._order = 0
+        self.sent = collections.defaultdict(list)
+        self.refused = collections.Counter()
+        self.asked = collections.Counter()
+        self._owed = {n: (r, self.clock.now) for n, r in rates.items()}
+        self._begin_term()
+        # Instances hear the holder before their clients come.
+        self.run(3.0, {})
+
+    def _begin_term(self):
+        with mock.patch.object(limits, "time", self.clock):
+            self.instances[self.holder].ledger.begin()
+
+    def _start(self, name, process):
+        holder = configuration.Holder()
+        holder.offer(self._manifest())
+        limiter = limits.Limiter(holder, ALLOWANCE)
+        ledger = limits.Ledger(holder, limiter, ALLOWANCE)
+        return Instance(limiter, ledger, name, process, due=self.clock.now)
+
+    def _manifest(self):
+        found = tuple(self.organisations.values())
+        return manifest_module.Manifest(
+            self.version, (), {}, organisations=found
+        )
+
+    # Troubles
+
+    def restart(self, number):
+        """Kills an instance's process and starts another."""
+        old = self.instances[number]
+        self.instances[number] = self._start(old.name, old.process + 1)
+
+    def hand_over(self, number):
+        """Has another instance take the lease."""
+        self.holder = number
+        self.term += 1
+        self.told = ()
+        self._begin_term()
+        self.state_due = self.clock.now
+
+    # Time
+
+    def run(self, seconds, demand, cuts=()):
+        """Plays on.
+
+        Args:
+            seconds: How long.
+            demand: Units a second that each organisation asks for.
+            cuts: Instances that hear and are heard by nobody.
+        """
+        for number, instance in enumerate(self.instances):
+            instance.is_cut = number in cuts
+        end = self.clock.now + seconds
+        with mock.patch.object(limits, "time", self.clock):
+            while self.clock.now < end:
+                self.clock.now += STEP
+                self._deliver()
+                for name, rate in demand.items():
+                    self._ask(name, rate)
+                self._talk()
+
+    def _ask(self, name, rate):
+        mean = rate * STEP / PROMPT
+        while mean > 0:
+            if self.rng.random() < min(mean, 1.0):
+                self._ask_once(name)
+            mean -= 1.0
+
+    def _ask_once(self, name):
+        units = self.rng.uniform(0.2, 1.8) * PROMPT
+        home = self.rng.choice(self.homes[name])
+        organisation = self.organisations[name]
+        wait = self.instances[home].limiter.admit(organisation, units)
+        self.asked[name] += units
+        is_owed = self._is_owed(name, units)
+        if wait is None:
+            self.sent[name].append((self.clock.now, units))
+        elif is_owed:
+            self.refused[name] += units
+
+    def _is_owed(self, name, units):
+        """Takes a request from a bucket that everybody could see at once."""
+        level, at = self._owed[name]
+        rate = self.organisations[name].quota.rate
+        level = min(level + rate * (self.clock.now - at), rate)
+        is_owed = level >= units
+        self._owed[name] = (level - units * is_owed, self.clock.now)
+        return is_owed
+
+    def _talk(self):
+        now = self.clock.now
+        for instance in self.instances:
+            is_hasty = instance.limiter.is_report_due
+            if now >= instance.due or is_hasty:
+                instance.due = now + REPORT
+                self._report(instance)
+        holder = self.instances[self.holder]
+        if now >= self.state_due or holder.ledger.is_news(self.told):
+            self.state_due = now + STATE
+            self.told = holder.ledger.list_words()
+            for instance in self.instances:
+                self._send(holder, instance, self._make_state())
+
+    def _make_state(self):
+        seen = facts.Seen(0, 0.0)
+        return facts.State(
+            self.term,
+            self.holder,
+            "",
+            True,
+            1,
+            seen,
+            seen,
+            (),
+            levels=self.told,
+        )
+
+    def _report(self, instance):
+        instance.number += 1
+        report = facts.Report(
+            instance.name,
+            "",
+            str(instance.process),
+            instance.number,
+            False,
+            (),
+            (),
+            spendings=instance.limiter.list_spendings(),
+        )
+        self._send(instance, self.instances[instance.holder], report)
+
+    def _send(self, source, target, message):
+        if source is not target:
+            is_lost = self.rng.random() < self.loss
+            if source.is_cut or target.is_cut or is_lost:
+                return
+        at = self.clock.now + self.rng.uniform(0.005, self.delay)
+        self._order += 1
+        heapq.heappush(self._messages, (at, self._order, target, message))
+
+    def _deliver(self):
+        while self._messages and self._messages[0][0] <= self.clock.now:
+            _, _, target, message = heapq.heappop(self._messages)
+            if isinstance(message, facts.Report):
+                if target is self.instances[self.holder]:
+                    target.ledger.take(message)
+            elif message.term >= target.term:
+                target.term, target.holder = message.term, message.revision
+                target.limiter.hear(message)
+
+    # What counts
+
+    def find_excess(self, name):
+        """Returns by how many units the worst window exceeds what is allowed.
+
+        Below zero where it stays beneath.
+        """
+        rate = self.rates[name]
+        allowed = (rate * WINDOW + rate) * (1 + OVER) + SLACK
+        worst, total = 0.0, 0.0
+        window = collections.deque()
+        for at, units in self.sent[name]:
+            window.append((at, units))
+            total += units
+            while window[0][0] < at - WINDOW:
+                total -= window.popleft()[1]
+            worst = max(worst, total)
+        return worst - allowed
+
+    def find_wrongly_refused(self, name):
+        """Returns the share of the units that were refused though owed."""
+        return self.refused[name] / max(self.asked[name], 1.0)
--- /dev/null
+++ b/tests/stateful/test_quotas.py
@@ -0,0 +1,64 @@
+"""Quotas over all instances: never exceeded, and nothing refused beneath."""
+
+import pytest
+
+from tests.stateful import quota_world
+
+RATES = {"large": 72_000.0, "other": 30_000.0, "small": 4_200.0}
+USUAL = {name: rate / 1.8 for name, rate in RATES.items()}
+
+
+def play_hot(world, name="large", factor=7.5):
+    hot = {**USUAL, name: USUAL[name] * factor}
+    world.run(4.0, USUAL)
+    world.run(11.0, hot)
+    world.run(4.0, USUAL)
+
+
+def check(world):
+    for name in RATES:
+        assert world.find_excess(name) <= 0, name
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("count", [6, 90, 300])
+def test_organisation_far_beyond_its_quota_is_held_to_it(seed, count):
+    world = quota_world.QuotaWorld(seed, count, RATES)
+    play_hot(world)
+    check(world)
+    # The others lose nothing by it.
+    assert world.find_wrongly_refused("other") < 0.01
+    assert world.find_wrongly_refused("small") < 0.01
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_usual_demand_is_never_refused(seed):
+    world = quota_world.QuotaWorld(seed, 90, RATES)
+    world.run(20.0, USUAL)
+    for name in RATES:
+        assert world.find_wrongly_refused(name) < 0.005, name
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_quota_holds_while_a_third_hears_nobody(seed):
+    world = quota_world.QuotaWorld(seed, 90, RATES)
+    hot = {**USUAL, "large": USUAL["large"] * 6}
+    world.run(4.0, USUAL)
+    world.run(2.0, hot)
+    # Keys lapse after this time at an instance that hears nobody.
+    world.run(3.9, hot, cuts=range(30, 60))
+    world.run(6.0, hot)
+    check(world)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_quota_holds_while_holders_change_and_instances_start_again(seed):
+    world = quota_world.QuotaWorld(seed, 90, RATES)
+    hot = {**USUAL, "large": USUAL["large"] * 6}
+    world.run(4.0, USUAL)
+    for number in range(1, 5):
+        world.run(2.0, hot)
+        world.hand_over(number)
+        world.restart(world.homes["large"][number])
+        world.run(0.5, hot)
+    check(world)
