--- a/src/wayslip/decisions/quota.py
+++ b/src/wayslip/decisions/quota.py
@@ -22,8 +22,8 @@
 # it, seconds: a report and a state.
 _LATE_SECONDS = 0.5
 # Part of what is allowed beyond a quota that is given to the burst; the rest is
-# for late word. Without it 6 in 100 of the units of an organisation with 4,200 a
-# second, asked for 0.55 of that in requests of 2,400, are refused beneath its
+# for late word. Without it 6 in 100 of the units of an organisation with 4,200
+# a second, asked for 0.55 of that in requests of 2,400, are refused beneath its
 # quota, 17 at the worst of six days; with it none (simulated fleet of 90).
 _ALLOWED_PART = 0.4
 # An instance that has not heard a level yet takes the quota as spread over
