Take less of a quota before a holder was heard

Cause: each instance that had heard no holder since its start took an eighth of the burst and of the rate; an organisation's clients come to eleven and more.

--- a/src/wayslip/decisions/quota.py
+++ b/src/wayslip/decisions/quota.py
@@ -26,9 +26,12 @@
 # a second, asked for 0.55 of that in requests of 2,400, are refused beneath its
 # quota, 17 at the worst of six days; with it none (simulated fleet of 90).
 _ALLOWED_PART = 0.4
-# An instance that has not heard a level yet takes the quota as spread over
-# this many instances.
-_UNHEARD_PARTS = 8.0
+# An instance that has not heard a level yet takes the rate as spread over this
+# many instances, and has saved up nothing but a part of a second. Where all
+# instances were killed amid a demand of 4.8 times the usual, eight parts, and
+# as much of the burst, exceed what is allowed by 0.4 to 1.1 s of the rate.
+_UNHEARD_PARTS = 20.0
+_UNHEARD_SECONDS = 0.5
 # A difference from level zero is made up for in this time, seconds: three
 # times what a report and a state take, so that it does not swing.
 _STEER_SECONDS = 1.0
@@ -136,7 +139,8 @@
     @classmethod
     def begin(cls, rate: float, burst: float, now: float) -> "Share":
         """Returns the share of an instance that has heard nothing."""
-        return cls(rate, burst, credit=burst / _UNHEARD_PARTS, at=now)
+        credit = rate * _UNHEARD_SECONDS / _UNHEARD_PARTS
+        return cls(rate, burst, credit=credit, at=now)
 
     @property
     def is_free(self) -> bool:
