wayslipctl report: how requests ended, by route, organisation, model or second

An operator had one request's story only (explain); where many are lost to had to be counted by hand. Groups with the most lost requests come first, with the median and the slowest first parts of answers; text or JSON, from files or standard input. explain knows the outcomes of keys and quotas.

--- a/src/wayslip/cli/ctl.py
+++ b/src/wayslip/cli/ctl.py
@@ -12,6 +12,7 @@
   wayslipctl [options] dump INSTANCE
   wayslipctl [options] drain INSTANCE
   wayslipctl [options] explain REQUEST [LOG ...]
+  wayslipctl [options] report [--by=FIELD] [LOG ...]
   wayslipctl --help
 
 Commands:
@@ -27,6 +28,8 @@
   drain      Begin the planned stop of an instance.
   explain    Tell from instances' logs what happened to a request; reads files,
              or standard input. The line that decided is marked with *.
+  report     Sum up from instances' logs how requests ended, and what they were
+             lost to; reads files, or standard input.
 
 Options:
   --url=URL        Operators' port of any control [default: http://127.0.0.1:9080].
@@ -34,6 +37,8 @@
   --json           Print JSON.
   --timeout=S      Seconds to wait for an answer [default: 15].
   --wait=SECONDS   After confirming, wait so long for the steps to be done.
+  --by=FIELD       Group by route, organisation, model, endpoint, instance or
+                   second [default: route].
   --help           Show this text.
 
 Exit codes:
@@ -55,6 +60,7 @@
 import urllib3
 
 from wayslip import errors
+from wayslip import report
 from wayslip import story
 
 EXIT_FAILED = 1
@@ -146,6 +152,8 @@
         ) from e
     if options["explain"]:
         return _explain(options)
+    if options["report"]:
+        return _report(options)
     control = Control(options["--url"], _read_key(options), timeout)
     method, path, body = _choose_call(options)
     reply = control.call(method, path, body)
@@ -163,11 +171,7 @@
 
 def _explain(options: Any) -> int:
     """Prints the story of a request from logs."""
-    texts = [_read(path).decode(errors="replace") for path in options["LOG"]]
-    lines = [x for text in texts for x in text.splitlines()]
-    if not options["LOG"]:
-        lines = sys.stdin.read().splitlines()
-    told = story.tell(options["REQUEST"], lines)
+    told = story.tell(options["REQUEST"], _read_logs(options))
     if told is None:
         raise errors.BadRequestError(
             f"no line names request {options['REQUEST']}",
@@ -180,6 +184,24 @@
     return 0
 
 
+def _report(options: Any) -> int:
+    """Prints how requests ended, from logs."""
+    groups = report.summarize(_read_logs(options), options["--by"])
+    if options["--json"]:
+        print(json.dumps([dataclasses.asdict(g) for g in groups], indent=1))
+    else:
+        print(report.format_groups(groups, options["--by"]))
+    return 0
+
+
+def _read_logs(options: Any) -> list[str]:
+    """Returns the lines of the logs that are named, or of standard input."""
+    if not options["LOG"]:
+        return sys.stdin.read().splitlines()
+    texts = [_read(path).decode(errors="replace") for path in options["LOG"]]
+    return [x for text in texts for x in text.splitlines()]
+
+
 def _read_key(options: Any) -> str:
     path = options["--key-file"]
     if not path:
--- /dev/null
+++ b/src/wayslip/report.py
@@ -0,0 +1,130 @@
+"""Sums up from instances' logs how requests ended and what they were lost to.
+
+Requests are grouped by a field of their last line (route, organisation, model,
+endpoint, instance) or by the second in which they ended.
+"""
+
+import collections
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Sequence
+import dataclasses
+import statistics
+
+from wayslip import errors
+from wayslip import story
+
+_SERVED = "answered"
+_ENDED = "ended"
+# Groups in a table, those with the most lost requests first.
+ROWS_MOST = 30
+
+
+@dataclasses.dataclass(frozen=True)
+class Group:
+    """Requests that have something in common.
+
+    Attributes:
+        key: What they have in common.
+        outcomes: How they ended, with their number.
+        first: Median seconds to the first part of an answer, None without any.
+        slow: The same that one in a hundred exceeds.
+    """
+
+    key: str
+    outcomes: dict[str, int]
+    first: float | None
+    slow: float | None
+
+    @property
+    def total(self) -> int:
+        """Number of its requests."""
+        return sum(self.outcomes.values())
+
+    @property
+    def lost(self) -> int:
+        """Number of its requests that were not answered."""
+        return self.total - self.outcomes.get(_SERVED, 0)
+
+
+Key = Callable[[story.Event], str]
+KEYS: dict[str, Key] = {
+    "route": lambda event: event.fields.get("route", ""),
+    "organisation": lambda event: event.fields.get("organisation", ""),
+    "model": lambda event: event.fields.get("model", ""),
+    "endpoint": lambda event: event.fields.get("endpoint", ""),
+    "instance": lambda event: event.source.split()[-1] if event.source else "",
+    "second": lambda event: f"{event.at:.0f}",
+}
+
+
+def summarize(lines: Iterable[str], field: str) -> list[Group]:
+    """Returns the groups of all requests whose end is told in some lines.
+
+    Raises:
+        BadRequestError: Nothing can be grouped by that field.
+    """
+    key = KEYS.get(field)
+    if key is None:
+        raise errors.BadRequestError(
+            f"requests can not be grouped by {field!r}",
+            f"give one of {', '.join(KEYS)}",
+        )
+    outcomes: dict[str, collections.Counter[str]] = {}
+    firsts: dict[str, list[float]] = {}
+    for line in lines:
+        # Most lines are of other events; parsing them takes the longest.
+        if f"event={_ENDED}" not in line:
+            continue
+        event = story.parse_line(line)
+        if event is None or event.name != _ENDED:
+            continue
+        name = key(event)
+        counts = outcomes.setdefault(name, collections.Counter())
+        counts[event.fields.get("outcome", "")] += 1
+        first = event.fields.get("first_after")
+        if first:
+            firsts.setdefault(name, []).append(float(first))
+    groups = [
+        _make_group(name, counts, firsts.get(name, ()))
+        for name, counts in outcomes.items()
+    ]
+    if field == "second":
+        return sorted(groups, key=lambda group: float(group.key))
+    return sorted(groups, key=lambda group: (-group.lost, group.key))
+
+
+def _make_group(
+    name: str, counts: collections.Counter[str], firsts: Sequence[float]
+) -> Group:
+    if not firsts:
+        return Group(name, dict(counts.most_common()), None, None)
+    ordered = sorted(firsts)
+    slow = ordered[min(len(ordered) * 99 // 100, len(ordered) - 1)]
+    return Group(
+        name, dict(counts.most_common()), statistics.median(ordered), slow
+    )
+
+
+def format_groups(groups: Sequence[Group], field: str) -> str:
+    """Returns groups as a table for a reader."""
+    shown = groups if field == "second" else groups[:ROWS_MOST]
+    lines = [f"{field:20} requests served  p50 s  p99 s  lost by outcome"]
+    for group in shown:
+        served = group.outcomes.get(_SERVED, 0) / group.total
+        lost = ", ".join(
+            f"{outcome} {count}"
+            for outcome, count in group.outcomes.items()
+            if outcome != _SERVED
+        )
+        lines.append(
+            f"{group.key or '-':20} {group.total:8d} {served:6.3f}"
+            f" {_format(group.first)} {_format(group.slow)}  {lost}"
+        )
+    if len(groups) > len(shown):
+        lines.append(f"{len(groups) - len(shown)} groups more")
+    return "\n".join(lines)
+
+
+def _format(seconds: float | None) -> str:
+    return "     -" if seconds is None else f"{seconds:6.3f}"
--- a/src/wayslip/story.py
+++ b/src/wayslip/story.py
@@ -45,9 +45,15 @@
     "no_configuration": "this instance knew no configuration; it was not run",
     "no_route": "no route has its host and path",
     "old_configuration": (
-        "no route has its host and path here, but a newer configuration may"
-        " have one; it was not run"
+        "its route or key is not known here, but a newer configuration may"
+        " have it; it was not run"
     ),
+    "unknown_key": "its key is in no configuration; it was not run",
+    "unconfirmed": (
+        "nobody has confirmed the configuration here as the newest for so long"
+        " that its key may have been taken away; it was not run"
+    ),
+    "over_quota": "its organisation has used up its quota; it was not run",
     "unclear": "the endpoint broke off; it may have run",
     "endpoint_failed": "the endpoint failed and its failure was passed on",
     "broken_off": "its stream broke off and may not go on elsewhere",
