Ways to put priorities of organisations and routes together, in a registry

The organisation's in place of the route's, which stands, makes all kinds of one organisation alike; registered beside it are the route's alone, and the route's within the organisation's. Not compared yet.

--- a/src/wayslip/decisions/manifest.py
+++ b/src/wayslip/decisions/manifest.py
@@ -169,6 +169,22 @@
     def _by_key(self) -> dict[bytes, organisations_module.Organisation]:
         return {k: o for o in self.organisations for k in o.keys}
 
+    @functools.cached_property
+    def caller_priorities(self) -> tuple[int, ...]:
+        """Priorities of organisations, each once, the most urgent first."""
+        known = {
+            organisations_module.USUAL_PRIORITY
+            if o.priority is None
+            else o.priority
+            for o in self.organisations
+        }
+        return tuple(sorted(known))
+
+    @functools.cached_property
+    def route_priorities(self) -> tuple[int, ...]:
+        """Priorities of routes, each once, the most urgent first."""
+        return tuple(sorted({r.priority for r in self.routes}))
+
     def find_caller(
         self, digest: bytes | None
     ) -> organisations_module.Organisation | None:
--- a/src/wayslip/decisions/organisations.py
+++ b/src/wayslip/decisions/organisations.py
@@ -9,6 +9,10 @@
 import enum
 import hashlib
 
+# Of an organisation that has none: what engines take where none is told, from
+# the operators' pages.
+USUAL_PRIORITY = 5
+
 
 class Unit(enum.StrEnum):
     """What a quota counts."""
--- a/src/wayslip/gateway/attempts.py
+++ b/src/wayslip/gateway/attempts.py
@@ -47,7 +47,7 @@
         """Sends a request to one endpoint; returns None once answered."""
         job.endpoint = choice.name
         tracked = self._view.tracked[choice.name]
-        use = self._view.begin(choice.name, job.traits, job.priority)
+        use = self._view.begin(choice.name, job.traits, job.rank)
         connection = self.pool.take(choice.name)
         is_reused = connection is not None
         try:
@@ -86,7 +86,7 @@
         order = dialect_module.Order(
             endpoint=endpoint,
             seconds_left=job.deadline - time.monotonic(),
-            priority=job.priority,
+            priority=job.rank,
             last_event_id=job.splitter.last_id,
             organisation=job.caller.name if job.caller else "",
         )
--- a/src/wayslip/gateway/jobs.py
+++ b/src/wayslip/gateway/jobs.py
@@ -33,6 +33,7 @@
         caller: Whose request it is, None where nobody has to say.
         units: That its quota was charged.
         is_sent: Whether an endpoint may run it now, or has.
+        rank: Its urgency, 0 is the most urgent.
     """
 
     exchange: server.Exchange
@@ -53,13 +54,7 @@
     caller: organisations.Organisation | None = None
     units: float = 0.0
     is_sent: bool = False
-
-    @property
-    def priority(self) -> int:
-        """Its urgency, 0 is the most urgent; the caller's goes first."""
-        if self.caller is None or self.caller.priority is None:
-            return self.route.priority
-        return self.caller.priority
+    rank: int = 0
 
 
 class Endings:
--- a/src/wayslip/gateway/options.py
+++ b/src/wayslip/gateway/options.py
@@ -76,6 +76,7 @@
         metrics_port: Port for operators; 0 for none.
         cores: Processor time that the instance has, cores of usual speed.
         bytes_per_s: Of the instance's link.
+        urgency: How priorities are put together; see `decisions.urgency`.
     """
 
     name: str
@@ -89,3 +90,4 @@
     bounds: Bounds = Bounds()
     cores: float = 1.0
     bytes_per_s: float = 125e6
+    urgency: str = "organisation"
--- a/src/wayslip/gateway/requests.py
+++ b/src/wayslip/gateway/requests.py
@@ -13,6 +13,7 @@
 from wayslip.decisions import manifest as manifest_module
 from wayslip.decisions import retry
 from wayslip.decisions import selection
+from wayslip.decisions import urgency
 from wayslip.gateway import attempts
 from wayslip.gateway import configuration
 from wayslip.gateway import dialect as dialect_module
@@ -92,6 +93,7 @@
             dialect, view, self._endings, metrics
         )
         self._rng = random.Random()
+        self._urgency = options.urgency
         bounds = options.bounds
         self._terms = budget_module.Terms(
             bounds.budget_ratio, bounds.budget_window, bounds.budget_slack
@@ -194,6 +196,7 @@
         )
         if verdict is access.Verdict.ALLOWED:
             job.caller = caller
+            job.rank = urgency.rank(self._urgency, manifest, job.route, caller)
             return True
         if job.relayed or job.progress.may_have_run:
             self._endings.answer_verdict(job, retry.Verdict.UNKNOWN)
@@ -310,7 +313,7 @@
             job.service.name,
             job.traits,
             pool.kv_tokens if pool else 0,
-            job.priority,
+            job.rank,
             job.tried,
             self._attempts.pool.has_idle,
         )
