Tests of keys at the boundary, of confirmations and of their lapse; strict keys

A list of keys that is a text would have been read a character at a time, each a key; keys are read strictly now and appear in no error.

--- a/src/wayslip/platform/decoding.py
+++ b/src/wayslip/platform/decoding.py
@@ -76,8 +76,8 @@
 ) -> organisations.Organisation:
     priority = raw.get("priority")
     return organisations.Organisation(
-        name=raw["name"],
-        keys=tuple(organisations.hash_key(k.encode()) for k in raw["api_keys"]),
+        name=fields.read_text(raw, "name"),
+        keys=tuple(fields.read_list(raw, "api_keys", _read_key)),
         priority=None if priority is None else int(priority),
         quota=organisations.Quota(
             rate=float(raw.get("rate_per_s") or 0),
@@ -90,6 +90,10 @@
     )
 
 
+def _read_key(value: Any, name: str) -> bytes:
+    return organisations.hash_key(fields.check_text(value, name).encode())
+
+
 def _decode_service(raw: Mapping[str, Any]) -> manifest.Service:
     engine = raw.get("engine")
     return manifest.Service(
--- a/tests/gateway/test_organisations.py
+++ b/tests/gateway/test_organisations.py
@@ -1,10 +1,12 @@
 """Keys and quotas through a whole gateway."""
 
+import asyncio
 import dataclasses
 
+from standins import platform_client
 from standins import platform_site
 from tests.gateway import harness
-from wayslip.gateway import facts
+from wayslip import errors
 
 KEYS = {"shop": "key-of-shop-1", "bank": "key-of-bank-1"}
 
@@ -80,36 +82,55 @@
     assert len(engine.received) == 1
 
 
+async def ask_at(gateway, path, **fields):
+    host, _, port = gateway._options.callers.rpartition(":")
+    client = platform_client.Client(
+        *await asyncio.open_connection(host, int(port))
+    )
+    await client.send(path, "r1", **fields)
+    return await client.read()
+
+
 @harness.run
 async def test_keys_lapse_where_nobody_confirms_them(system):
     # With a bound of 1.6 s keys are relied on for 0.5 s without a word.
     bounds = dataclasses.replace(system.options.bounds, revocation=1.6)
-    await begin(system, organisation("shop"), get={"public": True})
+    await begin(system, organisation("shop"), once={"public": True})
     gateway = await system.join("g2", bounds)
     await system.until(lambda: gateway._confirmations.is_reliable)
+    key = {"Wayslip_Key": KEYS["shop"]}
+    assert (await ask_at(gateway, "/get/a", **key)).status == 200
     system.store.faults.is_down = True
     await system.kill(system.gateway)
     await system.until(lambda: not gateway._confirmations.is_reliable)
-    assert gateway.is_ready()
+    answer = await ask_at(gateway, "/get/a", **key)
+    assert answer.status == 503
+    assert float(answer.headers["retry-after"]) > 0
+    answer = await ask_at(gateway, "/once/a", method="POST", body=b"x")
+    assert answer.status == 200
 
 
 @harness.run
-async def test_instance_that_the_store_turns_away_is_confirmed_by_another(
+async def test_instance_that_reads_nothing_itself_is_confirmed_by_another(
     system,
 ):
-    bounds = dataclasses.replace(system.options.bounds, revocation=5.0)
+    bounds = dataclasses.replace(system.options.bounds, revocation=2.5)
     await begin(system, organisation("shop"))
+    system.gateway._confirmations.freshness = dataclasses.replace(
+        system.gateway._confirmations.freshness, bound=2.5
+    )
     gateway = await system.join("g2", bounds)
-    other = await system.join("g3", bounds)
+    await system.until(lambda: gateway._confirmations.is_reliable)
+
+    async def read_nothing():
+        raise errors.ObjectUnavailableError("turned away", "ask another")
+
+    gateway._confirmations._read = read_nothing
     before = gateway._confirmations.freshness.proven_at
-    other._configurations._on_read(before + 1.0, frozenset())
-    gateway._hub.send(facts.Confirm(1), ("127.0.0.1", 9))
-    gateway._confirmations._attempts = 5
-    gateway._confirmations._choose = lambda: [other._options.peers]
-    gateway._confirmations._ask(before + 1.5)
     await system.until(
-        lambda: gateway._confirmations.freshness.proven_at > before
+        lambda: gateway._confirmations.freshness.proven_at > before + 2.5
     )
+    assert gateway._confirmations.is_reliable
 
 
 @harness.run
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -3,6 +3,8 @@
 from standins import platform_site
 from wayslip import errors
 from wayslip.decisions import manifest
+from wayslip.decisions import organisations
+from wayslip.gateway import snapshots
 from wayslip.platform import decoding
 
 
@@ -37,6 +39,51 @@
     assert state.orders == 3
 
 
+def test_organisations_are_decoded_and_keys_kept_as_digests_only():
+    raw = platform_site.manifest()
+    raw["tenants"] = [
+        {
+            "name": "shop",
+            "api_keys": ["key-of-shop"],
+            "priority": 1,
+            "unit": "tokens",
+            "plain_tokens": 200,
+            "rate_per_s": 4200,
+            "burst": 900,
+        },
+        {"name": "bank", "api_keys": []},
+    ]
+    raw["routes"][0]["public"] = True
+    value = decoding.decode_manifest(raw)
+    shop, bank = value.organisations
+    assert value.find_caller(organisations.hash_key(b"key-of-shop")) == shop
+    assert "key-of-shop" not in repr(value)
+    assert (shop.priority, bank.priority) == (1, None)
+    assert (shop.quota.rate, shop.quota.burst) == (4200.0, 900.0)
+    assert shop.quota.measure(0) == 200.0
+    assert shop.quota.measure(1540) == 1540.0
+    assert not bank.quota.is_limited
+    assert value.routes[0].is_public and not value.routes[1].is_public
+    assert snapshots.decode(snapshots.encode(value)) == value
+
+
+@pytest.mark.parametrize(
+    "organisation",
+    [
+        {"name": "shop", "api_keys": "one-text"},
+        {"name": "shop", "api_keys": [7]},
+        {"name": "", "api_keys": []},
+        {"name": "shop", "api_keys": [], "unit": "parsecs"},
+    ],
+)
+def test_malformed_organisation_is_refused_without_telling_keys(organisation):
+    raw = platform_site.manifest()
+    raw["tenants"] = [organisation]
+    with pytest.raises(errors.ObjectError) as caught:
+        decoding.decode_manifest(raw)
+    assert "one-text" not in str(caught.value)
+
+
 @pytest.mark.parametrize("spelling", ["a3", "m1/a3", "a3@2", "m1/a3@2"])
 def test_adapters_have_plain_names(spelling):
     models = [{"name": "m1", "version": 1, "adapters": [spelling]}]
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -1,4 +1,9 @@
+import dataclasses
+
+import pytest
+
 from wayslip.decisions import fleet
+from wayslip.decisions import organisations
 from wayslip.gateway import dialect
 from wayslip.http1 import messages
 from wayslip.platform import dialect as platform_dialect
@@ -138,3 +143,51 @@
     misdirected = DIALECT.read_answer(head(421))
     assert misdirected.is_refusal and misdirected.is_misdirected
     assert not DIALECT.read_answer(head(503)).is_refusal
+
+
+@pytest.mark.parametrize(
+    "name",
+    [
+        b"wayslip-tenant",
+        b"wayslip_tenant",
+        b"wayslip-key",
+        b"wayslip_key",
+        b"wayslip-target_instance",
+        b"kv_from",
+    ],
+)
+def test_no_spelling_of_a_reserved_header_passes(name):
+    asked = request(wayslip_request_id="r1", wayslip_key="secret-1")
+    forged = dataclasses.replace(
+        asked, headers=(*asked.headers, (name, b"forged"))
+    )
+    order = dialect.Order("i-7", 1.0, 0, organisation="shop")
+    data = DIALECT.format_request(forged, order).lower()
+    assert b"forged" not in data and b"secret-1" not in data
+    assert data.count(b"wayslip-tenant: shop\r\n") == 1
+
+
+def test_key_is_read_as_its_digest():
+    traits = DIALECT.read_request(
+        request(wayslip_request_id="r1", wayslip_key="secret-1")
+    )
+    assert traits.key == organisations.hash_key(b"secret-1")
+    assert "secret-1" not in repr(traits)
+    assert DIALECT.read_request(request(wayslip_request_id="r1")).key is None
+
+
+def test_of_two_keys_that_differ_none_counts():
+    asked = request(wayslip_request_id="r1", wayslip_key="secret-1")
+    twice = dataclasses.replace(
+        asked, headers=(*asked.headers, (b"wayslip-key", b"secret-2"))
+    )
+    assert DIALECT.read_request(twice).key not in {
+        None,
+        organisations.hash_key(b"secret-1"),
+        organisations.hash_key(b"secret-2"),
+    }
+    same = dataclasses.replace(
+        asked, headers=(*asked.headers, (b"wayslip-key", b"secret-1"))
+    )
+    found = DIALECT.read_request(same).key
+    assert found == organisations.hash_key(b"secret-1")
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -1,6 +1,7 @@
 import pytest
 
 from wayslip import errors
+from wayslip.decisions import quota
 from wayslip.platform import settings
 
 TEXT = """
@@ -33,6 +34,23 @@
     assert options.cores == 1.0
 
 
+def test_bounds_on_keys_and_quotas_are_read(tmp_path):
+    path = tmp_path / "settings.toml"
+    bounds = """[bounds]
+revoke_strict = true
+revoke_ms = 5000
+quota_window_s = 8
+quota_over = 0.1
+quota_slack = 17000
+"""
+    path.write_text(TEXT.replace("[bounds]\n", bounds))
+    found = settings.load(path).bounds
+    assert found.revocation == 5.0
+    assert found.allowance == quota.Allowance(8.0, 0.1, 17_000.0)
+    path.write_text(TEXT)
+    assert settings.load(path).bounds.revocation is None
+
+
 @pytest.mark.parametrize(
     "text, word",
     [
