How long a request waits for its model: a decision of its own, two ways

What stands ("target") moved out of the request's way into decisions/waiting.py; beside it "arrival", which waits for a load under way as long as the client does.

--- /dev/null
+++ b/src/wayslip/decisions/waiting.py
@@ -0,0 +1,86 @@
+"""How long a request waits for its model, and when it is to come back.
+
+Load pattern: more models are asked for than engines hold, and a request finds
+its own nowhere. Whether it should wait at the instance or be refused depends on
+when the model can serve: a load takes one to two seconds from an engine's
+memory or disk and eight from the weight store. Times are seconds.
+
+Ways to decide how long it waits are registered here under their names.
+"""
+
+import dataclasses
+from typing import Protocol
+
+from wayslip import registry
+
+# Share of the latency target that a request waits for a model of which nothing
+# is known. The planner begins a load within that, if it begins one.
+_UNKNOWN_SHARE = 0.2
+# The same for a model that is known to be there by then: it can still be
+# answered in time.
+SURE_SHARE = 0.6
+# Share of the time that its client has left for which a request waits for a
+# model on its way. It is read and answered in the rest; what is told of a load
+# is late by a few hundred ms at the most.
+_LEFT_SHARE = 0.6
+# Word that a load has ended comes so much after it, seconds.
+_NEWS_SECONDS = 0.4
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Situation:
+    """What is known of a request whose model no engine can serve now.
+
+    Attributes:
+        waited: For which it has waited already.
+        target: Of its route, from its arrival to the first part of an answer.
+        left: Until its client gives it up, from now.
+        expected: Until the model can serve, None if no load of it is known.
+        lacks_adapter_only: Whether an engine holds the model, not the adapter.
+    """
+
+    waited: float
+    target: float
+    left: float
+    expected: float | None = None
+    lacks_adapter_only: bool = False
+
+
+class Patience(Protocol):
+    """Decides how long a request waits."""
+
+    def __call__(self, situation: Situation) -> float:
+        """Returns the seconds to wait from now on, 0 or less for none."""
+
+
+PATIENCES: registry.Registry[Patience] = registry.Registry("patience")
+
+
+@PATIENCES.register("target")
+def wait_for_target(situation: Situation) -> float:
+    """Waits while the answer can still come within the target."""
+    sure = SURE_SHARE * situation.target - situation.waited
+    if situation.lacks_adapter_only:
+        # An adapter takes some ten milliseconds. Until everybody has heard of
+        # it a large fleet takes longer than the usual patience: with 195
+        # instances a quarter of the refusals were of such requests.
+        return sure
+    if situation.expected is not None and situation.expected < sure:
+        return sure
+    return _UNKNOWN_SHARE * situation.target - situation.waited
+
+
+@PATIENCES.register("arrival")
+def wait_for_arrival(situation: Situation) -> float:
+    """Waits for a load that is under way while its client does.
+
+    One that is refused comes back once, after a third of its time at most,
+    and is refused for good if the load takes longer than that.
+    """
+    usual = wait_for_target(situation)
+    if situation.expected is None:
+        return usual
+    needed = situation.expected + _NEWS_SECONDS
+    if needed > situation.left * _LEFT_SHARE:
+        return usual
+    return max(usual, needed)
--- a/src/wayslip/gateway/requests.py
+++ b/src/wayslip/gateway/requests.py
@@ -14,6 +14,7 @@
 from wayslip.decisions import retry
 from wayslip.decisions import selection
 from wayslip.decisions import urgency
+from wayslip.decisions import waiting
 from wayslip.gateway import attempts
 from wayslip.gateway import configuration
 from wayslip.gateway import dialect as dialect_module
@@ -28,13 +29,6 @@
 _LOG = logging.getLogger(__name__)
 # Endpoints that could not be reached before the request is given up.
 _MISSES = 3
-# Share of the latency target that a request waits for its model. A refusal
-# within a quarter of the target lets the client try again for a good part of
-# the worth; this leaves it time to arrive.
-_PATIENCE = 0.2
-# The same for a model that is known to be there by then: it can still be
-# answered in time.
-_SURE_PATIENCE = 0.6
 # Told where nobody knows when an endpoint will be there, seconds.
 _UNKNOWN_RETRY_AFTER = 1.0
 # The same for a model that nobody loads yet: the planner begins within a
@@ -94,6 +88,7 @@
         )
         self._rng = random.Random()
         self._urgency = options.urgency
+        self._patience = waiting.PATIENCES.get(options.patience)
         bounds = options.bounds
         self._terms = budget_module.Terms(
             bounds.budget_ratio, bounds.budget_window, bounds.budget_slack
@@ -339,7 +334,7 @@
     async def _wait_for_model(self, job: jobs.Job) -> selection.Choice | None:
         """Has a model or adapter loaded; waits while that is worth it."""
         while not job.progress.attempts:
-            left = self._find_patience(job) - time.monotonic()
+            left = self._find_patience(job)
             if left <= 0:
                 return None
             is_told = await self._placement.want(
@@ -351,23 +346,19 @@
         return None
 
     def _find_patience(self, job: jobs.Job) -> float:
-        """Returns until when a request should wait for its model."""
-        target = job.route.target
-        expected = self._placement.expect(job.service.name, job.traits)
-        sure = job.began + _SURE_PATIENCE * target
-        if self._lacks_adapter_only(job):
-            return sure
-        if expected is not None and time.monotonic() + expected < sure:
-            return sure
-        return job.began + _PATIENCE * target
+        """Returns for how long a request should wait for its model."""
+        now = time.monotonic()
+        situation = waiting.Situation(
+            waited=now - job.began,
+            target=job.route.target,
+            left=job.deadline - now,
+            expected=self._placement.expect(job.service.name, job.traits),
+            lacks_adapter_only=self._lacks_adapter_only(job),
+        )
+        return self._patience(situation)
 
     def _lacks_adapter_only(self, job: jobs.Job) -> bool:
-        """Whether an engine holds the model, but not the adapter.
-
-        An adapter takes some ten milliseconds. Until everybody has heard of
-        it a large fleet takes longer than the usual patience: with 195
-        instances a quarter of the refusals were of such requests.
-        """
+        """Whether an engine holds the model, but not the adapter."""
         traits = job.traits
         return bool(traits.adapter) and self._view.holds_anywhere(
             job.service.name, traits.model
@@ -401,5 +392,5 @@
     then for as long as the request may wait for a model that is on its way.
     """
     left = job.deadline - job.began
-    longest = left * _RETURN_MOST + job.route.target * _SURE_PATIENCE
+    longest = left * _RETURN_MOST + job.route.target * waiting.SURE_SHARE
     return 0.0 < _find_load_time(job) <= longest
