Rank requests of one organisation by their routes

The organisation's priority in place of the route's made all kinds of one organisation alike at the engines; the pages put it before the route's, not in its place. The route alone contradicts them and goes.

--- a/src/wayslip/decisions/urgency.py
+++ b/src/wayslip/decisions/urgency.py
@@ -2,8 +2,9 @@
 
 Load pattern: engines read prompts one after the other, the more urgent first,
 and organisations as well as routes have priorities. The operators' pages put
-an organisation's before that of the route. Ways to do so are registered here
-under their names.
+an organisation's before that of the route: requests of one organisation, or of
+two that are alike, still differ by their routes. Ways to put them together are
+registered here under their names.
 """
 
 import bisect
@@ -55,16 +56,6 @@
     return min(max(priority, 0), _RANKS - 1)
 
 
-@POLICIES.register("route")
-def rank_by_route(
-    manifest: manifest_module.Manifest,
-    route: manifest_module.Route,
-    caller: organisations.Organisation,
-) -> int:
-    """Ranks by the route's priority alone."""
-    return min(max(route.priority, 0), _RANKS - 1)
-
-
 @POLICIES.register("both")
 def rank_by_both(
     manifest: manifest_module.Manifest,
--- a/src/wayslip/gateway/options.py
+++ b/src/wayslip/gateway/options.py
@@ -91,5 +91,5 @@
     bounds: Bounds = Bounds()
     cores: float = 1.0
     bytes_per_s: float = 125e6
-    urgency: str = "organisation"
+    urgency: str = "both"
     patience: str = "target"
