--- a/src/wayslip/decisions/waiting.py
+++ b/src/wayslip/decisions/waiting.py
@@ -19,12 +19,6 @@
 # The same for a model that is known to be there by then: it can still be
 # answered in time.
 SURE_SHARE = 0.6
-# Share of the time that its client has left for which a request waits for a
-# model on its way. It is read and answered in the rest; what is told of a load
-# is late by a few hundred ms at the most.
-_LEFT_SHARE = 0.6
-# Word that a load has ended comes so much after it, seconds.
-_NEWS_SECONDS = 0.4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -34,14 +28,12 @@
     Attributes:
         waited: For which it has waited already.
         target: Of its route, from its arrival to the first part of an answer.
-        left: Until its client gives it up, from now.
         expected: Until the model can serve, None if no load of it is known.
         lacks_adapter_only: Whether an engine holds the model, not the adapter.
     """
 
     waited: float
     target: float
-    left: float
     expected: float | None = None
     lacks_adapter_only: bool = False
 
@@ -68,19 +60,3 @@
     if situation.expected is not None and situation.expected < sure:
         return sure
     return _UNKNOWN_SHARE * situation.target - situation.waited
-
-
-@PATIENCES.register("arrival")
-def wait_for_arrival(situation: Situation) -> float:
-    """Waits for a load that is under way while its client does.
-
-    One that is refused comes back once, after a third of its time at most,
-    and is refused for good if the load takes longer than that.
-    """
-    usual = wait_for_target(situation)
-    if situation.expected is None:
-        return usual
-    needed = situation.expected + _NEWS_SECONDS
-    if needed > situation.left * _LEFT_SHARE:
-        return usual
-    return max(usual, needed)
--- a/src/wayslip/gateway/requests.py
+++ b/src/wayslip/gateway/requests.py
@@ -351,7 +351,6 @@
         situation = waiting.Situation(
             waited=now - job.began,
             target=job.route.target,
-            left=job.deadline - now,
             expected=self._placement.expect(job.service.name, job.traits),
             lacks_adapter_only=self._lacks_adapter_only(job),
         )
--- a/tests/decisions/test_waiting.py
+++ b/tests/decisions/test_waiting.py
@@ -7,15 +7,11 @@
 
 def situation(**fields):
     """A patient kind's request: 6 s to its target, 15 s in all."""
-    return waiting.Situation(
-        **{"waited": 0.0, "target": 6.0, "left": 15.0} | fields
-    )
+    return waiting.Situation(**{"waited": 0.0, "target": 6.0} | fields)
 
 
 def urgent(**fields):
-    return waiting.Situation(
-        **{"waited": 0.0, "target": 0.8, "left": 5.0} | fields
-    )
+    return waiting.Situation(**{"waited": 0.0, "target": 0.8} | fields)
 
 
 @pytest.mark.parametrize("name", list(waiting.PATIENCES))
@@ -32,17 +28,7 @@
     assert patience(urgent(lacks_adapter_only=True)) == pytest.approx(0.48)
 
 
-def test_load_that_ends_before_the_client_leaves_is_waited_for():
-    # Symptom: of 3,592 tries of a patient kind 1,356 were refused after 1.2 s,
-    # though their model was often on its way; they came back after a third of
-    # their time, and then were refused for good.
-    patience = waiting.PATIENCES.get("arrival")
-    assert patience(situation(waited=1.3, left=13.7, expected=7.0)) > 7.0
-    assert patience(urgent(expected=1.7)) > 1.7
-
-
-def test_load_that_ends_too_late_is_not_waited_for():
-    patience = waiting.PATIENCES.get("arrival")
-    assert patience(urgent(expected=7.8)) < 0.2
-    late = situation(waited=6.0, left=9.0, expected=8.0)
-    assert patience(late) < 0
+def test_model_that_is_there_in_time_is_waited_for():
+    patience = waiting.PATIENCES.get("target")
+    assert patience(situation(expected=3.5)) == pytest.approx(3.6)
+    assert patience(situation(expected=3.7)) == pytest.approx(1.2)
