Split the holder's accounts from an instance's parts of quotas

The latter is accounts.py now; decisions/ledger.py is something else, so the class is Accounts. No behaviour changes; 29 tests of quotas and organisations pass.

--- a/src/wayslip/gateway/daemon.py
+++ b/src/wayslip/gateway/daemon.py
@@ -18,6 +18,7 @@
 from wayslip.decisions import fleet
 from wayslip.decisions import manifest
 from wayslip.decisions import pacing
+from wayslip.gateway import accounts as accounts_module
 from wayslip.gateway import configuration
 from wayslip.gateway import confirming
 from wayslip.gateway import copying
@@ -107,7 +108,7 @@
         self._ordering.find_version = lambda: self.holder.version
         allowance = options.bounds.allowance
         limiter = limits_module.Limiter(self.holder, allowance)
-        ledger = limits_module.Ledger(self.holder, limiter, allowance)
+        accounts = accounts_module.Accounts(self.holder, limiter, allowance)
         self._teller = telling.Teller(
             options.peers,
             self.leadership,
@@ -115,7 +116,7 @@
             members,
             detaching,
             self._hub,
-            ledger,
+            accounts,
         )
         self._planner = planner_module.Planner(
             self.holder,
@@ -124,7 +125,7 @@
             self._ordering,
             members,
             self._teller,
-            ledger,
+            accounts,
         )
         self._placement = placement_module.Placement(
             options,
--- a/src/wayslip/gateway/planner.py
+++ b/src/wayslip/gateway/planner.py
@@ -11,6 +11,7 @@
 from wayslip.decisions import loading
 from wayslip.decisions import manifest as manifest_module
 from wayslip.decisions import rate
+from wayslip.gateway import accounts as accounts_module
 from wayslip.gateway import adapters as adapters_module
 from wayslip.gateway import books as books_module
 from wayslip.gateway import charges
@@ -18,7 +19,6 @@
 from wayslip.gateway import facts
 from wayslip.gateway import hub as hub_module
 from wayslip.gateway import leadership as leadership_module
-from wayslip.gateway import limits as limits_module
 from wayslip.gateway import loads as loads_module
 from wayslip.gateway import members as members_module
 from wayslip.gateway import ordering as ordering_module
@@ -52,9 +52,9 @@
         ordering: ordering_module.Ordering,
         members: members_module.Members,
         teller: telling.Teller,
-        ledger: limits_module.Ledger,
+        accounts: accounts_module.Accounts,
     ) -> None:
-        self._ledger = ledger
+        self._accounts = accounts
         self._holder = holder
         self._view = view
         self._leadership = leadership
@@ -99,7 +99,7 @@
         self._buckets.clear()
         self._is_prepared = False
         self.members.begin()
-        self._ledger.begin()
+        self._accounts.begin()
         self._start(self._prepare())
 
     async def _prepare(self) -> None:
@@ -168,7 +168,7 @@
             self._take_statement(message)
         elif isinstance(message, facts.Report):
             self.members.take(message, source, self._held)
-            self._ledger.take(message)
+            self._accounts.take(message)
         elif isinstance(message, facts.Want):
             self._take_want(message, source)
 
--- a/src/wayslip/gateway/telling.py
+++ b/src/wayslip/gateway/telling.py
@@ -10,12 +10,12 @@
 from wayslip.decisions import detachment
 from wayslip.decisions import fleet
 from wayslip.decisions import rate
+from wayslip.gateway import accounts as accounts_module
 from wayslip.gateway import books as books_module
 from wayslip.gateway import detaching as detaching_module
 from wayslip.gateway import facts
 from wayslip.gateway import hub as hub_module
 from wayslip.gateway import leadership as leadership_module
-from wayslip.gateway import limits as limits_module
 from wayslip.gateway import members as members_module
 from wayslip.gateway import ordering as ordering_module
 
@@ -63,10 +63,10 @@
         members: members_module.Members,
         detaching: detaching_module.Detaching,
         hub: hub_module.Hub,
-        ledger: limits_module.Ledger,
+        accounts: accounts_module.Accounts,
     ) -> None:
         self._address = address
-        self._ledger = ledger
+        self._accounts = accounts
         self._told_levels: tuple[facts.Level, ...] = ()
         self._detaching = detaching
         self._leadership = leadership
@@ -112,7 +112,7 @@
             await asyncio.sleep(min(left, _STANDING_SECONDS))
             if self._find_standing() != told:
                 return
-            if self._ledger.is_news(self._told_levels):
+            if self._accounts.is_news(self._told_levels):
                 return
 
     def _find_standing(self) -> tuple[bool, bool]:
@@ -123,7 +123,7 @@
         """Tells the load, and how far the store is followed."""
         peers = self._members.peers()
         is_detached = self._detaching.is_proposed
-        self._told_levels = self._ledger.list_words()
+        self._told_levels = self._accounts.list_words()
         state = facts.State(
             term=self._leadership.seen_term,
             revision=self._leadership.revision,
--- a/tests/stateful/quota_world.py
+++ b/tests/stateful/quota_world.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import contextlib
 import dataclasses
 import heapq
 import random
@@ -13,6 +14,7 @@
 from wayslip.decisions import manifest as manifest_module
 from wayslip.decisions import organisations
 from wayslip.decisions import quota
+from wayslip.gateway import accounts
 from wayslip.gateway import configuration
 from wayslip.gateway import facts
 from wayslip.gateway import limits
@@ -40,7 +42,7 @@
 @dataclasses.dataclass
 class Instance:
     limiter: limits.Limiter
-    ledger: limits.Ledger
+    accounts: accounts.Accounts
     name: str
     process: int = 0
     number: int = 0
@@ -96,16 +98,24 @@
         # Instances hear the holder before their clients come.
         self.run(3.0, {})
 
+    @contextlib.contextmanager
+    def _patch_time(self):
+        with (
+            mock.patch.object(limits, "time", self.clock),
+            mock.patch.object(accounts, "time", self.clock),
+        ):
+            yield
+
     def _begin_term(self):
-        with mock.patch.object(limits, "time", self.clock):
-            self.instances[self.holder].ledger.begin()
+        with self._patch_time():
+            self.instances[self.holder].accounts.begin()
 
     def _start(self, name, process):
         holder = configuration.Holder()
         holder.offer(self._manifest())
         limiter = limits.Limiter(holder, ALLOWANCE)
-        ledger = limits.Ledger(holder, limiter, ALLOWANCE)
-        return Instance(limiter, ledger, name, process, due=self.clock.now)
+        found = accounts.Accounts(holder, limiter, ALLOWANCE)
+        return Instance(limiter, found, name, process, due=self.clock.now)
 
     def _manifest(self):
         found = tuple(self.organisations.values())
@@ -149,7 +159,7 @@
         for number, instance in enumerate(self.instances):
             instance.is_cut = number in cuts
         end = self.clock.now + seconds
-        with mock.patch.object(limits, "time", self.clock):
+        with self._patch_time():
             while self.clock.now < end:
                 self.clock.now += STEP
                 self._deliver()
@@ -193,9 +203,9 @@
         if self.holder is None:
             return
         holder = self.instances[self.holder]
-        if now >= self.state_due or holder.ledger.is_news(self.told):
+        if now >= self.state_due or holder.accounts.is_news(self.told):
             self.state_due = now + STATE
-            self.told = holder.ledger.list_words()
+            self.told = holder.accounts.list_words()
             for instance in self.instances:
                 self._send(holder, instance, self._make_state())
 
@@ -243,7 +253,7 @@
             _, _, target, message = heapq.heappop(self._messages)
             if isinstance(message, facts.Report):
                 if target is self.instances[self.holder or 0]:
-                    target.ledger.take(message)
+                    target.accounts.take(message)
             elif message.term >= target.term:
                 target.term, target.holder = message.term, message.revision
                 target.limiter.hear(message)
