--- a/src/wayslip/gateway/daemon.py
+++ b/src/wayslip/gateway/daemon.py
@@ -1,10 +1,7 @@
 """The gateway put together, with its planned stop."""
 
 import asyncio
-from collections.abc import Awaitable
-from collections.abc import Callable
 from collections.abc import Coroutine
-from collections.abc import Set
 import dataclasses
 import logging
 import signal
@@ -14,22 +11,20 @@
 from wayslip import addresses
 from wayslip import logs
 from wayslip import metrics as metrics_module
-from wayslip.decisions import access
 from wayslip.decisions import fleet
 from wayslip.decisions import manifest
 from wayslip.decisions import pacing
 from wayslip.gateway import accounts as accounts_module
 from wayslip.gateway import configuration
-from wayslip.gateway import confirming
 from wayslip.gateway import copying
 from wayslip.gateway import currency
 from wayslip.gateway import detaching as detaching_module
 from wayslip.gateway import dialect as dialect_module
-from wayslip.gateway import distribution
 from wayslip.gateway import engines as engines_module
 from wayslip.gateway import facts
 from wayslip.gateway import following
 from wayslip.gateway import hub as hub_module
+from wayslip.gateway import keeping
 from wayslip.gateway import lag
 from wayslip.gateway import leadership as leadership_module
 from wayslip.gateway import limits as limits_module
@@ -44,7 +39,6 @@
 from wayslip.gateway import store as store_module
 from wayslip.gateway import telling
 from wayslip.gateway import view as view_module
-from wayslip.gateway import watching
 from wayslip.http1 import server
 
 _LOG = logging.getLogger(__name__)
@@ -143,42 +137,31 @@
             self.view,
             self._placement,
             self.metrics,
-            self._find_sight,
+            lambda: self._keeper.sight,
             limiter,
         )
-        self._distribution = distribution.Distribution(
+        self._keeper = keeping.Keeper(
             options,
-            self.holder,
-            platform.copies,
-            lambda: self.leadership.holder_address,
-            members.list_addresses,
-            self.metrics,
-        )
-        self._configurations = watching.Watcher(
             platform.store,
             platform.configuration,
-            self._make_currency(self._obtain_configuration),
-            self._take_configurations,
-            self._take_changes,
-            options.bounds.watch,
-            self._find_pause,
-            self.metrics,
-            lists_anew=True,
-            on_read=self._note_read,
-        )
-        self._confirmations = confirming.Confirmations(
-            options,
+            platform.configuration_name,
             self.holder,
+            platform.copies,
             self._hub,
-            lambda: self.leadership.holder_address,
-            members.list_addresses,
-            self._take_confirmed,
-            self._configurations.look,
+            self.leadership,
+            members,
+            self._find_pause,
+            self.metrics,
+            self._tell_own_configuration,
         )
         self._endpoints = following.EndpointFollower(
             platform.store,
             platform.endpoints,
-            self._make_currency(self._obtain_changes),
+            currency.Currency(
+                options.bounds.word,
+                lambda: self.leadership.is_held,
+                self._obtain_changes,
+            ),
             self.view,
             self._placement.notify,
             self._requests.drop_endpoint,
@@ -200,31 +183,20 @@
         )
         self._operators = server.Server(
             (options.ip, options.metrics_port),
-            pages.Pages(self.metrics, self.dump, self._distribution).answer,
+            pages.Pages(
+                self.metrics, self.dump, self._keeper.distribution
+            ).answer,
             manifest.Limits,
         )
         self._stopping = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
 
-    def _make_currency(
-        self, obtain: Callable[[], Awaitable[None]]
-    ) -> currency.Currency:
-        return currency.Currency(
-            self._options.bounds.word, lambda: self.leadership.is_held, obtain
-        )
-
     def _find_pause(self, usual: float) -> float:
         """Returns the pause before an attempt that all instances make."""
         return pacing.find_pause(
             usual, self._placement.instances, self._placement.is_spoken_to
         )
 
-    async def _obtain_configuration(self) -> None:
-        """Asks other instances for the configuration that we lack."""
-        await self._distribution.obtain()
-        if not self._distribution.is_behind:
-            self._configurations.currency.note_complete()
-
     async def _obtain_changes(self) -> None:
         """Waits for changes of the list that are late, then asks for them."""
         await asyncio.sleep(_BEHIND_SECONDS)
@@ -255,14 +227,14 @@
         await self._operators.start()
         await self._callers.start()
         for work in (
-            self._configurations.run(),
+            self._keeper.watcher.run(),
             self._endpoints.watcher.run(),
             self.leadership.run(),
             self._placement.run(),
             self._placement.watch_holder(),
             self._planner.run(),
             self._teller.run(self._find_sights),
-            self._confirmations.run(),
+            self._keeper.confirmations.run(),
             lag.observe(self.metrics),
         ):
             self._start_task(work)
@@ -326,48 +298,16 @@
 
     # Configuration, lease and peers
 
-    def _take_configurations(
-        self, listing: store_module.Listing[manifest.Manifest]
-    ) -> None:
-        for item in listing.items:
-            if item.name == self._platform.configuration_name:
-                self._take_own(item.value)
-
-    def _take_changes(
-        self, changes: store_module.Changes[manifest.Manifest]
-    ) -> None:
-        for change in changes.items:
-            is_ours = change.name == self._platform.configuration_name
-            if is_ours and change.value is not None:
-                self._take_own(change.value)
-
-    def _take_own(self, value: manifest.Manifest) -> None:
-        """Takes in what we read ourselves; whoever leads tells of it at once.
+    def _tell_own_configuration(self) -> None:
+        """Tells of a configuration that we read, if we lead, at once.
 
         With the next state it would be heard of up to 0.25 s later.
         """
-        if self.holder.offer(value) and self.leadership.is_held:
+        if self.leadership.is_held:
             self._teller.tell_state(self._find_sights())
 
-    def _find_sight(self) -> access.Sight:
-        return access.Sight(
-            self._confirmations.is_reliable, self._configurations.is_current
-        )
-
-    def _note_read(self, asked_at: float, refused: Set[str]) -> None:
-        """Notes a read of the store, unless it could not read our object."""
-        if self._platform.configuration_name not in refused:
-            self._confirmations.note_read(asked_at)
-
-    def _take_confirmed(self, version: int, age: float) -> None:
-        """Takes in what another instance vouches for as the newest."""
-        self._distribution.hear(version)
-        self._configurations.currency.hear(
-            age, not self._distribution.is_behind
-        )
-
     def _begin_term(self) -> None:
-        self._configurations.currency.wake()
+        self._keeper.watcher.currency.wake()
         self._endpoints.watcher.currency.wake()
         self._planner.begin()
         # Everybody hears at once whom to report to, the holder before us too:
@@ -379,7 +319,7 @@
 
     def _find_sights(self) -> telling.Sights:
         return telling.Sights(
-            facts.Seen(self.holder.version or 0, self._configurations.age),
+            self._keeper.seen,
             facts.Seen(self._endpoints.changed_at, self._endpoints.watcher.age),
         )
 
@@ -398,9 +338,9 @@
         elif isinstance(message, facts.Missing):
             self._teller.repeat_changes(message, source)
         elif isinstance(message, facts.Confirm):
-            self._confirmations.answer(message, source)
+            self._keeper.confirmations.answer(message, source)
         elif isinstance(message, facts.Confirmed):
-            self._confirmations.take(message)
+            self._keeper.confirmations.take(message)
         elif isinstance(message, facts.Report) and message.is_blind:
             self._teller.send_list(self._endpoints.list_all(), source)
         self._planner.take(message, source)
@@ -408,11 +348,7 @@
     def _take_sights(self, state: facts.State) -> None:
         if state.term < self.leadership.seen_term:
             return
-        told = state.configuration
-        self._distribution.hear(told.revision)
-        self._configurations.currency.hear(
-            told.age, not self._distribution.is_behind
-        )
+        self._keeper.take_told(state.configuration)
         told = state.endpoints
         self._endpoints.watcher.currency.hear(
             told.age, self._endpoints.has(told.revision)
@@ -438,7 +374,7 @@
             "instance": self._options.name,
             "ready": self.is_ready(),
             "configuration": self.holder.version,
-            "configuration_told": self._distribution.told,
+            "configuration_told": self._keeper.distribution.told,
             "lease": self.leadership.sight,
             "holds_lease": self.leadership.is_valid,
             "endpoints": self.view.dump(),
--- a/tests/gateway/test_distribution.py
+++ b/tests/gateway/test_distribution.py
@@ -95,7 +95,7 @@
 
 @harness.run
 async def test_instance_whose_link_is_taken_hands_nothing_on(system):
-    system.gateway._distribution._link_free_at = float("inf")
+    system.gateway._keeper.distribution._link_free_at = float("inf")
     client = copying.HttpCopyClient()
     assert await client.fetch(_find_pages(system), 0) == b""
 
@@ -103,8 +103,8 @@
 @harness.run
 async def test_instance_that_is_behind_does_not_deny_a_route(system):
     # What the holder tells of may have the route. 404 is final to a client.
-    system.gateway._distribution.hear(2)
-    currency = system.gateway._configurations.currency
+    system.gateway._keeper.distribution.hear(2)
+    currency = system.gateway._keeper.watcher.currency
     currency._leads = lambda: False
     currency.hear(0.0, False)
     answer = await system.ask("/new/a")
--- a/tests/stateful/order_network.py
+++ b/tests/stateful/order_network.py
@@ -281,7 +281,7 @@
         if other is None or away & {self._owner, other.options.name}:
             await asyncio.sleep(STORE_PATIENCE)
             raise errors.EndpointUnclearError("no answer", "ask another")
-        data = other.gateway._distribution.hand_on(version)
+        data = other.gateway._keeper.distribution.hand_on(version)
         if data:
             await world.links[other.options.name].carry(len(data))
             await world.links[self._owner].carry(len(data))
--- a/tests/stateful/order_world.py
+++ b/tests/stateful/order_world.py
@@ -47,7 +47,7 @@
         self.tasks = [
             asyncio.create_task(work)
             for work in (
-                self.gateway._configurations.run(),
+                self.gateway._keeper.watcher.run(),
                 self.gateway._endpoints.watcher.run(),
                 self.gateway.leadership.run(),
                 self.gateway._placement.run(),
@@ -69,7 +69,7 @@
         )
         hub = gateway._hub
         hub._rng = self.world.rng
-        gateway._distribution._rng = self.world.rng
+        gateway._keeper.distribution._rng = self.world.rng
         spread = hub.spread
         # In order, or a seed would play otherwise in every process.
         hub.spread = lambda message, peers: spread(
