Log the digest of what a request asked for where an attempt broke off

Callers got 502 while one engine after the other ended under their requests. Each attempt has an id of its own, so the logs could not tell whether the attempts that broke off had anything in common. The digest covers organisation, host, method, target, model and body.

--- a/src/wayslip/gateway/attempts.py
+++ b/src/wayslip/gateway/attempts.py
@@ -65,6 +65,7 @@
                 "attempt_unclear",
                 request=job.traits.request_id,
                 endpoint=choice.name,
+                content=job.content.hex(),
                 reused=is_reused,
                 reason=e.reason,
             )
--- a/src/wayslip/gateway/jobs.py
+++ b/src/wayslip/gateway/jobs.py
@@ -1,11 +1,13 @@
 """A request under way, and how it can end without an endpoint's answer."""
 
 import dataclasses
+import functools
 import logging
 import time
 
 from wayslip import logs
 from wayslip import metrics as metrics_module
+from wayslip.decisions import contents
 from wayslip.decisions import manifest as manifest_module
 from wayslip.decisions import organisations
 from wayslip.decisions import retry
@@ -56,6 +58,19 @@
     is_sent: bool = False
     rank: int = 0
 
+    @functools.cached_property
+    def content(self) -> bytes:
+        """Digest of what it asks for, alike in all attempts of a client."""
+        request, traits = self.exchange.request, self.traits
+        return contents.make_digest(
+            self.caller.name if self.caller else "",
+            traits.host,
+            request.method,
+            request.target,
+            f"{traits.model}/{traits.adapter}",
+            request.body,
+        )
+
 
 class Endings:
     """Ends requests, with a log line each."""
