--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -97,6 +97,7 @@
         taken: How many orders it has carried out.
         report_lag: How old its reports are, seconds.
         left: How many connections were closed while a script ran.
+        is_ended: Whether it has crashed.
     """
 
     name: str
@@ -113,7 +114,9 @@
     is_busy: bool = False
     connections: int = 0
     left: int = 0
+    is_ended: bool = False
     _server: asyncio.Server | None = None
+    _lines: set[Line] = dataclasses.field(default_factory=set)
 
     async def start(self) -> str:
         """Listens; returns the address."""
@@ -126,17 +129,27 @@
         if self._server is not None:
             self._server.close()
 
+    def crash(self) -> None:
+        """Ends at once: breaks all connections off, refuses new ones."""
+        self.is_ended = True
+        self.stop()
+        for line in list(self._lines):
+            line.reset()
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.connections += 1
         line = Line(reader, writer)
+        self._lines.add(line)
         try:
             while True:
                 request = await _read_request(reader)
                 await self._respond(request, line)
         except (asyncio.IncompleteReadError, ConnectionError):
             writer.close()
+        finally:
+            self._lines.discard(line)
 
     async def _respond(self, request: Received, line: Line) -> None:
         if request.target == "/wayslip/report":
