Keep requests that end engines away from them, at all instances

Callers got 502 while engines ended one after the other, each with some eighteen streams of others. Cause: nothing about a request outlived the client's attempt. A repeat has a new id and comes to another instance, so it was a first attempt each time.

An instance whose attempt breaks off now looks whether anybody listens at the engine's address still. If not, it tells all instances which contents were on their way there. A content that was sent again after an end and alone is on its way to the next one is condemned, at the latest after a third. Marks are merged by union, so lost, late and repeated datagrams do no harm; the lease's holder tells them again each second and keeps the condemned in the store. An answer clears a content.

--- /dev/null
+++ b/src/wayslip/decisions/suspicion.py
@@ -0,0 +1,211 @@
+"""Which requests end the endpoints that run them, judged by their content.
+
+When an endpoint ends, whatever was on its way there is a suspect, and most of
+it is innocent: some eighteen requests of which one did it. What is known is a
+set of marks, each one content on its way to one start of an endpoint that
+ended. A content that an endpoint answered is cleared of its marks. Marks and
+clearings are merged by union, so instances that heard the same in any order,
+twice or in parts agree.
+
+How deep a content is in suspicion is counted along a chain: a mark goes on from
+what its sender knew when it sent the request. Many copies of one content that
+are under way together and break off together count as one, since nobody has
+tried it again yet.
+"""
+
+from collections.abc import Iterable
+import dataclasses
+
+# A content this deep is condemned; so is one step less if it alone was on its
+# way to both endpoints that ended.
+_CONDEMNED_DEPTH = 3
+_ALONE_DEPTH = 2
+# How long a mark is kept, seconds: whoever asks again and again for longer
+# waits in between, and an engine may be mended meanwhile.
+KEPT_SECONDS = 600.0
+# Contents that are remembered, those under least suspicion go first. Each takes
+# some 300 bytes.
+_CONTENTS_MOST = 4000
+
+
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class Start:
+    """One start of an endpoint; see `fleet.Endpoint.born`."""
+
+    endpoint: str
+    born: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Mark:
+    """A content that was on its way to an endpoint that ended.
+
+    Attributes:
+        content: Its digest; see `contents`.
+        endpoint, born: The start that ended; see `Start`.
+        depth: How deep the content was in suspicion, as far as its sender
+            knew when it sent it.
+    """
+
+    content: bytes
+    endpoint: str
+    born: int = 0
+    depth: int = 0
+
+    @property
+    def start(self) -> Start:
+        """What ended."""
+        return Start(self.endpoint, self.born)
+
+
+@dataclasses.dataclass
+class _Suspect:
+    """What is known of one content; `since` is when its first mark came."""
+
+    since: float
+    depths: dict[Start, int] = dataclasses.field(default_factory=dict)
+
+    @property
+    def depth(self) -> int:
+        """How often it was tried again after an end, and the first time."""
+        if not self.depths:
+            return 0
+        # A mark may go on from one that was cleared since.
+        return min(1 + max(self.depths.values()), len(self.depths))
+
+
+class Suspicion:
+    """All marks that an instance knows. Does no I/O and is given the time."""
+
+    def __init__(self) -> None:
+        self._suspects: dict[bytes, _Suspect] = {}
+        self._at_start: dict[Start, set[bytes]] = {}
+        # Marks that no longer count, and since when.
+        self._cleared: dict[tuple[bytes, Start], float] = {}
+
+    def __bool__(self) -> bool:
+        """Whether any content is under suspicion."""
+        return bool(self._suspects)
+
+    # What is known
+
+    def find_depth(self, content: bytes) -> int:
+        """Returns how deep a content is in suspicion, 0 if it is not."""
+        suspect = self._suspects.get(content)
+        return suspect.depth if suspect else 0
+
+    def is_condemned(self, content: bytes) -> bool:
+        """Whether a content should reach no endpoint."""
+        depth = self.find_depth(content)
+        if depth >= _CONDEMNED_DEPTH:
+            return True
+        return depth >= _ALONE_DEPTH and self._is_alone(content)
+
+    def _is_alone(self, content: bytes) -> bool:
+        """Whether no other content that came again shares an end with it."""
+        rivals = {
+            other
+            for start in self._suspects[content].depths
+            for other in self._at_start[start]
+            if self.find_depth(other) >= _ALONE_DEPTH
+        }
+        return rivals == {content}
+
+    def list_condemned(self) -> list[bytes]:
+        """Returns the contents that should reach no endpoint."""
+        return [c for c in self._suspects if self.is_condemned(c)]
+
+    def list_marks(self, content: bytes) -> list[Mark]:
+        """Returns the marks of a content."""
+        suspect = self._suspects.get(content)
+        if suspect is None:
+            return []
+        return [
+            Mark(content, s.endpoint, s.born, depth)
+            for s, depth in sorted(suspect.depths.items())
+        ]
+
+    def list_contents(self, least_depth: int) -> list[bytes]:
+        """Returns the contents that are at least so deep in suspicion."""
+        return [c for c, s in self._suspects.items() if s.depth >= least_depth]
+
+    def list_cleared(self) -> list[Mark]:
+        """Returns the marks that no longer count."""
+        return [Mark(c, s.endpoint, s.born) for c, s in self._cleared]
+
+    def find_rest(self, content: bytes, now: float) -> float:
+        """Returns the seconds until what is known of a content is forgotten."""
+        suspect = self._suspects.get(content)
+        if suspect is None:
+            return 0.0
+        return max(suspect.since + KEPT_SECONDS - now, 0.0)
+
+    # What comes to be known
+
+    def add(self, marks: Iterable[Mark], now: float) -> list[Mark]:
+        """Takes marks in; returns those that are news."""
+        news = []
+        for mark in marks:
+            if (mark.content, mark.start) in self._cleared:
+                continue
+            suspect = self._suspects.setdefault(mark.content, _Suspect(now))
+            known = suspect.depths.get(mark.start, -1)
+            if mark.depth > known:
+                suspect.depths[mark.start] = mark.depth
+                self._at_start.setdefault(mark.start, set()).add(mark.content)
+                news.append(mark)
+        self._keep_bounds()
+        return news
+
+    def clear(self, marks: Iterable[Mark], now: float) -> list[Mark]:
+        """Has marks count no longer; returns those for which that is news."""
+        news = []
+        for mark in marks:
+            key = (mark.content, mark.start)
+            if key in self._cleared:
+                continue
+            self._cleared[key] = now
+            self._drop(mark.content, mark.start)
+            news.append(mark)
+        self._keep_bounds()
+        return news
+
+    def forget(self, now: float) -> None:
+        """Forgets what was known for long enough."""
+        limit = now - KEPT_SECONDS
+        for content in [
+            c for c, s in self._suspects.items() if s.since <= limit
+        ]:
+            self._drop_all(content)
+        self._cleared = {k: t for k, t in self._cleared.items() if t > limit}
+
+    def _drop(self, content: bytes, start: Start) -> None:
+        suspect = self._suspects.get(content)
+        if suspect is None or start not in suspect.depths:
+            return
+        del suspect.depths[start]
+        self._leave(content, start)
+        if not suspect.depths:
+            del self._suspects[content]
+
+    def _drop_all(self, content: bytes) -> None:
+        for start in self._suspects.pop(content).depths:
+            self._leave(content, start)
+
+    def _leave(self, content: bytes, start: Start) -> None:
+        there = self._at_start[start]
+        there.discard(content)
+        if not there:
+            del self._at_start[start]
+
+    def _keep_bounds(self) -> None:
+        over = len(self._suspects) - _CONTENTS_MOST
+        if over > 0:
+            # Sorted is stable: of those as deep the oldest go first.
+            ranked = sorted(
+                self._suspects, key=lambda c: self._suspects[c].depth
+            )
+            for content in ranked[:over]:
+                self._drop_all(content)
+        while len(self._cleared) > _CONTENTS_MOST:
+            del self._cleared[next(iter(self._cleared))]
--- a/src/wayslip/errors.py
+++ b/src/wayslip/errors.py
@@ -67,6 +67,10 @@
     """No byte of the request can have reached the endpoint."""
 
 
+class NobodyListensError(NotSentError):
+    """The endpoint's machine answers, and no process has the address."""
+
+
 class EndpointUnclearError(EndpointError):
     """The request may have reached the endpoint; its effect is unknown."""
 
--- a/src/wayslip/gateway/attempts.py
+++ b/src/wayslip/gateway/attempts.py
@@ -11,6 +11,7 @@
 from wayslip.decisions import selection
 from wayslip.gateway import dialect as dialect_module
 from wayslip.gateway import jobs
+from wayslip.gateway import quarantine as quarantine_module
 from wayslip.gateway import view as view_module
 from wayslip.http1 import client
 from wayslip.http1 import messages
@@ -34,7 +35,9 @@
         view: view_module.EndpointView,
         endings: jobs.Endings,
         metrics: metrics_module.Metrics,
+        quarantine: quarantine_module.Quarantine,
     ) -> None:
+        self._quarantine = quarantine
         self._dialect = dialect
         self._view = view
         self._endings = endings
@@ -48,6 +51,7 @@
         job.endpoint = choice.name
         tracked = self._view.tracked[choice.name]
         use = self._view.begin(choice.name, job.traits, job.rank)
+        depth = self._find_depth(job)
         connection = self.pool.take(choice.name)
         is_reused = connection is not None
         try:
@@ -69,12 +73,22 @@
                 reused=is_reused,
                 reason=e.reason,
             )
+            job.breaks += 1
+            self._quarantine.note_break(
+                tracked.endpoint, job.content, depth, self.pool.open
+            )
             return retry.Failure.UNCLEAR
         finally:
             self._view.end(use)
             if connection is not None and not connection.is_kept:
                 connection.close()
 
+    def _find_depth(self, job: jobs.Job) -> int:
+        """Returns how deep a request is in suspicion as it is sent."""
+        if not self._quarantine:
+            return job.breaks
+        return max(self._quarantine.find_depth(job.content), job.breaks)
+
     async def _exchange(
         self,
         job: jobs.Job,
@@ -125,6 +139,8 @@
             failure = await self._pass_on(job, use, connection, head)
         if failure is None:
             self._keep(endpoint, connection, head)
+        if self._quarantine:
+            self._quarantine.note_answer(job.content)
         return failure
 
     def _note_refusal(
--- a/src/wayslip/gateway/daemon.py
+++ b/src/wayslip/gateway/daemon.py
@@ -34,6 +34,7 @@
 from wayslip.gateway import pages
 from wayslip.gateway import placement as placement_module
 from wayslip.gateway import planner as planner_module
+from wayslip.gateway import quarantine as quarantine_module
 from wayslip.gateway import records
 from wayslip.gateway import requests as requests_module
 from wayslip.gateway import store as store_module
@@ -130,6 +131,9 @@
             lambda: self._endpoints.is_blind,
             limiter,
         )
+        self._quarantine = quarantine_module.Quarantine(
+            platform.store, self.leadership, members, self._hub, self.metrics
+        )
         self._requests = requests_module.Requests(
             options,
             platform.dialect,
@@ -139,6 +143,7 @@
             self.metrics,
             lambda: self._keeper.sight,
             limiter,
+            self._quarantine,
         )
         self._keeper = keeping.Keeper(
             options,
@@ -235,6 +240,7 @@
             self._planner.run(),
             self._teller.run(self._find_sights),
             self._keeper.confirmations.run(),
+            self._quarantine.run(),
             lag.observe(self.metrics),
         ):
             self._start_task(work)
@@ -310,6 +316,7 @@
         self._keeper.watcher.currency.wake()
         self._endpoints.watcher.currency.wake()
         self._planner.begin()
+        self._quarantine.begin_term()
         # Everybody hears at once whom to report to, the holder before us too:
         # it may be cut off from the store.
         self._teller.tell_state(self._find_sights())
@@ -341,6 +348,8 @@
             self._keeper.confirmations.answer(message, source)
         elif isinstance(message, facts.Confirmed):
             self._keeper.confirmations.take(message)
+        elif isinstance(message, facts.Suspects):
+            self._quarantine.take(message)
         elif isinstance(message, facts.Report) and message.is_blind:
             self._teller.send_list(self._endpoints.list_all(), source)
         self._planner.take(message, source)
@@ -379,5 +388,6 @@
             "holds_lease": self.leadership.is_valid,
             "endpoints": self.view.dump(),
             "active": self._callers.active,
+            "suspects": self._quarantine.dump(),
             "engines": [b.describe() for b in self._ordering.books.values()],
         }
--- a/src/wayslip/gateway/datagrams.py
+++ b/src/wayslip/gateway/datagrams.py
@@ -10,6 +10,7 @@
 import cbor2
 
 from wayslip import errors
+from wayslip.decisions import suspicion
 from wayslip.gateway import facts
 
 # Larger datagrams are sent in parts, bytes: below what a network fragments
@@ -26,6 +27,7 @@
     8: facts.Missing,
     9: facts.Confirm,
     10: facts.Confirmed,
+    11: facts.Suspects,
 }
 _NUMBERS = {kind: number for number, kind in _KINDS.items()}
 # Fields that hold one such value.
@@ -41,6 +43,8 @@
     "readings": facts.Reading,
     "spendings": facts.Spending,
     "levels": facts.Level,
+    "marks": suspicion.Mark,
+    "cleared": suspicion.Mark,
 }
 
 
--- a/src/wayslip/gateway/facts.py
+++ b/src/wayslip/gateway/facts.py
@@ -7,6 +7,7 @@
 
 from wayslip.decisions import backlog
 from wayslip.decisions import fleet
+from wayslip.decisions import suspicion
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -395,6 +396,19 @@
     payload: bytes
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Suspects:
+    """What was on its way to endpoints that ended; see `suspicion`.
+
+    Attributes:
+        marks: That count, as far as the sender knows.
+        cleared: That count no longer.
+    """
+
+    marks: tuple[suspicion.Mark, ...]
+    cleared: tuple[suspicion.Mark, ...]
+
+
 Message = (
     Report
     | Want
@@ -406,4 +420,5 @@
     | Missing
     | Confirm
     | Confirmed
+    | Suspects
 )
--- a/src/wayslip/gateway/jobs.py
+++ b/src/wayslip/gateway/jobs.py
@@ -36,6 +36,7 @@
         units: That its quota was charged.
         is_sent: Whether an endpoint may run it now, or has.
         rank: Its urgency, 0 is the most urgent.
+        breaks: Attempts that broke off.
     """
 
     exchange: server.Exchange
@@ -57,6 +58,7 @@
     units: float = 0.0
     is_sent: bool = False
     rank: int = 0
+    breaks: int = 0
 
     @functools.cached_property
     def content(self) -> bytes:
--- /dev/null
+++ b/src/wayslip/gateway/quarantine.py
@@ -0,0 +1,347 @@
+"""Keeps requests that end endpoints away from them, at all instances.
+
+An instance whose attempt breaks off looks whether the endpoint has ended: then
+nobody listens at its address. If so, all instances hear what was on its way
+there; `decisions.suspicion` judges. The lease's holder tells
+what is known again and again, for those that start or were cut off, and keeps
+what is condemned in the store, for when all instances end together.
+"""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+import logging
+import time
+
+from wayslip import addresses
+from wayslip import errors
+from wayslip import logs
+from wayslip import metrics as metrics_module
+from wayslip.decisions import fleet
+from wayslip.decisions import suspicion
+from wayslip.gateway import facts
+from wayslip.gateway import hub as hub_module
+from wayslip.gateway import leadership as leadership_module
+from wayslip.gateway import members as members_module
+from wayslip.gateway import records
+from wayslip.gateway import store as store_module
+from wayslip.http1 import client
+
+_LOG = logging.getLogger(__name__)
+# What was seen is told at once and again after these, seconds: a datagram that
+# is lost costs an endpoint more.
+_REPEATS = (0.0, 0.2, 0.8)
+# Between statements of the holder, seconds: an instance that starts or comes
+# back from a cut is to have it within three.
+_TELL_SECONDS = 1.0
+# Between the holder's looks at what it has to keep in the store, seconds.
+_STEP_SECONDS = 0.25
+# Marks of one datagram, some 60 bytes each.
+_PART = 300
+
+
+@dataclasses.dataclass
+class _Breaks:
+    """Attempts that broke off at one start of an endpoint."""
+
+    at: float
+    marks: dict[bytes, suspicion.Mark] = dataclasses.field(default_factory=dict)
+
+
+Open = Callable[[tuple[str, int]], Awaitable[client.Connection]]
+
+
+class Quarantine:
+    """What this instance knows of such requests. On the event loop only."""
+
+    def __init__(
+        self,
+        store: store_module.Store,
+        leadership: leadership_module.Leadership,
+        members: members_module.Members,
+        hub: hub_module.Hub,
+        metrics: metrics_module.Metrics,
+    ) -> None:
+        self._store = store
+        self._leadership = leadership
+        self._members = members
+        self._hub = hub
+        self._metrics = metrics
+        self._suspicion = suspicion.Suspicion()
+        self._breaks: dict[suspicion.Start, _Breaks] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        # Condemned contents in the store, with their objects' revisions; None
+        # until they were read in this term.
+        self._stored: dict[bytes, int] | None = None
+        self._condemned: frozenset[bytes] = frozenset()
+        self._told_at = 0.0
+
+    # For requests
+
+    def __bool__(self) -> bool:
+        """Whether any content is under suspicion."""
+        return bool(self._suspicion)
+
+    def find_depth(self, content: bytes) -> int:
+        """Returns how deep a content is in suspicion."""
+        return self._suspicion.find_depth(content)
+
+    def is_condemned(self, content: bytes) -> bool:
+        """Whether a content should reach no endpoint."""
+        return self._suspicion.is_condemned(content)
+
+    def find_rest(self, content: bytes) -> float:
+        """Returns the seconds for which a condemned content stays so."""
+        return self._suspicion.find_rest(content, time.monotonic())
+
+    def note_answer(self, content: bytes) -> None:
+        """Notes that an endpoint answered a content: it ends none."""
+        self.lift(content, "answered")
+
+    def lift(self, content: bytes, reason: str) -> bool:
+        """Clears a content; returns whether it was under suspicion."""
+        marks = self._suspicion.list_marks(content)
+        news = self._suspicion.clear(marks, time.monotonic())
+        if not news:
+            return False
+        logs.event(
+            _LOG,
+            "content_cleared",
+            content=content.hex(),
+            reason=reason,
+            ends=len(news),
+        )
+        self._note_condemned()
+        self._tell(facts.Suspects((), tuple(news)))
+        return True
+
+    def note_break(
+        self,
+        endpoint: fleet.Endpoint,
+        content: bytes,
+        depth: int,
+        open_connection: Open,
+    ) -> None:
+        """Notes that an attempt broke off at an endpoint.
+
+        Args:
+            endpoint: Where it was sent.
+            content: What was asked for.
+            depth: How deep that was in suspicion when it was sent.
+            open_connection: Makes a connection to an address; raises
+                NobodyListensError if the endpoint's process is gone.
+        """
+        if endpoint.is_leaving:
+            # It ends as planned, whatever is on its way there.
+            return
+        start = suspicion.Start(endpoint.name, endpoint.born)
+        breaks = self._breaks.get(start)
+        if breaks is None:
+            breaks = _Breaks(time.monotonic())
+            self._breaks[start] = breaks
+            self._start_task(self._look(start, endpoint, open_connection))
+        mark = suspicion.Mark(content, start.endpoint, start.born, depth)
+        known = breaks.marks.get(content)
+        if known is None or known.depth < depth:
+            breaks.marks[content] = mark
+
+    async def _look(
+        self,
+        start: suspicion.Start,
+        endpoint: fleet.Endpoint,
+        open_connection: Open,
+    ) -> None:
+        """Finds out whether an endpoint has ended, or broke off only."""
+        # What breaks off in the same moment is to be there first.
+        await asyncio.sleep(0)
+        try:
+            address = addresses.split_address(endpoint.address)
+            connection = await open_connection(address)
+            connection.close()
+        except errors.NobodyListensError:
+            self._confirm(start)
+        except errors.NotSentError as e:
+            # It may be cut off, which says nothing of the requests.
+            logs.event(
+                _LOG,
+                "endpoint_not_looked_at",
+                endpoint=start.endpoint,
+                reason=e.reason,
+            )
+        finally:
+            self._breaks.pop(start, None)
+
+    def _confirm(self, start: suspicion.Start) -> None:
+        """Takes in that an endpoint ended, and tells everybody."""
+        breaks = self._breaks[start]
+        marks = list(breaks.marks.values())
+        logs.event(
+            _LOG,
+            "endpoint_ended",
+            logging.WARNING,
+            endpoint=start.endpoint,
+            born=start.born,
+            seconds=f"{time.monotonic() - breaks.at:.3f}",
+            contents=",".join(m.content.hex()[:8] for m in marks),
+        )
+        self._metrics.count("endpoint_ends")
+        news = self._suspicion.add(marks, time.monotonic())
+        self._note_condemned()
+        if news:
+            self._tell(facts.Suspects(tuple(news), ()))
+
+    def _note_condemned(self) -> None:
+        """Logs what came to be condemned, or is so no longer."""
+        condemned = frozenset(self._suspicion.list_condemned())
+        for content in condemned - self._condemned:
+            marks = self._suspicion.list_marks(content)
+            logs.event(
+                _LOG,
+                "content_condemned",
+                logging.WARNING,
+                content=content.hex(),
+                ends=",".join(m.endpoint for m in marks),
+                depth=self._suspicion.find_depth(content),
+            )
+            self._metrics.count("contents", outcome="condemned")
+        for content in self._condemned - condemned:
+            logs.event(_LOG, "content_released", content=content.hex())
+            self._metrics.count("contents", outcome="released")
+        self._condemned = condemned
+
+    # Between instances
+
+    def take(self, told: facts.Suspects) -> None:
+        """Takes in what another instance tells."""
+        now = time.monotonic()
+        self._suspicion.clear(told.cleared, now)
+        self._suspicion.add(told.marks, now)
+        self._note_condemned()
+
+    def _tell(self, told: facts.Suspects) -> None:
+        self._start_task(self._repeat(told))
+
+    async def _repeat(self, told: facts.Suspects) -> None:
+        for pause in _REPEATS:
+            await asyncio.sleep(pause)
+            self._spread(told)
+
+    def _spread(self, told: facts.Suspects) -> None:
+        for i in range(0, max(len(told.marks), len(told.cleared)), _PART):
+            part = facts.Suspects(
+                told.marks[i : i + _PART], told.cleared[i : i + _PART]
+            )
+            self._hub.spread(part, self._members.peers())
+
+    def _tell_again(self) -> None:
+        """Tells what others may have missed."""
+        now = time.monotonic()
+        if now - self._told_at < _TELL_SECONDS:
+            return
+        self._told_at = now
+        contents = self._suspicion.list_contents(2)
+        marks = [m for c in contents for m in self._suspicion.list_marks(c)]
+        cleared = self._suspicion.list_cleared()[-_PART:]
+        if marks or cleared:
+            self._spread(facts.Suspects(tuple(marks), tuple(cleared)))
+
+    # The lease's holder
+
+    def begin_term(self) -> None:
+        """Has the store read, because what it holds may not be known here."""
+        self._stored = None
+        self._told_at = 0.0
+
+    async def run(self) -> None:
+        """Forgets, and as the lease's holder tells and keeps, for ever."""
+        while True:
+            await asyncio.sleep(_STEP_SECONDS)
+            self._suspicion.forget(time.monotonic())
+            self._note_condemned()
+            if not self._leadership.is_held:
+                continue
+            self._tell_again()
+            try:
+                await self._keep()
+            except errors.ObjectError as e:
+                logs.event(
+                    _LOG,
+                    "suspects_not_kept",
+                    logging.WARNING,
+                    reason=e.reason,
+                )
+
+    async def _keep(self) -> None:
+        """Brings what is condemned into line between here and the store."""
+        if self._stored is None:
+            await self._read()
+        assert self._stored is not None
+        for content in self._condemned - self._stored.keys():
+            marks = tuple(self._suspicion.list_marks(content))
+            await self._create(content, marks)
+        for content in self._stored.keys() - self._condemned:
+            await self._remove(content)
+
+    async def _read(self) -> None:
+        listing = await self._store.list(records.SUSPECT)
+        stored = {}
+        for item in listing.items:
+            stored[item.value.content] = item.revision
+            self._suspicion.add(item.value.marks, time.monotonic())
+        self._stored = stored
+        self._note_condemned()
+        self._told_at = 0.0
+        self._tell_again()
+
+    async def _create(
+        self, content: bytes, marks: tuple[suspicion.Mark, ...]
+    ) -> None:
+        assert self._stored is not None
+        record = records.Suspect(content, marks)
+        try:
+            stored = await self._store.create(
+                records.SUSPECT, content.hex(), record
+            )
+            self._stored[content] = stored.revision
+        except errors.ObjectConflictError:
+            # An answer was lost, or another holder wrote it.
+            self._stored = None
+
+    async def _remove(self, content: bytes) -> None:
+        assert self._stored is not None
+        try:
+            await self._store.remove(
+                records.SUSPECT, content.hex(), self._stored[content]
+            )
+            del self._stored[content]
+        except errors.ObjectConflictError:
+            self._stored = None
+
+    # Inside
+
+    def _start_task(self, work: Awaitable[None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._end_task)
+
+    def _end_task(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            _LOG.error("quarantine_failed", exc_info=task.exception())
+
+    def dump(self) -> list[dict[str, object]]:
+        """Returns the contents that are under suspicion, condemned first."""
+        found: list[dict[str, object]] = []
+        for content in self._suspicion.list_contents(1):
+            marks = self._suspicion.list_marks(content)
+            found.append(
+                {
+                    "content": content.hex(),
+                    "is_condemned": content in self._condemned,
+                    "depth": self._suspicion.find_depth(content),
+                    "ends": [m.endpoint for m in marks],
+                    "seconds_left": round(self.find_rest(content), 1),
+                }
+            )
+        return sorted(found, key=lambda one: not one["is_condemned"])
--- a/src/wayslip/gateway/records.py
+++ b/src/wayslip/gateway/records.py
@@ -1,12 +1,22 @@
 """The gateway's own objects in the store, as plain JSON values."""
 
+import dataclasses
 from typing import Any
 
 from wayslip import errors
 from wayslip.decisions import lease
+from wayslip.decisions import suspicion
 from wayslip.gateway import store
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Suspect:
+    """A content that reaches no endpoint, and what it is suspected for."""
+
+    content: bytes
+    marks: tuple[suspicion.Mark, ...]
+
+
 def _encode_lease(value: lease.Lease) -> Any:
     return {
         "holder": value.holder,
@@ -53,6 +63,22 @@
         raise _malformed(name, e) from e
 
 
+def _encode_suspect(value: Suspect) -> Any:
+    return {"ends": [[m.endpoint, m.born, m.depth] for m in value.marks]}
+
+
+def _decode_suspect(name: str, spec: Any) -> Suspect:
+    try:
+        content = bytes.fromhex(name)
+        marks = tuple(
+            suspicion.Mark(content, str(endpoint), int(born), int(depth))
+            for endpoint, born, depth in spec["ends"]
+        )
+    except (KeyError, TypeError, ValueError) as e:
+        raise _malformed(name, e) from e
+    return Suspect(content, marks)
+
+
 def _malformed(name: str, error: Exception) -> errors.ObjectError:
     return errors.ObjectError(
         f"the object {name} is malformed ({error})",
@@ -67,3 +93,7 @@
 CLAIM: store.Kind[lease.Claim] = store.Kind(
     "wayslip-claims", _decode_claim, _encode_claim
 )
+# One for each content that is condemned, under its digest.
+SUSPECT: store.Kind[Suspect] = store.Kind(
+    "wayslip-suspects", _decode_suspect, _encode_suspect
+)
--- a/src/wayslip/gateway/requests.py
+++ b/src/wayslip/gateway/requests.py
@@ -23,6 +23,7 @@
 from wayslip.gateway import limits as limits_module
 from wayslip.gateway import options as options_module
 from wayslip.gateway import placement as placement_module
+from wayslip.gateway import quarantine as quarantine_module
 from wayslip.gateway import view as view_module
 from wayslip.http1 import server
 
@@ -62,6 +63,7 @@
         metrics: metrics_module.Metrics,
         find_sight: Callable[[], access.Sight],
         limiter: limits_module.Limiter,
+        quarantine: quarantine_module.Quarantine,
     ) -> None:
         """Initializes without any request.
 
@@ -74,7 +76,9 @@
             metrics: Where outcomes are counted.
             find_sight: Returns what is known of the configuration in force.
             limiter: Of organisations' quotas.
+            quarantine: Knows requests that end endpoints.
         """
+        self._quarantine = quarantine
         self._find_sight = find_sight
         self._limiter = limiter
         self._dialect = dialect
@@ -84,7 +88,7 @@
         self._metrics = metrics
         self._endings = jobs.Endings(dialect, metrics)
         self._attempts = attempts.Attempts(
-            dialect, view, self._endings, metrics
+            dialect, view, self._endings, metrics, quarantine
         )
         self._rng = random.Random()
         self._urgency = options.urgency
@@ -216,6 +220,24 @@
         self._endings.refuse_job(job, "over_quota", wait, 429)
         return False
 
+    def _check_content(self, job: jobs.Job) -> bool:
+        """Answers a request that ends the endpoints that run it.
+
+        Done before each attempt: word of another end may come while a request
+        waits. Each end breaks off all that runs there, so whoever asks gets
+        an answer at once instead, with the time when it may be tried again.
+        """
+        if not self._quarantine:
+            return True
+        if not self._quarantine.is_condemned(job.content):
+            return True
+        if job.relayed or job.progress.may_have_run:
+            self._endings.answer_verdict(job, retry.Verdict.UNKNOWN)
+            return False
+        wait = self._quarantine.find_rest(job.content)
+        self._endings.refuse_job(job, "ends_endpoints", wait)
+        return False
+
     def _budget(self, service: str) -> budget_module.Budget:
         budget = self._budgets.get(service)
         if budget is None:
@@ -226,6 +248,8 @@
     # Attempts
 
     async def _serve_job(self, job: jobs.Job) -> None:
+        if not self._check_content(job):
+            return
         self._budget(job.service.name).note_request(job.began)
         if job.service.pool is not None:
             work = self._view.reading.estimate(
@@ -238,6 +262,8 @@
             choice = await self._find(job)
             if choice is None or not self._check_key(job):
                 return
+            if not self._check_content(job):
+                return
             failure = await self._attempts.make(job, choice)
             if failure is None:
                 return
--- a/src/wayslip/http1/client.py
+++ b/src/wayslip/http1/client.py
@@ -254,12 +254,18 @@
     """Returns a new connection.
 
     Raises:
+        NobodyListensError: The address refuses it.
         NotSentError: None could be made in time.
     """
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(timeout):
             _, protocol = await loop.create_connection(Connection, *address)
+    except ConnectionRefusedError as e:
+        raise errors.NobodyListensError(
+            f"nobody listens at {address[0]}:{address[1]}",
+            "check that the endpoint runs",
+        ) from e
     except (OSError, TimeoutError) as e:
         raise errors.NotSentError(
             f"{address[0]}:{address[1]} accepts no connection"
--- /dev/null
+++ b/tests/decisions/test_suspicion.py
@@ -0,0 +1,125 @@
+import hypothesis
+from hypothesis import strategies as st
+
+from wayslip.decisions import suspicion
+
+DEADLY, OTHER, THIRD = b"deadly", b"other", b"third"
+
+
+def mark(content, endpoint, depth=0, born=0):
+    return suspicion.Mark(content, endpoint, born, depth)
+
+
+def judge(*marks, cleared=()):
+    found = suspicion.Suspicion()
+    found.add(marks, 0.0)
+    found.clear(cleared, 0.0)
+    return found
+
+
+def test_first_end_condemns_nobody():
+    found = judge(mark(DEADLY, "e1"), mark(OTHER, "e1"))
+    assert found.list_condemned() == []
+
+
+def test_content_that_was_tried_again_alone_is_condemned():
+    found = judge(
+        mark(DEADLY, "e1"), mark(OTHER, "e1"), mark(DEADLY, "e2", depth=1)
+    )
+    assert found.list_condemned() == [DEADLY]
+
+
+def test_contents_that_came_again_together_wait_for_a_third_end():
+    marks = [
+        mark(content, endpoint, depth)
+        for content in (DEADLY, OTHER)
+        for depth, endpoint in enumerate(("e1", "e2"))
+    ]
+    assert judge(*marks).list_condemned() == []
+    found = judge(*marks, mark(DEADLY, "e3", depth=2))
+    assert found.list_condemned() == [DEADLY]
+
+
+def test_answer_to_one_of_them_leaves_the_other_alone():
+    marks = [
+        mark(content, endpoint, depth)
+        for content in (DEADLY, OTHER)
+        for depth, endpoint in enumerate(("e1", "e2"))
+    ]
+    found = judge(*marks, cleared=[mark(OTHER, "e1"), mark(OTHER, "e2")])
+    assert found.list_condemned() == [DEADLY]
+
+
+def test_many_ends_at_once_under_a_common_content_count_as_one():
+    found = judge(*(mark(OTHER, f"e{n}") for n in range(8)))
+    assert found.find_depth(OTHER) == 1
+    assert found.list_condemned() == []
+
+
+def test_mark_that_went_on_from_a_cleared_one_counts_once():
+    found = judge(
+        mark(OTHER, "e1"),
+        mark(OTHER, "e2", depth=1),
+        cleared=[mark(OTHER, "e1")],
+    )
+    assert found.find_depth(OTHER) == 1
+
+
+def test_later_start_of_an_endpoint_is_another_one():
+    found = judge(mark(DEADLY, "e1", born=1), mark(DEADLY, "e1", 1, born=2))
+    assert found.list_condemned() == [DEADLY]
+
+
+def test_marks_are_forgotten_after_their_time():
+    found = judge(mark(DEADLY, "e1"), mark(DEADLY, "e2", 1))
+    assert found.find_rest(DEADLY, 1.0) == suspicion.KEPT_SECONDS - 1.0
+    found.forget(suspicion.KEPT_SECONDS - 1.0)
+    assert found.list_condemned() == [DEADLY]
+    found.forget(suspicion.KEPT_SECONDS + 1.0)
+    assert not found
+    assert not found.add([], 0.0)
+
+
+def test_thousands_of_contents_do_not_push_out_a_condemned_one():
+    found = judge(mark(DEADLY, "e1"), mark(DEADLY, "e2", 1))
+    for n in range(suspicion._CONTENTS_MOST * 2):
+        found.add([mark(b"%d" % n, f"f{n // 50}")], 1.0)
+    assert found.list_condemned() == [DEADLY]
+    assert len(found.list_contents(1)) <= suspicion._CONTENTS_MOST
+    assert len(found._at_start) <= suspicion._CONTENTS_MOST
+
+
+MARKS = st.builds(
+    suspicion.Mark,
+    st.sampled_from([DEADLY, OTHER, THIRD]),
+    st.sampled_from(["e1", "e2", "e3", "e4"]),
+    st.integers(0, 1),
+    st.integers(0, 3),
+)
+STEPS = st.lists(st.tuples(st.sampled_from(["add", "clear"]), MARKS))
+
+
+def replay(steps):
+    found = suspicion.Suspicion()
+    for verb, one in steps:
+        getattr(found, verb)([one], 0.0)
+    return (
+        sorted(map(str, found.list_condemned())),
+        [sorted(map(str, found.list_marks(c))) for c in (DEADLY, OTHER, THIRD)],
+    )
+
+
+@hypothesis.given(STEPS, st.randoms())
+def test_instances_agree_whatever_the_order_and_repeats(steps, rng):
+    others = steps + [s for s in steps if rng.random() < 0.5]
+    rng.shuffle(others)
+    assert replay(steps) == replay(others)
+
+
+@hypothesis.given(STEPS)
+def test_nothing_is_condemned_that_no_two_ends_were_seen_under(steps):
+    found = suspicion.Suspicion()
+    for verb, one in steps:
+        getattr(found, verb)([one], 0.0)
+    for content in found.list_condemned():
+        assert len(found.list_marks(content)) >= 2
--- a/tests/gateway/test_deadly_requests.py
+++ b/tests/gateway/test_deadly_requests.py
@@ -1,23 +1,31 @@
 """Requests that end the engines that run them.
 
-Callers got 502 while one engine after the other ended, and some eighteen streams
-broke off with each. All ends had one thing in common: among the requests on their
-way to the engine was one with the same path, caller and body as before, sent again
-under a new id, mostly at another instance. Nothing outlived an attempt, so each
-repeat was a first attempt. On a day like that the lines of broken attempts name five
-engines; ten of them have one digest, every other digest occurs once:
-
-    5.50  attempt_unclear endpoint=i-7a6d066430 content=215695...  (8 others there)
-    12.00 attempt_unclear endpoint=i-edddf18d21 content=215695...  (14)
-    18.50 attempt_unclear endpoint=i-1021bfbdd6 content=215695...  (14)
-    20.75 attempt_unclear endpoint=i-fd7067e2fe content=215695...  (18)
-    24.00 attempt_unclear endpoint=i-9c72c8b95e content=215695...  (9)
+Callers got 502 while one engine after the other ended, and some eighteen
+streams broke off with each. All ends had one thing in common: among the
+requests on their way to the engine was one with the same path, caller and body
+as before, sent again under a new id, mostly at another instance. Nothing
+outlived an attempt, so each repeat was a first attempt. On a day like that the
+lines of broken attempts name five engines; ten of them have one digest, every
+other digest occurs once:
+
+    5.50  attempt_unclear endpoint=i-7a6d066430 content=215695 (8 others there)
+    12.00 attempt_unclear endpoint=i-edddf18d21 content=215695 (14)
+    18.50 attempt_unclear endpoint=i-1021bfbdd6 content=215695 (14)
+    20.75 attempt_unclear endpoint=i-fd7067e2fe content=215695 (18)
+    24.00 attempt_unclear endpoint=i-9c72c8b95e content=215695 (9)
+
+Now whoever sees an engine end tells all instances what was on its way there,
+and what came again before another end is sent no more.
 """
 
 import asyncio
 
 from standins import platform_engine
+from standins import platform_site
 from tests.gateway import harness
+from wayslip.gateway import datagrams
+from wayslip.gateway import facts
+from wayslip.gateway import records
 
 DEADLY = b"deadly"
 # Nobody who is refused should take an engine with it after so many ends.
@@ -62,3 +70,129 @@
     for n, gateway in enumerate(gateways):
         served = await ask(system, gateway, f"s{n}", b"harmless")
         assert served.status == 200
+
+
+def has_condemned(gateway):
+    return any(s["is_condemned"] for s in gateway._quarantine.dump())
+
+
+async def condemn(system, gateway):
+    """Sends the deadly request until it is condemned everywhere."""
+    for n in range(2):
+        await ask(system, gateway, f"c{n}", DEADLY)
+        await system.until(lambda: gateway._quarantine)
+    await system.until(lambda: has_condemned(gateway))
+
+
+@harness.run
+async def test_request_is_kept_away_after_all_instances_were_killed(system):
+    engines = await add_engines(system, 4)
+    await condemn(system, system.gateway)
+    stored = system.store.objects
+    await system.until(lambda: stored.get(records.SUSPECT.name))
+    await system.kill(system.gateway)
+    options = harness.make_options("g1", system.options.store)
+    system.gateway = system._launch(options)
+    await system.until(system.gateway.is_ready)
+    await system.until(lambda: has_condemned(system.gateway))
+    answer = await ask(system, system.gateway, "r1", DEADLY)
+    assert answer.status == 503
+    assert sum(e.is_ended for e in engines) == 2
+
+
+@harness.run
+async def test_instance_that_joins_hears_what_is_condemned(system):
+    engines = await add_engines(system, 4)
+    await condemn(system, system.gateway)
+    other = await system.join("g2")
+    await system.until(lambda: has_condemned(other))
+    answer = await ask(system, other, "r1", DEADLY)
+    assert answer.status == 503
+    assert sum(e.is_ended for e in engines) == 2
+
+
+@harness.run
+async def test_engine_that_only_broke_off_puts_nobody_under_suspicion(system):
+    async def reset(engine, request, line):
+        line.reset()
+
+    await system.add("e1", "plain", script=reset)
+    for n in range(3):
+        answer = await ask(system, system.gateway, f"r{n}", DEADLY)
+        assert answer.status == 502
+    await asyncio.sleep(0.1)
+    assert not system.gateway._quarantine
+
+
+@harness.run
+async def test_request_that_another_engine_answers_is_cleared(system):
+    answers_deadly = asyncio.Event()
+
+    async def end_once(engine, request, line):
+        if not answers_deadly.is_set():
+            answers_deadly.set()
+            engine.crash()
+            return
+        await platform_engine.answer_whole(engine, request, line)
+
+    for n in range(3):
+        await system.add(f"e{n}", "plain", script=end_once)
+    assert (await ask(system, system.gateway, "r1", b"mild")).status == 502
+    await system.until(lambda: system.gateway._quarantine)
+    assert (await ask(system, system.gateway, "r2", b"mild")).status == 200
+    assert not system.gateway._quarantine
+
+
+@harness.run
+async def test_planned_end_of_an_engine_puts_nobody_under_suspicion(system):
+    engine = await system.add("e1", "plain", script=end_under_deadly)
+    tracked = system.gateway.view.tracked["e1"]
+    address = tracked.endpoint.address
+    leaving = platform_site.entry("plain", address, state="draining", seq=78)
+    system.store.put("servers", "e1", leaving)
+    await system.until(lambda: tracked.endpoint.is_leaving)
+    system.gateway._quarantine.note_break(
+        tracked.endpoint, b"c", 0, system.gateway._requests._attempts.pool.open
+    )
+    engine.crash()
+    await asyncio.sleep(0.1)
+    assert not system.gateway._quarantine
+
+
+@harness.run
+async def test_requests_that_may_be_repeated_end_no_more_engines(system):
+    engines = await add_engines(system, 6)
+    for n in range(4):
+        await ask(system, system.gateway, f"r{n}", DEADLY, "/get/a")
+        await asyncio.sleep(0.1)
+    assert sum(e.is_ended for e in engines) <= MOST_ENDS
+
+
+@harness.run
+async def test_word_of_an_end_survives_lost_datagrams(system):
+    await add_engines(system, 4)
+    other = await system.join("g2")
+    send = system.gateway._hub._send
+    lost = []
+
+    def lose_first(data, address):
+        message = datagrams.decode(data)
+        if isinstance(message, facts.Suspects) and not lost:
+            lost.append(data)
+            return
+        send(data, address)
+
+    system.gateway._hub._send = lose_first
+    await ask(system, system.gateway, "r1", DEADLY)
+    await system.until(lambda: other._quarantine)
+    assert lost
+
+
+@harness.run
+async def test_operators_see_and_lift_what_is_condemned(system):
+    await add_engines(system, 4)
+    await condemn(system, system.gateway)
+    content = system.gateway.dump()["suspects"][0]["content"]
+    assert system.gateway._quarantine.lift(bytes.fromhex(content), "operator")
+    assert system.gateway.dump()["suspects"] == []
+    assert not system.gateway._quarantine.lift(b"unknown", "operator")
