Count attempts that broke off with an engine, and try what is condemned again

Three attempts condemn now, however they were sent. A common request is on its way to each engine that ends, so an instance that has seen it answered says so, and the lease's holder tries what is condemned once more, after 30 s at the first step.

Instances read at their start what the store holds: after all were killed, engines ended until a holder had the lease. The holder tells what came up in the last 15 s, too. wayslipctl suspects and lift show and clear it, explain names the ends.

--- a/src/wayslip/cli/ctl.py
+++ b/src/wayslip/cli/ctl.py
@@ -13,6 +13,8 @@
   wayslipctl [options] drain INSTANCE
   wayslipctl [options] explain REQUEST [LOG ...]
   wayslipctl [options] report [--by=FIELD] [LOG ...]
+  wayslipctl [options] suspects
+  wayslipctl [options] lift CONTENT
   wayslipctl --help
 
 Commands:
@@ -30,6 +32,9 @@
              or standard input. The line that decided is marked with *.
   report     Sum up from instances' logs how requests ended, and what they were
              lost to; reads files, or standard input.
+  suspects   Requests, by the digest of their content, that endpoints ended
+             under; ask any gateway with --url. Those marked * reach none.
+  lift       Let such a request reach endpoints again, at all gateways.
 
 Options:
   --url=URL        Operators' port of any control [default: http://127.0.0.1:9080].
@@ -55,6 +60,7 @@
 import sys
 import time
 from typing import Any
+import urllib.parse
 
 import docopt
 import urllib3
@@ -154,7 +160,8 @@
         return _explain(options)
     if options["report"]:
         return _report(options)
-    control = Control(options["--url"], _read_key(options), timeout)
+    key = "" if _asks_gateway(options) else _read_key(options)
+    control = Control(options["--url"], key, timeout)
     method, path, body = _choose_call(options)
     reply = control.call(method, path, body)
     if options["confirm"] and reply.status < 400 and wait:
@@ -202,6 +209,11 @@
     return [x for text in texts for x in text.splitlines()]
 
 
+def _asks_gateway(options: Any) -> bool:
+    """Whether a command is for a gateway, whose operators' port has no key."""
+    return bool(options["suspects"] or options["lift"])
+
+
 def _read_key(options: Any) -> str:
     path = options["--key-file"]
     if not path:
@@ -236,6 +248,11 @@
         return "GET", f"/v1/instances/{instance}/dump", b""
     if options["drain"]:
         return "POST", f"/v1/instances/{instance}/drain", b""
+    if options["suspects"]:
+        return "GET", "/suspects", b""
+    if options["lift"]:
+        content = urllib.parse.quote(options["CONTENT"], safe="")
+        return "POST", f"/suspects/lift?content={content}", b""
     for subject in ("plans", "status", "models", "endpoints"):
         if options[subject]:
             return "GET", f"/v1/{subject}", b""
@@ -310,6 +327,10 @@
                 for e in value["endpoints"]
             ],
         )
+    elif options["suspects"]:
+        _print_suspects(value["suspects"])
+    elif options["lift"]:
+        print(f"lifted {value['lifted']}")
     elif options["dump"] or options["drain"]:
         print(json.dumps(value, indent=1))
     else:
@@ -340,6 +361,20 @@
         print(f"  confirm it with: wayslipctl confirm {plan['id']}")
 
 
+def _print_suspects(suspects: Any) -> None:
+    rows = [
+        (
+            "*" if s["is_condemned"] else "",
+            s["content"],
+            s["depth"],
+            ",".join(s["ends"]),
+            f"{s['seconds_left']:.0f}",
+        )
+        for s in suspects
+    ]
+    _print_table(("", "CONTENT", "DEPTH", "ENDED", "SECONDS LEFT"), rows)
+
+
 def _print_status(value: Any) -> None:
     print(f"configuration generation {value['generation']}")
     print(f"models {value['models']}, items {value['items']}")
--- a/src/wayslip/decisions/suspicion.py
+++ b/src/wayslip/decisions/suspicion.py
@@ -7,19 +7,27 @@
 clearings are merged by union, so instances that heard the same in any order,
 twice or in parts agree.
 
-How deep a content is in suspicion is counted along a chain: a mark goes on from
-what its sender knew when it sent the request. Many copies of one content that
-are under way together and break off together count as one, since nobody has
-tried it again yet.
+Two things speak against a content. How deep it is in suspicion, counted along
+a chain: a mark goes on from what its sender knew when it sent the request. And
+how many attempts at it broke off with an endpoint, under way together or not,
+unless endpoints were seen to answer it before: a common request is on its way
+to each endpoint that ends.
 """
 
 from collections.abc import Iterable
 import dataclasses
 
-# A content this deep is condemned; so is one step less if it alone was on its
-# way to both endpoints that ended.
+# A content is condemned when so many attempts at it broke off with endpoints,
+# when it is this deep in suspicion, or one less if it alone was on its way to
+# those that ended.
+_CONDEMNED_ATTEMPTS = 3
 _CONDEMNED_DEPTH = 3
 _ALONE_DEPTH = 2
+# What is condemned after one end only is tried again after this, seconds, and
+# so many times as late for each further step: so long a common request can be
+# refused that is on its way to endpoints which end before any was answered.
+_TRIAL_SECONDS = 30.0
+_TRIAL_FACTOR = 4
 # How long a mark is kept, seconds: whoever asks again and again for longer
 # waits in between, and an engine may be mended meanwhile.
 KEPT_SECONDS = 600.0
@@ -45,12 +53,17 @@
         endpoint, born: The start that ended; see `Start`.
         depth: How deep the content was in suspicion, as far as its sender
             knew when it sent it.
+        witness: The instance that sent it.
+        attempts: Of that instance that broke off with this end; 0 where it
+            has seen the content answered.
     """
 
     content: bytes
     endpoint: str
     born: int = 0
     depth: int = 0
+    witness: str = ""
+    attempts: int = 1
 
     @property
     def start(self) -> Start:
@@ -60,18 +73,50 @@
 
 @dataclasses.dataclass
 class _Suspect:
-    """What is known of one content; `since` is when its first mark came."""
+    """What is known of one content.
+
+    Attributes:
+        since: When its first mark came.
+        marks: By the start that ended, and the witness.
+    """
 
     since: float
-    depths: dict[Start, int] = dataclasses.field(default_factory=dict)
+    marks: dict[Start, dict[str, Mark]] = dataclasses.field(
+        default_factory=dict
+    )
 
     @property
     def depth(self) -> int:
         """How often it was tried again after an end, and the first time."""
-        if not self.depths:
-            return 0
+        deepest = max((m.depth for m in self.list_marks()), default=-1)
         # A mark may go on from one that was cleared since.
-        return min(1 + max(self.depths.values()), len(self.depths))
+        return min(1 + deepest, len(self.marks))
+
+    @property
+    def attempts(self) -> int:
+        """How many attempts broke off with endpoints."""
+        return sum(m.attempts for m in self.list_marks())
+
+    def list_marks(self) -> list[Mark]:
+        """Returns its marks, those of one start together."""
+        return [
+            mark
+            for _, told in sorted(self.marks.items())
+            for _, mark in sorted(told.items())
+        ]
+
+    def add(self, mark: Mark) -> bool:
+        """Takes a mark in; returns whether it was news."""
+        told = self.marks.setdefault(mark.start, {})
+        known = told.get(mark.witness)
+        if known is not None:
+            mark = dataclasses.replace(
+                mark,
+                depth=max(mark.depth, known.depth),
+                attempts=max(mark.attempts, known.attempts),
+            )
+        told[mark.witness] = mark
+        return mark != known
 
 
 class Suspicion:
@@ -80,6 +125,8 @@
     def __init__(self) -> None:
         self._suspects: dict[bytes, _Suspect] = {}
         self._at_start: dict[Start, set[bytes]] = {}
+        # Contents that endpoints answered before, and since when that is known.
+        self._common: dict[bytes, float] = {}
         # Marks that no longer count, and since when.
         self._cleared: dict[tuple[bytes, Start], float] = {}
 
@@ -96,7 +143,13 @@
 
     def is_condemned(self, content: bytes) -> bool:
         """Whether a content should reach no endpoint."""
-        depth = self.find_depth(content)
+        suspect = self._suspects.get(content)
+        if suspect is None:
+            return False
+        is_common = content in self._common
+        if suspect.attempts >= _CONDEMNED_ATTEMPTS and not is_common:
+            return True
+        depth = suspect.depth
         if depth >= _CONDEMNED_DEPTH:
             return True
         return depth >= _ALONE_DEPTH and self._is_alone(content)
@@ -105,12 +158,24 @@
         """Whether no other content that came again shares an end with it."""
         rivals = {
             other
-            for start in self._suspects[content].depths
+            for start in self._suspects[content].marks
             for other in self._at_start[start]
             if self.find_depth(other) >= _ALONE_DEPTH
         }
         return rivals == {content}
 
+    def may_be_tried(self, content: bytes, now: float) -> bool:
+        """Whether a condemned content should be tried once more.
+
+        It may be a common one that was on its way to endpoints that ended and
+        never answered before; the deeper it is in suspicion, the later.
+        """
+        suspect = self._suspects.get(content)
+        if suspect is None:
+            return False
+        pause = _TRIAL_SECONDS * _TRIAL_FACTOR ** (suspect.depth - 1)
+        return now - suspect.since >= pause
+
     def list_condemned(self) -> list[bytes]:
         """Returns the contents that should reach no endpoint."""
         return [c for c in self._suspects if self.is_condemned(c)]
@@ -118,17 +183,23 @@
     def list_marks(self, content: bytes) -> list[Mark]:
         """Returns the marks of a content."""
         suspect = self._suspects.get(content)
-        if suspect is None:
-            return []
-        return [
-            Mark(content, s.endpoint, s.born, depth)
-            for s, depth in sorted(suspect.depths.items())
-        ]
+        return suspect.list_marks() if suspect else []
 
     def list_contents(self, least_depth: int) -> list[bytes]:
         """Returns the contents that are at least so deep in suspicion."""
         return [c for c, s in self._suspects.items() if s.depth >= least_depth]
 
+    def list_open(self, since: float) -> list[bytes]:
+        """Returns the contents that all should know of.
+
+        Those first seen later, those that came again, and the condemned.
+        """
+        return [
+            c
+            for c, s in self._suspects.items()
+            if s.since >= since or s.depth > 1 or self.is_condemned(c)
+        ]
+
     def list_cleared(self) -> list[Mark]:
         """Returns the marks that no longer count."""
         return [Mark(c, s.endpoint, s.born) for c, s in self._cleared]
@@ -149,9 +220,7 @@
             if (mark.content, mark.start) in self._cleared:
                 continue
             suspect = self._suspects.setdefault(mark.content, _Suspect(now))
-            known = suspect.depths.get(mark.start, -1)
-            if mark.depth > known:
-                suspect.depths[mark.start] = mark.depth
+            if suspect.add(mark):
                 self._at_start.setdefault(mark.start, set()).add(mark.content)
                 news.append(mark)
         self._keep_bounds()
@@ -170,6 +239,19 @@
         self._keep_bounds()
         return news
 
+    def excuse(self, contents: Iterable[bytes], now: float) -> list[bytes]:
+        """Notes contents that endpoints answered before.
+
+        Only what they are deep in suspicion for counts against them.
+
+        Returns:
+            Those for which that is news.
+        """
+        news = [c for c in contents if c not in self._common]
+        self._common.update(dict.fromkeys(news, now))
+        self._keep_bounds()
+        return news
+
     def forget(self, now: float) -> None:
         """Forgets what was known for long enough."""
         limit = now - KEPT_SECONDS
@@ -178,18 +260,19 @@
         ]:
             self._drop_all(content)
         self._cleared = {k: t for k, t in self._cleared.items() if t > limit}
+        self._common = {c: t for c, t in self._common.items() if t > limit}
 
     def _drop(self, content: bytes, start: Start) -> None:
         suspect = self._suspects.get(content)
-        if suspect is None or start not in suspect.depths:
+        if suspect is None or start not in suspect.marks:
             return
-        del suspect.depths[start]
+        del suspect.marks[start]
         self._leave(content, start)
-        if not suspect.depths:
+        if not suspect.marks:
             del self._suspects[content]
 
     def _drop_all(self, content: bytes) -> None:
-        for start in self._suspects.pop(content).depths:
+        for start in self._suspects.pop(content).marks:
             self._leave(content, start)
 
     def _leave(self, content: bytes, start: Start) -> None:
@@ -209,3 +292,5 @@
                 self._drop_all(content)
         while len(self._cleared) > _CONTENTS_MOST:
             del self._cleared[next(iter(self._cleared))]
+        while len(self._common) > _CONTENTS_MOST:
+            del self._common[next(iter(self._common))]
--- a/src/wayslip/gateway/attempts.py
+++ b/src/wayslip/gateway/attempts.py
@@ -1,9 +1,9 @@
 """One attempt at a request: send it, and pass the endpoint's answer on."""
 
 import logging
-import time
 
 from wayslip import addresses
+from wayslip import clock
 from wayslip import errors
 from wayslip import logs
 from wayslip import metrics as metrics_module
@@ -100,13 +100,13 @@
         endpoint = use.tracked.endpoint.name
         order = dialect_module.Order(
             endpoint=endpoint,
-            seconds_left=job.deadline - time.monotonic(),
+            seconds_left=job.deadline - clock.now(),
             priority=job.rank,
             last_event_id=job.splitter.last_id,
             organisation=job.caller.name if job.caller else "",
         )
         if job.sent_after is None:
-            job.sent_after = time.monotonic() - job.began
+            job.sent_after = clock.now() - job.began
         job.is_sent = True
         connection.send(
             self._dialect.format_request(job.exchange.request, order),
@@ -139,8 +139,7 @@
             failure = await self._pass_on(job, use, connection, head)
         if failure is None:
             self._keep(endpoint, connection, head)
-        if self._quarantine:
-            self._quarantine.note_answer(job.content)
+        self._quarantine.note_answer(job.content)
         return failure
 
     def _note_refusal(
@@ -244,7 +243,7 @@
         if job.relayed:
             return
         job.relayed = True
-        job.first_after = time.monotonic() - job.began
+        job.first_after = clock.now() - job.began
         self._metrics.latency("first_event").observe(job.first_after)
         headers = messages.find_end_to_end(head.headers)
         job.exchange.start(head.status, headers, None)
--- a/src/wayslip/gateway/daemon.py
+++ b/src/wayslip/gateway/daemon.py
@@ -5,10 +5,10 @@
 import dataclasses
 import logging
 import signal
-import time
 from typing import Any
 
 from wayslip import addresses
+from wayslip import clock
 from wayslip import logs
 from wayslip import metrics as metrics_module
 from wayslip.decisions import fleet
@@ -132,7 +132,13 @@
             limiter,
         )
         self._quarantine = quarantine_module.Quarantine(
-            platform.store, self.leadership, members, self._hub, self.metrics
+            platform.store,
+            self.leadership,
+            members,
+            self._hub,
+            self.metrics,
+            options.name,
+            self._find_pause,
         )
         self._requests = requests_module.Requests(
             options,
@@ -189,7 +195,10 @@
         self._operators = server.Server(
             (options.ip, options.metrics_port),
             pages.Pages(
-                self.metrics, self.dump, self._keeper.distribution
+                self.metrics,
+                self.dump,
+                self._keeper.distribution,
+                self._quarantine,
             ).answer,
             manifest.Limits,
         )
@@ -273,7 +282,7 @@
         logs.event(_LOG, "reload_noted", instance=self._options.name)
 
     async def _stop(self) -> None:
-        began = time.monotonic()
+        began = clock.now()
         self._callers.is_draining = True
         logs.event(_LOG, "stopping", active=self._callers.active)
         self._placement.say_leaving()
@@ -283,8 +292,8 @@
             # before it would find that out.
             self._teller.tell_state(self._find_sights())
         limit = began + self._options.bounds.grace - _LAST_SECONDS
-        while time.monotonic() < limit:
-            if time.monotonic() - began >= _BALANCER_SECONDS:
+        while clock.now() < limit:
+            if clock.now() - began >= _BALANCER_SECONDS:
                 self._callers.stop_listening()
                 self._callers.close_idle()
                 if not self._callers.active:
@@ -294,7 +303,7 @@
             _LOG,
             "stopped",
             cut=self._callers.active,
-            seconds=f"{time.monotonic() - began:.1f}",
+            seconds=f"{clock.now() - began:.1f}",
         )
         self._callers.abort_all()
         self._requests.close()
--- a/src/wayslip/gateway/facts.py
+++ b/src/wayslip/gateway/facts.py
@@ -403,10 +403,12 @@
     Attributes:
         marks: That count, as far as the sender knows.
         cleared: That count no longer.
+        common: Contents that endpoints answered before.
     """
 
-    marks: tuple[suspicion.Mark, ...]
-    cleared: tuple[suspicion.Mark, ...]
+    marks: tuple[suspicion.Mark, ...] = ()
+    cleared: tuple[suspicion.Mark, ...] = ()
+    common: tuple[bytes, ...] = ()
 
 
 Message = (
--- a/src/wayslip/gateway/jobs.py
+++ b/src/wayslip/gateway/jobs.py
@@ -3,8 +3,8 @@
 import dataclasses
 import functools
 import logging
-import time
 
+from wayslip import clock
 from wayslip import logs
 from wayslip import metrics as metrics_module
 from wayslip.decisions import contents
@@ -128,6 +128,14 @@
         )
         job.exchange.answer(status, headers, b"not run, come back later\n")
 
+    def refuse_content(self, job: Job, wait: float) -> None:
+        """Says that a request ended endpoints and was not run again."""
+        reason = "ends_endpoints"
+        self.end_job(job, reason, 503, f"{wait:.2f}", job.content.hex())
+        self._metrics.count("refused", reason=reason)
+        headers = self._dialect.make_retry_after(wait)
+        job.exchange.answer(503, headers, b"not run: engines ended under it\n")
+
     def deny_job(self, job: Job, reason: str) -> None:
         """Says for good that a request's key lets nobody in."""
         self.end_job(job, reason, 401)
@@ -143,7 +151,12 @@
         exchange.answer(503, headers, b"not run, come back later\n")
 
     def end_job(
-        self, job: Job, outcome: str, status: int, retry_after: str = ""
+        self,
+        job: Job,
+        outcome: str,
+        status: int,
+        retry_after: str = "",
+        content: str = "",
     ) -> None:
         """Logs and counts the end of a job."""
         self.end(
@@ -159,6 +172,7 @@
             sent_after=_format_seconds(job.sent_after),
             first_after=_format_seconds(job.first_after),
             retry_after=retry_after,
+            content=content,
         )
 
     def end(
@@ -170,7 +184,7 @@
         **fields: str,
     ) -> None:
         """Logs and counts the end of a request."""
-        seconds = time.monotonic() - began
+        seconds = clock.now() - began
         self._metrics.latency("request").observe(seconds)
         # A warning is the last to be left out when the reader is slow.
         level = logging.INFO if outcome == "answered" else logging.WARNING
--- a/src/wayslip/gateway/pages.py
+++ b/src/wayslip/gateway/pages.py
@@ -3,11 +3,13 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import json
+import urllib.parse
 
 from wayslip import metrics as metrics_module
 from wayslip import registry
 from wayslip.gateway import copying
 from wayslip.gateway import distribution as distribution_module
+from wayslip.gateway import quarantine as quarantine_module
 from wayslip.http1 import server
 
 _TEXT = ((b"content-type", b"text/plain; charset=utf-8"),)
@@ -15,14 +17,16 @@
 
 
 class Pages:
-    """Figures, the state of the process, and copies for other instances."""
+    """Figures, states, copies for other instances, and what can be lifted."""
 
     def __init__(
         self,
         metrics: metrics_module.Metrics,
         dump: Callable[[], dict[str, object]],
         distribution: distribution_module.Distribution,
+        quarantine: quarantine_module.Quarantine,
     ) -> None:
+        self.quarantine = quarantine
         self.metrics = metrics
         self.dump = dump
         self.distribution = distribution
@@ -52,6 +56,38 @@
     exchange.answer(200, _JSON, data)
 
 
+@_PAGES.register("/suspects")
+async def _show_suspects(pages: Pages, exchange: server.Exchange) -> None:
+    found = {"suspects": pages.quarantine.dump()}
+    exchange.answer(200, _JSON, json.dumps(found).encode())
+
+
+def _refuse(
+    exchange: server.Exchange, status: int, reason: str, remedy: str
+) -> None:
+    told = {"reason": reason, "remedy": remedy}
+    exchange.answer(status, _JSON, json.dumps(told).encode())
+
+
+@_PAGES.register("/suspects/lift")
+async def _lift_suspect(pages: Pages, exchange: server.Exchange) -> None:
+    if exchange.request.method != b"POST":
+        _refuse(exchange, 405, "a lift changes something", "use POST")
+        return
+    query = exchange.request.target.partition(b"?")[2].decode("latin-1")
+    text = urllib.parse.parse_qs(query).get("content", [""])[0]
+    try:
+        content = bytes.fromhex(text)
+    except ValueError:
+        _refuse(exchange, 400, f"{text} is no digest", "give it in hex")
+        return
+    if not pages.quarantine.lift(content, "operator"):
+        remedy = "list what is known with wayslipctl suspects"
+        _refuse(exchange, 404, f"no endpoint ended under {text}", remedy)
+        return
+    exchange.answer(200, _JSON, json.dumps({"lifted": text}).encode())
+
+
 @_PAGES.register(copying.PATH)
 async def _hand_on(pages: Pages, exchange: server.Exchange) -> None:
     await pages.distribution.answer(exchange)
--- a/src/wayslip/gateway/quarantine.py
+++ b/src/wayslip/gateway/quarantine.py
@@ -8,13 +8,15 @@
 """
 
 import asyncio
+import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
 import logging
-import time
+import random
 
 from wayslip import addresses
+from wayslip import clock
 from wayslip import errors
 from wayslip import logs
 from wayslip import metrics as metrics_module
@@ -31,12 +33,23 @@
 _LOG = logging.getLogger(__name__)
 # What was seen is told at once and again after these, seconds: a datagram that
 # is lost costs an endpoint more.
-_REPEATS = (0.0, 0.2, 0.8)
+_REPEATS = (0.0, 0.2, 0.8, 1.5)
 # Between statements of the holder, seconds: an instance that starts or comes
 # back from a cut is to have it within three.
 _TELL_SECONDS = 1.0
+# What came up only once is told again by the holder for so long, seconds: those
+# that did not hear it are to know of it when it comes again.
+_OPEN_SECONDS = 15.0
 # Between the holder's looks at what it has to keep in the store, seconds.
 _STEP_SECONDS = 0.25
+# Contents that endpoints answered lately, so that a common one on its way to an
+# endpoint that ends is no worse than others; each takes 100 bytes.
+_ANSWERED_MOST = 2000
+# Instances that have all seen a content answered speak at different times, so
+# that one of them does, seconds.
+_EXCUSE_SECONDS = 0.05
+# Between trials of a condemned content, seconds: longer than requests take.
+_TRIAL_PAUSE = 20.0
 # Marks of one datagram, some 60 bytes each.
 _PART = 300
 
@@ -62,13 +75,34 @@
         members: members_module.Members,
         hub: hub_module.Hub,
         metrics: metrics_module.Metrics,
+        witness: str,
+        find_pause: Callable[[float], float],
     ) -> None:
+        """Initializes without any knowledge.
+
+        Args:
+            store: Where what is condemned is kept.
+            leadership: Of the lease.
+            members: Know where the other instances are.
+            hub: Sends to them.
+            metrics: Where ends and contents are counted.
+            witness: The name of this instance.
+            find_pause: Returns the seconds to wait before an attempt that
+                others make too; given what one instance alone would wait.
+        """
+        self._witness = witness
+        self._find_pause = find_pause
         self._store = store
         self._leadership = leadership
         self._members = members
         self._hub = hub
         self._metrics = metrics
         self._suspicion = suspicion.Suspicion()
+        # When condemned contents were last tried here; bounded by those.
+        self._tried: dict[bytes, float] = {}
+        self._answered: collections.OrderedDict[bytes, None] = (
+            collections.OrderedDict()
+        )
         self._breaks: dict[suspicion.Start, _Breaks] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         # Condemned contents in the store, with their objects' revisions; None
@@ -87,22 +121,45 @@
         """Returns how deep a content is in suspicion."""
         return self._suspicion.find_depth(content)
 
-    def is_condemned(self, content: bytes) -> bool:
-        """Whether a content should reach no endpoint."""
-        return self._suspicion.is_condemned(content)
+    def admits(self, content: bytes) -> bool:
+        """Whether a content may be sent to an endpoint now."""
+        if not self._suspicion.is_condemned(content):
+            return True
+        return self._begins_trial(content)
+
+    def _begins_trial(self, content: bytes) -> bool:
+        """Whether a condemned content is tried once more, with this request.
+
+        Only the lease's holder tries, so that one endpoint at most ends.
+        """
+        now = clock.now()
+        if not self._leadership.is_held:
+            return False
+        if not self._suspicion.may_be_tried(content, now):
+            return False
+        if now - self._tried.get(content, float("-inf")) < _TRIAL_PAUSE:
+            return False
+        self._tried[content] = now
+        logs.event(_LOG, "content_tried", content=content.hex())
+        return True
 
     def find_rest(self, content: bytes) -> float:
         """Returns the seconds for which a condemned content stays so."""
-        return self._suspicion.find_rest(content, time.monotonic())
+        return self._suspicion.find_rest(content, clock.now())
 
     def note_answer(self, content: bytes) -> None:
         """Notes that an endpoint answered a content: it ends none."""
-        self.lift(content, "answered")
+        self._answered[content] = None
+        self._answered.move_to_end(content)
+        if len(self._answered) > _ANSWERED_MOST:
+            self._answered.popitem(last=False)
+        if self._suspicion:
+            self.lift(content, "answered")
 
     def lift(self, content: bytes, reason: str) -> bool:
         """Clears a content; returns whether it was under suspicion."""
         marks = self._suspicion.list_marks(content)
-        news = self._suspicion.clear(marks, time.monotonic())
+        news = self._suspicion.clear(marks, clock.now())
         if not news:
             return False
         logs.event(
@@ -113,7 +170,7 @@
             ends=len(news),
         )
         self._note_condemned()
-        self._tell(facts.Suspects((), tuple(news)))
+        self._tell(facts.Suspects(cleared=tuple(news)))
         return True
 
     def note_break(
@@ -138,13 +195,19 @@
         start = suspicion.Start(endpoint.name, endpoint.born)
         breaks = self._breaks.get(start)
         if breaks is None:
-            breaks = _Breaks(time.monotonic())
+            breaks = _Breaks(clock.now())
             self._breaks[start] = breaks
             self._start_task(self._look(start, endpoint, open_connection))
-        mark = suspicion.Mark(content, start.endpoint, start.born, depth)
         known = breaks.marks.get(content)
-        if known is None or known.depth < depth:
-            breaks.marks[content] = mark
+        attempts = 0 if content in self._answered else 1
+        breaks.marks[content] = suspicion.Mark(
+            content,
+            start.endpoint,
+            start.born,
+            depth if known is None else max(depth, known.depth),
+            self._witness,
+            attempts if known is None else attempts + known.attempts,
+        )
 
     async def _look(
         self,
@@ -182,14 +245,14 @@
             logging.WARNING,
             endpoint=start.endpoint,
             born=start.born,
-            seconds=f"{time.monotonic() - breaks.at:.3f}",
+            seconds=f"{clock.now() - breaks.at:.3f}",
             contents=",".join(m.content.hex()[:8] for m in marks),
         )
         self._metrics.count("endpoint_ends")
-        news = self._suspicion.add(marks, time.monotonic())
+        news = self._suspicion.add(marks, clock.now())
         self._note_condemned()
         if news:
-            self._tell(facts.Suspects(tuple(news), ()))
+            self._tell(facts.Suspects(tuple(news)))
 
     def _note_condemned(self) -> None:
         """Logs what came to be condemned, or is so no longer."""
@@ -201,21 +264,35 @@
                 "content_condemned",
                 logging.WARNING,
                 content=content.hex(),
-                ends=",".join(m.endpoint for m in marks),
+                ends=",".join(sorted({m.endpoint for m in marks})),
+                attempts=sum(m.attempts for m in marks),
                 depth=self._suspicion.find_depth(content),
             )
             self._metrics.count("contents", outcome="condemned")
+            if content in self._answered:
+                self._start_task(self._excuse(content))
         for content in self._condemned - condemned:
             logs.event(_LOG, "content_released", content=content.hex())
             self._metrics.count("contents", outcome="released")
         self._condemned = condemned
+        self._tried = {c: t for c, t in self._tried.items() if c in condemned}
+
+    async def _excuse(self, content: bytes) -> None:
+        """Tells that a content was answered here, unless others do."""
+        await asyncio.sleep(random.uniform(0, _EXCUSE_SECONDS))
+        news = self._suspicion.excuse((content,), clock.now())
+        if news:
+            logs.event(_LOG, "content_is_common", content=content.hex())
+            self._note_condemned()
+            self._tell(facts.Suspects(common=tuple(news)))
 
     # Between instances
 
     def take(self, told: facts.Suspects) -> None:
         """Takes in what another instance tells."""
-        now = time.monotonic()
+        now = clock.now()
         self._suspicion.clear(told.cleared, now)
+        self._suspicion.excuse(told.common, now)
         self._suspicion.add(told.marks, now)
         self._note_condemned()
 
@@ -228,19 +305,22 @@
             self._spread(told)
 
     def _spread(self, told: facts.Suspects) -> None:
-        for i in range(0, max(len(told.marks), len(told.cleared)), _PART):
+        most = max(len(told.marks), len(told.cleared), len(told.common))
+        for i in range(0, most, _PART):
             part = facts.Suspects(
-                told.marks[i : i + _PART], told.cleared[i : i + _PART]
+                told.marks[i : i + _PART],
+                told.cleared[i : i + _PART],
+                told.common[i : i + _PART],
             )
             self._hub.spread(part, self._members.peers())
 
     def _tell_again(self) -> None:
         """Tells what others may have missed."""
-        now = time.monotonic()
+        now = clock.now()
         if now - self._told_at < _TELL_SECONDS:
             return
         self._told_at = now
-        contents = self._suspicion.list_contents(2)
+        contents = self._suspicion.list_open(now - _OPEN_SECONDS)
         marks = [m for c in contents for m in self._suspicion.list_marks(c)]
         cleared = self._suspicion.list_cleared()[-_PART:]
         if marks or cleared:
@@ -255,9 +335,10 @@
 
     async def run(self) -> None:
         """Forgets, and as the lease's holder tells and keeps, for ever."""
+        self._start_task(self._learn())
         while True:
             await asyncio.sleep(_STEP_SECONDS)
-            self._suspicion.forget(time.monotonic())
+            self._suspicion.forget(clock.now())
             self._note_condemned()
             if not self._leadership.is_held:
                 continue
@@ -283,12 +364,31 @@
         for content in self._stored.keys() - self._condemned:
             await self._remove(content)
 
+    async def _learn(self) -> None:
+        """Reads at the start what the instances before us kept.
+
+        The holder tells it too, but where all were killed together nobody
+        holds the lease for a while.
+        """
+        while True:
+            try:
+                listing = await self._store.list(records.SUSPECT, True)
+                break
+            except errors.ObjectError as e:
+                logs.event(
+                    _LOG, "suspects_not_read", logging.WARNING, reason=e.reason
+                )
+            await asyncio.sleep(self._find_pause(_TELL_SECONDS))
+        for item in listing.items:
+            self._suspicion.add(item.value.marks, clock.now())
+        self._note_condemned()
+
     async def _read(self) -> None:
         listing = await self._store.list(records.SUSPECT)
         stored = {}
         for item in listing.items:
             stored[item.value.content] = item.revision
-            self._suspicion.add(item.value.marks, time.monotonic())
+            self._suspicion.add(item.value.marks, clock.now())
         self._stored = stored
         self._note_condemned()
         self._told_at = 0.0
@@ -340,7 +440,8 @@
                     "content": content.hex(),
                     "is_condemned": content in self._condemned,
                     "depth": self._suspicion.find_depth(content),
-                    "ends": [m.endpoint for m in marks],
+                    "ends": sorted({m.endpoint for m in marks}),
+                    "attempts": sum(m.attempts for m in marks),
                     "seconds_left": round(self.find_rest(content), 1),
                 }
             )
--- a/src/wayslip/gateway/records.py
+++ b/src/wayslip/gateway/records.py
@@ -64,15 +64,22 @@
 
 
 def _encode_suspect(value: Suspect) -> Any:
-    return {"ends": [[m.endpoint, m.born, m.depth] for m in value.marks]}
+    return {
+        "ends": [
+            [m.endpoint, m.born, m.depth, m.witness, m.attempts]
+            for m in value.marks
+        ]
+    }
 
 
 def _decode_suspect(name: str, spec: Any) -> Suspect:
     try:
         content = bytes.fromhex(name)
         marks = tuple(
-            suspicion.Mark(content, str(endpoint), int(born), int(depth))
-            for endpoint, born, depth in spec["ends"]
+            suspicion.Mark(
+                content, str(end), int(born), int(depth), str(name), int(count)
+            )
+            for end, born, depth, name, count in spec["ends"]
         )
     except (KeyError, TypeError, ValueError) as e:
         raise _malformed(name, e) from e
--- a/src/wayslip/gateway/requests.py
+++ b/src/wayslip/gateway/requests.py
@@ -4,8 +4,8 @@
 from collections.abc import Callable
 import logging
 import random
-import time
 
+from wayslip import clock
 from wayslip import logs
 from wayslip import metrics as metrics_module
 from wayslip.decisions import access
@@ -109,7 +109,7 @@
 
     async def serve(self, exchange: server.Exchange) -> None:
         """Answers one request."""
-        began = time.monotonic()
+        began = clock.now()
         traits = self._dialect.read_request(exchange.request)
         manifest = self._holder.manifest
         if manifest is None:
@@ -128,7 +128,7 @@
         if not self._check_key(job) or not self._check_quota(job):
             return
         try:
-            async with asyncio.timeout_at(job.deadline):
+            async with asyncio.timeout(job.deadline - clock.now()):
                 await self._serve_job(job)
         except TimeoutError:
             self._endings.time_out(job)
@@ -229,13 +229,13 @@
         """
         if not self._quarantine:
             return True
-        if not self._quarantine.is_condemned(job.content):
+        if self._quarantine.admits(job.content):
             return True
         if job.relayed or job.progress.may_have_run:
             self._endings.answer_verdict(job, retry.Verdict.UNKNOWN)
             return False
         wait = self._quarantine.find_rest(job.content)
-        self._endings.refuse_job(job, "ends_endpoints", wait)
+        self._endings.refuse_content(job, wait)
         return False
 
     def _budget(self, service: str) -> budget_module.Budget:
@@ -283,7 +283,7 @@
                 return True
         else:
             job.progress = job.progress.fail(failure)
-        now = time.monotonic()
+        now = clock.now()
         may_retry = job.progress.judge(
             job.route.max_attempts, job.deadline - now, True
         )
@@ -319,7 +319,7 @@
         if choice is None:
             self._refuse_missing(job)
             return None
-        left = job.deadline - time.monotonic()
+        left = job.deadline - clock.now()
         target = job.route.target
         limit = min(left * _WAIT_SHARE, target * _TARGET_SHARE)
         if choice.wait > limit and not job.progress.may_have_run:
@@ -373,7 +373,7 @@
 
     def _find_patience(self, job: jobs.Job) -> float:
         """Returns for how long a request should wait for its model."""
-        now = time.monotonic()
+        now = clock.now()
         situation = waiting.Situation(
             waited=now - job.began,
             target=job.route.target,
--- a/tests/stateful/order_world.py
+++ b/tests/stateful/order_world.py
@@ -54,6 +54,7 @@
                 self.gateway._placement.watch_holder(),
                 self.gateway._planner.run(),
                 self.gateway._teller.run(self.gateway._find_sights),
+                self.gateway._quarantine.run(),
                 self._ask(),
             )
         ]
--- a/tests/test_story.py
+++ b/tests/test_story.py
@@ -67,3 +67,26 @@
     done = test_cli.run("ctl", "explain", "r9", str(path))
     assert done.returncode == 2
     assert "give the logs of all instances" in done.stderr
+
+
+def test_story_of_a_refused_request_tells_under_which_ends():
+    content = "215695fbc3d99a42a0432ba76ef8b10c"
+    lines = [
+        line("i-2", 10.0, "endpoint_ended", endpoint="e1", contents="215695fb"),
+        line("i-2", 11.0, "endpoint_ended", endpoint="e2", contents="0a,1b"),
+        line("i-3", 40.0, "content_condemned", content=content, ends="e1,e7"),
+        line(
+            "i-1",
+            101.0,
+            "ended",
+            request="r1",
+            outcome="ends_endpoints",
+            content=content,
+        ),
+    ]
+    told = story.tell("r1", lines)
+    assert [e.name for e in told.context] == [
+        "endpoint_ended",
+        "content_condemned",
+    ]
+    assert "endpoints ended under the same request" in story.format_story(told)
