Test that engines' words in their answers are heeded, failing

An engine that said in its answers that it leaves got requests for five seconds more, as the store, which was away, still listed it as ready. Another one that turned requests away and asked for 3 s of rest got the next ones at once, from the same instances. Nothing reads the one word, and the other is read and dropped.

--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -191,3 +191,36 @@
     )
     found = DIALECT.read_request(same).key
     assert found == organisations.hash_key(b"secret-1")
+
+
+def test_word_of_leaving_is_read():
+    assert DIALECT.read_answer(head(server_leaving="1")).is_leaving
+    assert not DIALECT.read_answer(head(server_leaving="0")).is_leaving
+    assert not DIALECT.read_answer(head()).is_leaving
+
+
+@pytest.mark.parametrize(
+    ("text", "seconds"),
+    [
+        ("3", 3.0),
+        ("0.25", 0.25),
+        ("0", None),
+        ("-1", None),
+        ("nan", None),
+        ("inf", None),
+        ("soon", None),
+        ("Wed, 21 Oct 2026 07:28:00 GMT", None),
+        ("7200", 3600.0),
+    ],
+)
+def test_time_to_rest_is_read_and_bounded(text, seconds):
+    answer = DIALECT.read_answer(
+        head(503, wayslip_not_executed="1", retry_after=text)
+    )
+    assert answer.rest == seconds
+
+
+def test_rest_is_asked_for_by_refusals_alone():
+    assert DIALECT.read_answer(head(503, retry_after="3")).rest is None
+    refusal = head(429, wayslip_not_executed="1", retry_after="3")
+    assert DIALECT.read_answer(refusal).rest is None
