Heed what an engine says in an answer: that it leaves

Requests went on to an engine for five seconds after its answers had said that it leaves: the store was away, its list still called the engine ready, and nothing else was read. The word of an answer is a fact of its own now. It belongs to one start of the engine and only a later start ends it, so neither an entry that still says ready nor one that lapsed and came back undoes it. It is merged into the endpoint where entries come in, so choice, second attempts, waiting requests, the planner and what is told to others all see it, and the other instances hear it at once.

--- a/src/wayslip/gateway/attempts.py
+++ b/src/wayslip/gateway/attempts.py
@@ -1,5 +1,6 @@
 """One attempt at a request: send it, and pass the endpoint's answer on."""
 
+from collections.abc import Callable
 import logging
 
 from wayslip import addresses
@@ -7,6 +8,7 @@
 from wayslip import errors
 from wayslip import logs
 from wayslip import metrics as metrics_module
+from wayslip.decisions import fleet
 from wayslip.decisions import retry
 from wayslip.decisions import selection
 from wayslip.gateway import dialect as dialect_module
@@ -36,7 +38,19 @@
         endings: jobs.Endings,
         metrics: metrics_module.Metrics,
         quarantine: quarantine_module.Quarantine,
+        tell_leaving: Callable[[fleet.Endpoint], None],
     ) -> None:
+        """Initializes without any connection.
+
+        Args:
+            dialect: Reads answers and writes headers.
+            view: Of the endpoints.
+            endings: End requests.
+            metrics: Where outcomes are counted.
+            quarantine: Knows requests that end endpoints.
+            tell_leaving: Is given an endpoint that says it takes no new work.
+        """
+        self._tell_leaving = tell_leaving
         self._quarantine = quarantine
         self._dialect = dialect
         self._view = view
@@ -115,6 +129,8 @@
         head = await connection.read_head()
         self._view.hear(use)
         answer = self._dialect.read_answer(head)
+        if answer.is_leaving:
+            self._tell_leaving(use.tracked.endpoint)
         if answer.is_refusal:
             await self._read_rest(connection)
             logs.event(
--- a/src/wayslip/gateway/daemon.py
+++ b/src/wayslip/gateway/daemon.py
@@ -14,6 +14,7 @@
 from wayslip.decisions import fleet
 from wayslip.decisions import manifest
 from wayslip.decisions import pacing
+from wayslip.decisions import suspicion
 from wayslip.gateway import accounts as accounts_module
 from wayslip.gateway import configuration
 from wayslip.gateway import copying
@@ -96,6 +97,7 @@
             options, platform.store, platform.engines, self.metrics
         )
         members = members_module.Members(self.view.reading)
+        self._members = members
         detaching = detaching_module.Detaching(
             options.peers, self.leadership, members
         )
@@ -150,6 +152,7 @@
             lambda: self._keeper.sight,
             limiter,
             self._quarantine,
+            self._tell_leaving,
         )
         self._keeper = keeping.Keeper(
             options,
@@ -211,6 +214,18 @@
             usual, self._placement.instances, self._placement.is_spoken_to
         )
 
+    def _tell_leaving(self, endpoint: fleet.Endpoint) -> None:
+        """Takes in and tells that an endpoint says it takes no new work.
+
+        The list may say so seconds later, and not at all while the store is
+        away; the others and the planner are to know it as soon.
+        """
+        start = suspicion.Start(endpoint.name, endpoint.born)
+        if self.view.note_leaving(start, self._options.name):
+            told = facts.Leaving(endpoint.name, endpoint.born)
+            self._hub.spread(told, self._members.peers())
+            self._placement.notify()
+
     async def _obtain_changes(self) -> None:
         """Waits for changes of the list that are late, then asks for them."""
         await asyncio.sleep(_BEHIND_SECONDS)
@@ -357,6 +372,9 @@
             self._keeper.confirmations.answer(message, source)
         elif isinstance(message, facts.Confirmed):
             self._keeper.confirmations.take(message)
+        elif isinstance(message, facts.Leaving):
+            start = suspicion.Start(message.endpoint, message.born)
+            self.view.note_leaving(start, source[0])
         elif isinstance(message, facts.Suspects):
             self._quarantine.take(message)
         elif isinstance(message, facts.Report) and message.is_blind:
--- a/src/wayslip/gateway/datagrams.py
+++ b/src/wayslip/gateway/datagrams.py
@@ -28,6 +28,7 @@
     9: facts.Confirm,
     10: facts.Confirmed,
     11: facts.Suspects,
+    12: facts.Leaving,
 }
 _NUMBERS = {kind: number for number, kind in _KINDS.items()}
 # Fields that hold one such value.
--- a/src/wayslip/gateway/dialect.py
+++ b/src/wayslip/gateway/dialect.py
@@ -79,12 +79,14 @@
         is_refusal: Whether the endpoint says it did not run the request.
         is_misdirected: Whether another endpoint lives at the address.
         is_stream: Whether the body is a stream of events.
+        is_leaving: Whether the endpoint says that it takes no new work.
     """
 
     is_genuine: bool
     is_refusal: bool
     is_misdirected: bool
     is_stream: bool
+    is_leaving: bool = False
     load: fleet.Load | None = None
     retry_after: float | None = None
 
--- a/src/wayslip/gateway/facts.py
+++ b/src/wayslip/gateway/facts.py
@@ -411,6 +411,14 @@
     common: tuple[bytes, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Leaving:
+    """An endpoint said in an answer that it takes no new work."""
+
+    endpoint: str
+    born: int
+
+
 Message = (
     Report
     | Want
@@ -423,4 +431,5 @@
     | Confirm
     | Confirmed
     | Suspects
+    | Leaving
 )
--- a/src/wayslip/gateway/requests.py
+++ b/src/wayslip/gateway/requests.py
@@ -10,6 +10,7 @@
 from wayslip import metrics as metrics_module
 from wayslip.decisions import access
 from wayslip.decisions import budget as budget_module
+from wayslip.decisions import fleet
 from wayslip.decisions import manifest as manifest_module
 from wayslip.decisions import retry
 from wayslip.decisions import selection
@@ -64,6 +65,7 @@
         find_sight: Callable[[], access.Sight],
         limiter: limits_module.Limiter,
         quarantine: quarantine_module.Quarantine,
+        tell_leaving: Callable[[fleet.Endpoint], None],
     ) -> None:
         """Initializes without any request.
 
@@ -77,6 +79,7 @@
             find_sight: Returns what is known of the configuration in force.
             limiter: Of organisations' quotas.
             quarantine: Knows requests that end endpoints.
+            tell_leaving: Is given an endpoint that says it takes no new work.
         """
         self._quarantine = quarantine
         self._find_sight = find_sight
@@ -88,7 +91,7 @@
         self._metrics = metrics
         self._endings = jobs.Endings(dialect, metrics)
         self._attempts = attempts.Attempts(
-            dialect, view, self._endings, metrics, quarantine
+            dialect, view, self._endings, metrics, quarantine, tell_leaving
         )
         self._rng = random.Random()
         self._urgency = options.urgency
--- a/src/wayslip/gateway/view.py
+++ b/src/wayslip/gateway/view.py
@@ -17,8 +17,10 @@
 from wayslip.decisions import fleet
 from wayslip.decisions import reading
 from wayslip.decisions import selection
+from wayslip.decisions import suspicion
 from wayslip.gateway import dialect
 from wayslip.gateway import prefixes
+from wayslip.gateway import words as words_module
 
 _LOG = logging.getLogger(__name__)
 # How long word of an order goes before the engine's entry, seconds: two
@@ -81,6 +83,7 @@
         self._data_hall = data_hall
         self.tracked: dict[str, Tracked] = {}
         self._by_service: dict[str, dict[str, Tracked]] = {}
+        self._words = words_module.Words()
         self.prefixes = prefixes.PrefixTable()
         self.reading = reading.ReadingRates()
         # Word of orders: (endpoint, model, adapter) to (is held, until).
@@ -90,6 +93,9 @@
 
     def take(self, endpoint: fleet.Endpoint) -> None:
         """Takes in an endpoint's entry, unless a newer one is known."""
+        if not endpoint.is_leaving and self._words.is_leaving(endpoint):
+            # Written before it said so, or by one that did not hear.
+            endpoint = dataclasses.replace(endpoint, is_leaving=True)
         tracked = self.tracked.get(endpoint.name)
         if tracked is not None and endpoint.succeeds(tracked.endpoint):
             # Whatever ran there, was held or was told of it ended with it.
@@ -120,6 +126,30 @@
             tracked
         )
 
+    def note_leaving(self, start: suspicion.Start, source: str) -> bool:
+        """Takes in that an endpoint said it takes no new work.
+
+        Args:
+            start: Of the endpoint.
+            source: Who heard it.
+
+        Returns:
+            Whether it was news.
+        """
+        if not self._words.note_leaving(start):
+            return False
+        logs.event(
+            _LOG,
+            "endpoint_says_leaving",
+            endpoint=start.endpoint,
+            born=start.born,
+            source=source,
+        )
+        tracked = self.tracked.get(start.endpoint)
+        if tracked is not None:
+            self.take(tracked.endpoint)
+        return True
+
     def remove(self, name: str) -> None:
         """Takes an endpoint out; requests there go on."""
         tracked = self.tracked.pop(name, None)
--- /dev/null
+++ b/src/wayslip/gateway/words.py
@@ -0,0 +1,45 @@
+"""What endpoints said of themselves in their answers.
+
+Such a word is a fact with a source and an age of its own, beside the entry in
+the platform's list, which may be seconds old or written before the answer. It
+belongs to one start of an endpoint and only a later start ends it; an entry
+that lapses and comes back does not.
+"""
+
+from wayslip import clock
+from wayslip.decisions import fleet
+from wayslip.decisions import suspicion
+
+# Starts whose words are kept; the oldest are forgotten.
+_STARTS_MOST = 2000
+
+
+def _identify(endpoint: fleet.Endpoint) -> suspicion.Start:
+    return suspicion.Start(endpoint.name, endpoint.born)
+
+
+class Words:
+    """Words of endpoints, by their starts. Used on the event loop only."""
+
+    def __init__(self) -> None:
+        self._leaving: dict[suspicion.Start, float] = {}
+
+    def note_leaving(self, start: suspicion.Start) -> bool:
+        """Notes that an endpoint takes no new work, for good.
+
+        Args:
+            start: Of the endpoint; what it said holds until that ends.
+
+        Returns:
+            Whether it was news.
+        """
+        if start in self._leaving:
+            return False
+        self._leaving[start] = clock.now()
+        if len(self._leaving) > _STARTS_MOST:
+            del self._leaving[next(iter(self._leaving))]
+        return True
+
+    def is_leaving(self, endpoint: fleet.Endpoint) -> bool:
+        """Whether an endpoint said that it takes no new work."""
+        return _identify(endpoint) in self._leaving
--- a/src/wayslip/platform/dialect.py
+++ b/src/wayslip/platform/dialect.py
@@ -21,6 +21,7 @@
 _NOT_RUN = b"wayslip-not-executed"
 _LOAD = b"wayslip-server-load"
 _RETRY_AFTER = b"retry-after"
+_LEAVING = b"server-leaving"
 _CONTENT_TYPE = b"content-type"
 _CONTENT_ENCODING = b"content-encoding"
 _EVENT_STREAM = b"text/event-stream"
@@ -123,6 +124,7 @@
             is_refusal=bool(head.header(_NOT_RUN)) or is_misdirected,
             is_misdirected=is_misdirected,
             is_stream=head.header(_CONTENT_TYPE).startswith(_EVENT_STREAM),
+            is_leaving=head.header(_LEAVING).strip() == b"1",
             load=_read_load(head.header(_LOAD)),
             retry_after=_read_float(head.header(_RETRY_AFTER)),
         )
