Give an engine the rest that it asks for

An engine turned requests away with 503, asked for 3 s of rest, and got the next ones at once: the time was read from its answer and dropped, and rests of our own are a preference only. A rest that was asked for is a bound now, kept for the engine's start: it gets nothing from this instance until it is over, the longest of several counts. Times that are no positive number are left out, longer ones than an hour are cut.

--- a/src/wayslip/gateway/attempts.py
+++ b/src/wayslip/gateway/attempts.py
@@ -140,6 +140,7 @@
                 endpoint=endpoint,
                 status=head.status,
                 load=answer.load,
+                rest="" if answer.rest is None else f"{answer.rest:.2f}",
             )
             self._note_refusal(job, use, answer)
             self._keep(endpoint, connection, head)
@@ -162,6 +163,8 @@
         self, job: jobs.Job, use: view_module.Use, answer: dialect_module.Answer
     ) -> None:
         traits = job.traits
+        if answer.rest is not None:
+            self._view.note_rest(use, answer.rest)
         if answer.is_misdirected and traits.model:
             self._view.tell(
                 use.tracked.endpoint.name, traits.model, traits.adapter, False
--- a/src/wayslip/gateway/dialect.py
+++ b/src/wayslip/gateway/dialect.py
@@ -80,6 +80,8 @@
         is_misdirected: Whether another endpoint lives at the address.
         is_stream: Whether the body is a stream of events.
         is_leaving: Whether the endpoint says that it takes no new work.
+        rest: Seconds for which it wants nothing from us, None if it does not
+            say so.
     """
 
     is_genuine: bool
@@ -88,7 +90,7 @@
     is_stream: bool
     is_leaving: bool = False
     load: fleet.Load | None = None
-    retry_after: float | None = None
+    rest: float | None = None
 
 
 class Dialect(Protocol):
--- a/src/wayslip/gateway/jobs.py
+++ b/src/wayslip/gateway/jobs.py
@@ -85,8 +85,19 @@
         self._dialect = dialect
         self._metrics = metrics
 
-    def answer_verdict(self, job: Job, verdict: retry.Verdict) -> None:
-        """Answers a request that no further attempt is made at."""
+    def answer_verdict(
+        self,
+        job: Job,
+        verdict: retry.Verdict,
+        wait: float = SHORTEST_RETRY_AFTER,
+    ) -> None:
+        """Answers a request that no further attempt is made at.
+
+        Args:
+            job: The request.
+            verdict: Whether it was run.
+            wait: Seconds until it can be, if it was not.
+        """
         if job.relayed:
             self.end_job(job, "broken_off", 0)
             job.exchange.abort()
@@ -99,7 +110,7 @@
             )
             return
         if verdict is retry.Verdict.NOT_RUN:
-            self.refuse_job(job, "not_taken", SHORTEST_RETRY_AFTER)
+            self.refuse_job(job, "not_taken", wait)
             return
         self.end_job(job, "unclear", 502)
         job.exchange.answer(502, (), b"the endpoint broke off\n")
--- a/src/wayslip/gateway/view.py
+++ b/src/wayslip/gateway/view.py
@@ -235,9 +235,9 @@
         found = [
             t
             for t in self.of_service(service)
-            if not t.endpoint.is_leaving
-            and t.endpoint.name not in besides
-            and self.holds(t.endpoint, traits.model, traits.adapter)
+            if t.endpoint.name not in besides
+            and self._may_serve(t.endpoint, traits)
+            and not self._words.find_rest(t.endpoint)
         ]
         usual = min((t.condition.failing(now) for t in found), default=0.0)
         return [
@@ -251,6 +251,46 @@
             for t in found
         ]
 
+    def _may_serve(
+        self, endpoint: fleet.Endpoint, traits: dialect.Traits
+    ) -> bool:
+        """Whether an endpoint that stays holds what a request needs."""
+        if endpoint.is_leaving:
+            return False
+        return self.holds(endpoint, traits.model, traits.adapter)
+
+    def note_rest(self, use: Use, seconds: float) -> None:
+        """Notes that an endpoint asked for rest.
+
+        That is a bound and no preference: it turns away what comes meanwhile.
+        """
+        endpoint = use.tracked.endpoint
+        self._words.note_rest(endpoint, seconds)
+        logs.event(
+            _LOG,
+            "endpoint_rests",
+            endpoint=endpoint.name,
+            born=endpoint.born,
+            seconds=f"{seconds:.2f}",
+            left=f"{self._words.find_rest(endpoint):.2f}",
+        )
+
+    def find_rest(
+        self, service: str, traits: dialect.Traits, besides: frozenset[str]
+    ) -> float | None:
+        """Returns the seconds until one that can serve a request has rested.
+
+        Returns:
+            0 if one does not rest, None if none can serve it.
+        """
+        rests = (
+            self._words.find_rest(t.endpoint)
+            for t in self.of_service(service)
+            if t.endpoint.name not in besides
+            and self._may_serve(t.endpoint, traits)
+        )
+        return min(rests, default=None)
+
     def _make_candidate(
         self,
         tracked: Tracked,
--- a/src/wayslip/gateway/words.py
+++ b/src/wayslip/gateway/words.py
@@ -23,6 +23,7 @@
 
     def __init__(self) -> None:
         self._leaving: dict[suspicion.Start, float] = {}
+        self._rests: dict[suspicion.Start, float] = {}
 
     def note_leaving(self, start: suspicion.Start) -> bool:
         """Notes that an endpoint takes no new work, for good.
@@ -43,3 +44,22 @@
     def is_leaving(self, endpoint: fleet.Endpoint) -> bool:
         """Whether an endpoint said that it takes no new work."""
         return _identify(endpoint) in self._leaving
+
+    def note_rest(self, endpoint: fleet.Endpoint, seconds: float) -> None:
+        """Notes that an endpoint wants nothing from us for some time."""
+        start = _identify(endpoint)
+        until = clock.now() + seconds
+        # One asked for earlier may last longer.
+        self._rests[start] = max(until, self._rests.get(start, until))
+        if len(self._rests) > _STARTS_MOST:
+            del self._rests[next(iter(self._rests))]
+
+    def find_rest(self, endpoint: fleet.Endpoint) -> float:
+        """Returns the seconds for which an endpoint wants nothing from us."""
+        if not self._rests:
+            return 0.0
+        start = _identify(endpoint)
+        left = self._rests.get(start, 0.0) - clock.now()
+        if left <= 0:
+            self._rests.pop(start, None)
+        return max(left, 0.0)
--- a/src/wayslip/platform/dialect.py
+++ b/src/wayslip/platform/dialect.py
@@ -1,6 +1,7 @@
 """The platform's request and answer headers."""
 
 from collections.abc import Callable
+import math
 
 from wayslip.decisions import fleet
 from wayslip.decisions import organisations
@@ -26,6 +27,10 @@
 _CONTENT_ENCODING = b"content-encoding"
 _EVENT_STREAM = b"text/event-stream"
 _MISDIRECTED = 421
+_UNAVAILABLE = 503
+# An endpoint that asks for more rest than this has meant something else,
+# seconds.
+_REST_MOST = 3600.0
 _LOWEST_PRIORITY = 9
 # Names that begin so belong to the platform: engines act on them, some with an
 # underscore in place of each hyphen too.
@@ -126,7 +131,7 @@
             is_stream=head.header(_CONTENT_TYPE).startswith(_EVENT_STREAM),
             is_leaving=head.header(_LEAVING).strip() == b"1",
             load=_read_load(head.header(_LOAD)),
-            retry_after=_read_float(head.header(_RETRY_AFTER)),
+            rest=_read_rest(head),
         )
 
     def make_retry_after(self, seconds: float) -> messages.Headers:
@@ -163,11 +168,17 @@
         return None
 
 
-def _read_float(text: bytes) -> float | None:
+def _read_rest(head: messages.Head) -> float | None:
+    """Returns the seconds of rest that a refusal asks for."""
+    if head.status != _UNAVAILABLE or not head.header(_NOT_RUN):
+        return None
     try:
-        return float(text)
+        seconds = float(head.header(_RETRY_AFTER))
     except ValueError:
         return None
+    if not math.isfinite(seconds) or seconds <= 0:
+        return None
+    return min(seconds, _REST_MOST)
 
 
 def _read_parts(text: bytes) -> tuple[dialect.Part, ...]:
--- a/src/wayslip/story.py
+++ b/src/wayslip/story.py
@@ -19,7 +19,14 @@
     ("load_planned", "load_ended", "order", "claim_not_written")
 )
 _CONTEXT_OF_ENDPOINT = frozenset(
-    ("endpoint_found", "endpoint_leaving", "endpoint_gone", "report_failed")
+    (
+        "endpoint_found",
+        "endpoint_gone",
+        "endpoint_leaving",
+        "endpoint_rests",
+        "endpoint_says_leaving",
+        "report_failed",
+    )
 )
 _CONTEXT_OF_CONTENT = frozenset(
     (
@@ -49,6 +56,9 @@
 MEANINGS = {
     "answered": "the endpoint's answer was passed on",
     "not_loaded": "no endpoint held its model or adapter; it was not run",
+    "endpoints_rest": (
+        "all endpoints that could serve it had asked for rest; it was not run"
+    ),
     "no_endpoint": "no endpoint of its service is listed; it was not run",
     "not_taken": "the endpoint turned it away; it was not run",
     "too_long_a_wait": "its wait would have used up its time; it was not run",
