--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -1,6 +1,7 @@
 """Endpoints that check what they are asked and ordered."""
 
 import asyncio
+from collections.abc import Callable
 import dataclasses
 import json
 import time
@@ -10,6 +11,8 @@
 from standins import platform_site
 
 LEASE_SECONDS = 1.0
+# A body that begins so ends the endpoint that begins to run it.
+DEADLY = b"deadly"
 # The pool's memory and places for adapters, as the manifest says.
 _POOL = platform_site.manifest()["services"][1]["engine"]
 _EVENTS = 12
@@ -37,10 +40,26 @@
 class Endpoint(platform_engine.PlatformEngine):
     """A stand-in that checks what it is asked and ordered."""
 
-    def watch(self, ledger: Ledger, service: str) -> None:
-        """Has it note what it sees in a ledger."""
+    def watch(
+        self,
+        ledger: Ledger,
+        service: str,
+        end: Callable[["Endpoint"], None],
+    ) -> None:
+        """Has it note what it sees in a ledger.
+
+        Args:
+            ledger: Where it notes that.
+            service: That it belongs to.
+            end: Ends it, when it begins a request that does so.
+        """
         self.ledger = ledger
         self.service = service
+        self.end = end
+        self.says_leaving = False
+        # Until when it turns requests away and asks for rest.
+        self.rests_until = 0.0
+        self.came_at_rest = 0
         self.left_at: float | None = None
         self.last_order = (0.0, "", 0)
         self.script = _run_stream if service == "models" else _run_plain
@@ -53,6 +72,12 @@
             body = b"another engine"
             await line.answer(request, body, 421, Wayslip_Server_Seal="")
             return
+        left = self.rests_until - time.monotonic()
+        if left > 0 and request.id:
+            self.came_at_rest += 1
+            rest = {"Retry-After": f"{left:.3f}", "Wayslip-Not-Executed": "1"}
+            await line.answer(request, b"", 503, **rest)
+            return
         await super()._respond(request, line)
 
     async def _take_order(
@@ -93,7 +118,11 @@
     assert isinstance(engine, Endpoint)
     engine.note_run(request)
     await asyncio.sleep(0.01)
-    await line.answer(request, f"whole {request.id}".encode())
+    if request.body.startswith(DEADLY):
+        engine.end(engine)
+        return
+    leaving = {"Server-Leaving": "1"} if engine.says_leaving else {}
+    await line.answer(request, f"whole {request.id}".encode(), 200, **leaving)
 
 
 async def _run_stream(
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -5,9 +5,12 @@
 from collections.abc import Callable
 import random
 import signal
+import time
 
+from soak import endpoints
 from soak import proxy
 from soak import world as world_module
+from standins import platform_client
 
 Fault = Callable[[world_module.World, random.Random], Awaitable[None]]
 FAULTS: dict[str, Fault] = {}
@@ -176,3 +179,79 @@
         return
     await world.add_endpoint(endpoint.service)
     await world.drain_endpoint(endpoint, rng.uniform(1.0, 4.0))
+
+
+# Ends under one request where nothing else happens; a gateway that starts
+# meanwhile may have lost what it knew.
+_ENDS_MOST = 3
+_DEADLY_TRIES = 8
+_REST_SECONDS = 2.0
+# What was under way when the rest was asked for still comes, seconds.
+_UNDER_WAY_SECONDS = 0.5
+# Of each gateway, in a time of rest.
+_REQUESTS_AT_REST = 2
+
+
+@register
+async def send_deadly_request(
+    world: world_module.World, rng: random.Random
+) -> None:
+    """A request that ends endpoints comes again and again, at any gateway."""
+    body = endpoints.DEADLY + b"%d" % rng.randrange(1_000_000)
+    ends, starts = world.ends, world.starts
+    for number in range(_DEADLY_TRIES):
+        await _ask_once(_pick(world, rng), f"{body.decode()}-{number}", body)
+        await asyncio.sleep(0.2)
+    most = _ENDS_MOST + world.starts - starts
+    if world.ends - ends > most:
+        world.ledger.break_rule(
+            f"BUDGET {world.ends - ends} endpoints ended under {body!r}"
+        )
+
+
+async def _ask_once(
+    gateway: world_module.Gateway, request: str, body: bytes
+) -> None:
+    host, _, port = gateway.callers.rpartition(":")
+    try:
+        async with asyncio.timeout(2.0):
+            client = platform_client.Client(
+                *await asyncio.open_connection(host, int(port))
+            )
+            try:
+                await client.send("/once/d", request, "POST", body)
+                await client.read()
+            finally:
+                client.close()
+    except (OSError, asyncio.IncompleteReadError, TimeoutError):
+        return
+
+
+@register
+async def ask_for_rest(world: world_module.World, rng: random.Random) -> None:
+    """An endpoint turns requests away and asks for rest."""
+    endpoint = rng.choice(list(world.endpoints.values()))
+    starts = world.starts
+    endpoint.rests_until = time.monotonic() + _REST_SECONDS
+    await asyncio.sleep(_UNDER_WAY_SECONDS)
+    before = endpoint.came_at_rest
+    await asyncio.sleep(_REST_SECONDS - _UNDER_WAY_SECONDS)
+    came = endpoint.came_at_rest - before
+    # A gateway learns of it from the first request that is turned away.
+    most = len(world.gateways) * (_REQUESTS_AT_REST + 1)
+    if came > most + (world.starts - starts) * _REQUESTS_AT_REST:
+        world.ledger.break_rule(f"BUDGET {endpoint.name} got {came} at rest")
+
+
+@register
+async def leave_by_answers(
+    world: world_module.World, rng: random.Random
+) -> None:
+    """An endpoint says in its answers alone that it leaves, then ends."""
+    endpoint = rng.choice(list(world.endpoints.values()))
+    if endpoint.left_at is not None:
+        return
+    endpoint.says_leaving = True
+    await world.add_endpoint(endpoint.service)
+    await asyncio.sleep(rng.uniform(1.0, 4.0))
+    await world.end_endpoint(endpoint, lists_out=True)
--- a/soak/world.py
+++ b/soak/world.py
@@ -73,6 +73,9 @@
         self.ledger = endpoints.Ledger()
         self.store = platform_store.PlatformStore()
         self.version = 1
+        # Endpoints that ended under a request; gateways that were started.
+        self.ends = 0
+        self.starts = 0
         self.endpoints: dict[str, endpoints.Endpoint] = {}
         self.proxies: dict[str, proxy_module.Proxy] = {}
         self.gateways: list[Gateway] = []
@@ -155,12 +158,23 @@
         if before.name in self.store.objects["servers"]:
             self.store.remove("servers", before.name)
 
+    def _replace(self, endpoint: endpoints.Endpoint) -> None:
+        """Ends an endpoint at once, and has another one start."""
+        if endpoint.name not in self.endpoints:
+            return
+        self.ends += 1
+        self._tasks.append(asyncio.create_task(self._end_and_add(endpoint)))
+
+    async def _end_and_add(self, endpoint: endpoints.Endpoint) -> None:
+        await self.end_endpoint(endpoint, lists_out=False)
+        await self.add_endpoint(endpoint.service)
+
     async def _start_endpoint(
         self, service: str
     ) -> tuple[endpoints.Endpoint, str]:
         self._numbers += 1
         endpoint = endpoints.Endpoint(f"e{self._numbers}")
-        endpoint.watch(self.ledger, service)
+        endpoint.watch(self.ledger, service, self._replace)
         endpoint.report_lag = 0.1
         if service == "models":
             endpoint.models = {f"m{1 + self._numbers % 3}": []}
@@ -255,6 +269,7 @@
                 expected |= {0, -signal.SIGTERM}
             if code not in expected:
                 self.ledger.break_rule(f"EXIT {gateway.name} code {code}")
+            self.starts += 1
             gateway.start()
 
 
--- a/src/wayslip/gateway/daemon.py
+++ b/src/wayslip/gateway/daemon.py
@@ -322,6 +322,7 @@
         )
         self._callers.abort_all()
         self._requests.close()
+        self._quarantine.close()
         self._hub.close()
         for task in self._tasks:
             task.cancel()
--- a/src/wayslip/gateway/quarantine.py
+++ b/src/wayslip/gateway/quarantine.py
@@ -430,6 +430,11 @@
         if not task.cancelled() and task.exception() is not None:
             _LOG.error("quarantine_failed", exc_info=task.exception())
 
+    def close(self) -> None:
+        """Ends what is still to be told or looked at."""
+        for task in list(self._tasks):
+            task.cancel()
+
     def dump(self) -> list[dict[str, object]]:
         """Returns the contents that are under suspicion, condemned first."""
         found: list[dict[str, object]] = []
--- a/tests/stateful/order_world.py
+++ b/tests/stateful/order_world.py
@@ -81,6 +81,7 @@
     def kill(self):
         """Ends the process without a word."""
         self.gateway._planner.end()
+        self.gateway._quarantine.close()
         for task in self.tasks:
             task.cancel()
 
