--- a/src/wayslip/decisions/suspicion.py
+++ b/src/wayslip/decisions/suspicion.py
@@ -252,15 +252,15 @@
         self._keep_bounds()
         return news
 
-    def forget(self, now: float) -> None:
-        """Forgets what was known for long enough."""
+    def forget(self, now: float) -> bool:
+        """Forgets what was known for long enough; returns whether it did."""
         limit = now - KEPT_SECONDS
-        for content in [
-            c for c, s in self._suspects.items() if s.since <= limit
-        ]:
+        old = [c for c, s in self._suspects.items() if s.since <= limit]
+        for content in old:
             self._drop_all(content)
         self._cleared = {k: t for k, t in self._cleared.items() if t > limit}
         self._common = {c: t for c, t in self._common.items() if t > limit}
+        return bool(old)
 
     def _drop(self, content: bytes, start: Start) -> None:
         suspect = self._suspects.get(content)
--- a/src/wayslip/gateway/quarantine.py
+++ b/src/wayslip/gateway/quarantine.py
@@ -338,8 +338,8 @@
         self._start_task(self._learn())
         while True:
             await asyncio.sleep(_STEP_SECONDS)
-            self._suspicion.forget(clock.now())
-            self._note_condemned()
+            if self._suspicion.forget(clock.now()):
+                self._note_condemned()
             if not self._leadership.is_held:
                 continue
             self._tell_again()
