Send the trial of a condemned request, and forget what is known for good

Found in reading: a request that began a trial was looked at again just before it left and refused, so no trial was ever sent; and an instance that heard of an end later than others told it again after they had forgotten it, so it would never have lapsed. The trial belongs to its request now, and what is forgotten is cleared, which is told.

--- a/src/wayslip/decisions/fleet.py
+++ b/src/wayslip/decisions/fleet.py
@@ -6,6 +6,14 @@
 Item = tuple[str, str]
 
 
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class Start:
+    """Names one start of an endpoint; see `Endpoint.born`."""
+
+    endpoint: str
+    born: int = 0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Endpoint:
     """One start of an endpoint, its incarnation.
@@ -35,6 +43,11 @@
     beat: int = 0
     born: int = 0
 
+    @property
+    def start(self) -> Start:
+        """What tells this start from others of the same name."""
+        return Start(self.name, self.born)
+
     def is_before(self, other: "Endpoint") -> bool:
         """Whether this entry is older than another of the same name."""
         if self.born and other.born and self.born != other.born:
--- a/src/wayslip/decisions/suspicion.py
+++ b/src/wayslip/decisions/suspicion.py
@@ -17,6 +17,8 @@
 from collections.abc import Iterable
 import dataclasses
 
+from wayslip.decisions import fleet
+
 # A content is condemned when so many attempts at it broke off with endpoints,
 # when it is this deep in suspicion, or one less if it alone was on its way to
 # those that ended.
@@ -36,21 +38,13 @@
 _CONTENTS_MOST = 4000
 
 
-@dataclasses.dataclass(frozen=True, slots=True, order=True)
-class Start:
-    """One start of an endpoint; see `fleet.Endpoint.born`."""
-
-    endpoint: str
-    born: int = 0
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Mark:
     """A content that was on its way to an endpoint that ended.
 
     Attributes:
         content: Its digest; see `contents`.
-        endpoint, born: The start that ended; see `Start`.
+        endpoint, born: The start that ended; see `fleet.Start`.
         depth: How deep the content was in suspicion, as far as its sender
             knew when it sent it.
         witness: The instance that sent it.
@@ -66,9 +60,9 @@
     attempts: int = 1
 
     @property
-    def start(self) -> Start:
+    def start(self) -> fleet.Start:
         """What ended."""
-        return Start(self.endpoint, self.born)
+        return fleet.Start(self.endpoint, self.born)
 
 
 @dataclasses.dataclass
@@ -81,7 +75,7 @@
     """
 
     since: float
-    marks: dict[Start, dict[str, Mark]] = dataclasses.field(
+    marks: dict[fleet.Start, dict[str, Mark]] = dataclasses.field(
         default_factory=dict
     )
 
@@ -124,11 +118,11 @@
 
     def __init__(self) -> None:
         self._suspects: dict[bytes, _Suspect] = {}
-        self._at_start: dict[Start, set[bytes]] = {}
+        self._at_start: dict[fleet.Start, set[bytes]] = {}
         # Contents that endpoints answered before, and since when that is known.
         self._common: dict[bytes, float] = {}
         # Marks that no longer count, and since when.
-        self._cleared: dict[tuple[bytes, Start], float] = {}
+        self._cleared: dict[tuple[bytes, fleet.Start], float] = {}
 
     def __bool__(self) -> bool:
         """Whether any content is under suspicion."""
@@ -204,7 +198,7 @@
         """Returns the marks that no longer count."""
         return [Mark(c, s.endpoint, s.born) for c, s in self._cleared]
 
-    def find_rest(self, content: bytes, now: float) -> float:
+    def find_left(self, content: bytes, now: float) -> float:
         """Returns the seconds until what is known of a content is forgotten."""
         suspect = self._suspects.get(content)
         if suspect is None:
@@ -253,16 +247,19 @@
         return news
 
     def forget(self, now: float) -> bool:
-        """Forgets what was known for long enough; returns whether it did."""
+        """Forgets what was known for long enough; returns whether it did.
+
+        It is cleared, so that nobody who knew it later brings it back.
+        """
         limit = now - KEPT_SECONDS
         old = [c for c, s in self._suspects.items() if s.since <= limit]
         for content in old:
-            self._drop_all(content)
+            self.clear(self.list_marks(content), now)
         self._cleared = {k: t for k, t in self._cleared.items() if t > limit}
         self._common = {c: t for c, t in self._common.items() if t > limit}
         return bool(old)
 
-    def _drop(self, content: bytes, start: Start) -> None:
+    def _drop(self, content: bytes, start: fleet.Start) -> None:
         suspect = self._suspects.get(content)
         if suspect is None or start not in suspect.marks:
             return
@@ -275,7 +272,7 @@
         for start in self._suspects.pop(content).marks:
             self._leave(content, start)
 
-    def _leave(self, content: bytes, start: Start) -> None:
+    def _leave(self, content: bytes, start: fleet.Start) -> None:
         there = self._at_start[start]
         there.discard(content)
         if not there:
--- a/src/wayslip/gateway/daemon.py
+++ b/src/wayslip/gateway/daemon.py
@@ -14,7 +14,6 @@
 from wayslip.decisions import fleet
 from wayslip.decisions import manifest
 from wayslip.decisions import pacing
-from wayslip.decisions import suspicion
 from wayslip.gateway import accounts as accounts_module
 from wayslip.gateway import configuration
 from wayslip.gateway import copying
@@ -220,8 +219,7 @@
         The list may say so seconds later, and not at all while the store is
         away; the others and the planner are to know it as soon.
         """
-        start = suspicion.Start(endpoint.name, endpoint.born)
-        if self.view.note_leaving(start, self._options.name):
+        if self.view.note_leaving(endpoint.start, self._options.name):
             told = facts.Leaving(endpoint.name, endpoint.born)
             self._hub.spread(told, self._members.peers())
             self._placement.notify()
@@ -374,7 +372,7 @@
         elif isinstance(message, facts.Confirmed):
             self._keeper.confirmations.take(message)
         elif isinstance(message, facts.Leaving):
-            start = suspicion.Start(message.endpoint, message.born)
+            start = fleet.Start(message.endpoint, message.born)
             self.view.note_leaving(start, source[0])
         elif isinstance(message, facts.Suspects):
             self._quarantine.take(message)
--- a/src/wayslip/gateway/jobs.py
+++ b/src/wayslip/gateway/jobs.py
@@ -37,6 +37,7 @@
         is_sent: Whether an endpoint may run it now, or has.
         rank: Its urgency, 0 is the most urgent.
         breaks: Attempts that broke off.
+        is_trial: Whether it is sent though its content is condemned.
     """
 
     exchange: server.Exchange
@@ -59,6 +60,7 @@
     is_sent: bool = False
     rank: int = 0
     breaks: int = 0
+    is_trial: bool = False
 
     @functools.cached_property
     def content(self) -> bytes:
--- a/src/wayslip/gateway/quarantine.py
+++ b/src/wayslip/gateway/quarantine.py
@@ -2,9 +2,9 @@
 
 An instance whose attempt breaks off looks whether the endpoint has ended: then
 nobody listens at its address. If so, all instances hear what was on its way
-there; `decisions.suspicion` judges. The lease's holder tells
-what is known again and again, for those that start or were cut off, and keeps
-what is condemned in the store, for when all instances end together.
+there; `decisions.suspicion` judges. The lease's holder tells what is known
+again and again, for those that start or were cut off, and keeps what is
+condemned in the store, for when all instances end together.
 """
 
 import asyncio
@@ -103,7 +103,7 @@
         self._answered: collections.OrderedDict[bytes, None] = (
             collections.OrderedDict()
         )
-        self._breaks: dict[suspicion.Start, _Breaks] = {}
+        self._breaks: dict[fleet.Start, _Breaks] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         # Condemned contents in the store, with their objects' revisions; None
         # until they were read in this term.
@@ -121,14 +121,12 @@
         """Returns how deep a content is in suspicion."""
         return self._suspicion.find_depth(content)
 
-    def admits(self, content: bytes) -> bool:
-        """Whether a content may be sent to an endpoint now."""
-        if not self._suspicion.is_condemned(content):
-            return True
-        return self._begins_trial(content)
+    def is_condemned(self, content: bytes) -> bool:
+        """Whether a content should reach no endpoint."""
+        return self._suspicion.is_condemned(content)
 
-    def _begins_trial(self, content: bytes) -> bool:
-        """Whether a condemned content is tried once more, with this request.
+    def begin_trial(self, content: bytes) -> bool:
+        """Returns whether a condemned content is to be sent once more now.
 
         Only the lease's holder tries, so that one endpoint at most ends.
         """
@@ -143,9 +141,9 @@
         logs.event(_LOG, "content_tried", content=content.hex())
         return True
 
-    def find_rest(self, content: bytes) -> float:
+    def find_left(self, content: bytes) -> float:
         """Returns the seconds for which a condemned content stays so."""
-        return self._suspicion.find_rest(content, clock.now())
+        return self._suspicion.find_left(content, clock.now())
 
     def note_answer(self, content: bytes) -> None:
         """Notes that an endpoint answered a content: it ends none."""
@@ -192,7 +190,7 @@
         if endpoint.is_leaving:
             # It ends as planned, whatever is on its way there.
             return
-        start = suspicion.Start(endpoint.name, endpoint.born)
+        start = endpoint.start
         breaks = self._breaks.get(start)
         if breaks is None:
             breaks = _Breaks(clock.now())
@@ -211,7 +209,7 @@
 
     async def _look(
         self,
-        start: suspicion.Start,
+        start: fleet.Start,
         endpoint: fleet.Endpoint,
         open_connection: Open,
     ) -> None:
@@ -235,7 +233,7 @@
         finally:
             self._breaks.pop(start, None)
 
-    def _confirm(self, start: suspicion.Start) -> None:
+    def _confirm(self, start: fleet.Start) -> None:
         """Takes in that an endpoint ended, and tells everybody."""
         breaks = self._breaks[start]
         marks = list(breaks.marks.values())
@@ -447,7 +445,7 @@
                     "depth": self._suspicion.find_depth(content),
                     "ends": sorted({m.endpoint for m in marks}),
                     "attempts": sum(m.attempts for m in marks),
-                    "seconds_left": round(self.find_rest(content), 1),
+                    "seconds_left": round(self.find_left(content), 1),
                 }
             )
         return sorted(found, key=lambda one: not one["is_condemned"])
--- a/src/wayslip/gateway/requests.py
+++ b/src/wayslip/gateway/requests.py
@@ -237,12 +237,15 @@
         """
         if not self._quarantine:
             return True
-        if self._quarantine.admits(job.content):
+        if not self._quarantine.is_condemned(job.content):
+            return True
+        job.is_trial = job.is_trial or self._quarantine.begin_trial(job.content)
+        if job.is_trial and not job.progress.attempts:
             return True
         if job.relayed or job.progress.may_have_run:
             self._endings.answer_verdict(job, retry.Verdict.UNKNOWN)
             return False
-        wait = self._quarantine.find_rest(job.content)
+        wait = self._quarantine.find_left(job.content)
         self._endings.refuse_content(job, wait)
         return False
 
--- a/src/wayslip/gateway/view.py
+++ b/src/wayslip/gateway/view.py
@@ -17,7 +17,6 @@
 from wayslip.decisions import fleet
 from wayslip.decisions import reading
 from wayslip.decisions import selection
-from wayslip.decisions import suspicion
 from wayslip.gateway import dialect
 from wayslip.gateway import prefixes
 from wayslip.gateway import words as words_module
@@ -126,7 +125,7 @@
             tracked
         )
 
-    def note_leaving(self, start: suspicion.Start, source: str) -> bool:
+    def note_leaving(self, start: fleet.Start, source: str) -> bool:
         """Takes in that an endpoint said it takes no new work.
 
         Args:
--- a/src/wayslip/gateway/words.py
+++ b/src/wayslip/gateway/words.py
@@ -8,24 +8,19 @@
 
 from wayslip import clock
 from wayslip.decisions import fleet
-from wayslip.decisions import suspicion
 
 # Starts whose words are kept; the oldest are forgotten.
 _STARTS_MOST = 2000
 
 
-def _identify(endpoint: fleet.Endpoint) -> suspicion.Start:
-    return suspicion.Start(endpoint.name, endpoint.born)
-
-
 class Words:
     """Words of endpoints, by their starts. Used on the event loop only."""
 
     def __init__(self) -> None:
-        self._leaving: dict[suspicion.Start, float] = {}
-        self._rests: dict[suspicion.Start, float] = {}
+        self._leaving: dict[fleet.Start, float] = {}
+        self._rests: dict[fleet.Start, float] = {}
 
-    def note_leaving(self, start: suspicion.Start) -> bool:
+    def note_leaving(self, start: fleet.Start) -> bool:
         """Notes that an endpoint takes no new work, for good.
 
         Args:
@@ -43,11 +38,11 @@
 
     def is_leaving(self, endpoint: fleet.Endpoint) -> bool:
         """Whether an endpoint said that it takes no new work."""
-        return _identify(endpoint) in self._leaving
+        return endpoint.start in self._leaving
 
     def note_rest(self, endpoint: fleet.Endpoint, seconds: float) -> None:
         """Notes that an endpoint wants nothing from us for some time."""
-        start = _identify(endpoint)
+        start = endpoint.start
         until = clock.now() + seconds
         # One asked for earlier may last longer.
         self._rests[start] = max(until, self._rests.get(start, until))
@@ -58,7 +53,7 @@
         """Returns the seconds for which an endpoint wants nothing from us."""
         if not self._rests:
             return 0.0
-        start = _identify(endpoint)
+        start = endpoint.start
         left = self._rests.get(start, 0.0) - clock.now()
         if left <= 0:
             self._rests.pop(start, None)
--- a/tests/decisions/test_suspicion.py
+++ b/tests/decisions/test_suspicion.py
@@ -120,12 +120,15 @@
 
 def test_marks_are_forgotten_after_their_time():
     found = judge(mark(DEADLY, "e1"), mark(DEADLY, "e2", 1))
-    assert found.find_rest(DEADLY, 1.0) == suspicion.KEPT_SECONDS - 1.0
+    assert found.find_left(DEADLY, 1.0) == suspicion.KEPT_SECONDS - 1.0
     found.forget(suspicion.KEPT_SECONDS - 1.0)
     assert found.list_condemned() == [DEADLY]
     found.forget(suspicion.KEPT_SECONDS + 1.0)
     assert not found
-    assert not found.add([], 0.0)
+    # Who heard of them later tells them still.
+    told = [mark(DEADLY, "e1"), mark(DEADLY, "e2", 1)]
+    assert not found.add(told, suspicion.KEPT_SECONDS + 2.0)
+    assert not found
 
 
 def test_thousands_of_contents_do_not_push_out_a_condemned_one():
--- a/tests/gateway/test_deadly_requests.py
+++ b/tests/gateway/test_deadly_requests.py
@@ -43,6 +43,11 @@
     await platform_engine.answer_whole(engine, request, line)
 
 
+async def hang(engine, request, line):
+    """Answers nothing before it is ended."""
+    await line.reader.read(1)
+
+
 async def ask(system, gateway, request_id, body, path="/once/a"):
     host, _, port = gateway._options.callers.rpartition(":")
     client = harness.platform_client.Client(
@@ -285,16 +290,39 @@
 
 
 @harness.run
-async def test_holder_tries_a_condemned_request_once_in_a_while(system):
+async def test_answer_to_a_trial_clears_a_condemned_request(
+    system,
+):
+    await system.until(lambda: system.gateway.leadership.is_held)
+    engine = await system.add("e1", "plain", script=hang)
+    quarantine = system.gateway._quarantine
+    tasks = [
+        asyncio.create_task(ask(system, system.gateway, f"r{n}", b"mild"))
+        for n in range(3)
+    ]
+    await system.until(lambda: len(engine.received) == 3)
+    engine.crash()
+    await asyncio.gather(*tasks)
+    await system.until(lambda: has_condemned(system.gateway))
+    await system.add("e2", "plain")
+    refused = await ask(system, system.gateway, "r8", b"mild")
+    assert refused.status == 503
+    with mock.patch.object(suspicion, "_TRIAL_SECONDS", 0.0):
+        answer = await ask(system, system.gateway, "r9", b"mild")
+    assert answer.status == 200
+    assert not quarantine
+
+
+@harness.run
+async def test_one_request_in_a_while_is_tried(system):
     await system.until(lambda: system.gateway.leadership.is_held)
     quarantine = system.gateway._quarantine
-    marks = (suspicion.Mark(b"c", "e1", attempts=3),)
-    quarantine.take(facts.Suspects(marks))
-    assert not quarantine.admits(b"c")
+    quarantine.take(facts.Suspects((suspicion.Mark(b"c", "e1", attempts=3),)))
+    assert not quarantine.begin_trial(b"c")
     later = clock.now() + suspicion._TRIAL_SECONDS
     with mock.patch.object(clock, "now", lambda: later):
-        assert quarantine.admits(b"c")
-        assert not quarantine.admits(b"c")
+        assert quarantine.begin_trial(b"c")
+        assert not quarantine.begin_trial(b"c")
 
 
 @harness.run
@@ -304,4 +332,4 @@
     quarantine.take(
         facts.Suspects((suspicion.Mark(b"c", "e1", witness="g2", attempts=3),))
     )
-    await system.until(lambda: quarantine.admits(b"c"))
+    await system.until(lambda: not quarantine.is_condemned(b"c"))
--- a/tests/stateful/suspect_world.py
+++ b/tests/stateful/suspect_world.py
@@ -156,7 +156,9 @@
         content = self._draw_content()
         record = self.records.setdefault(content, Record())
         quarantine = instance.gateway._quarantine
-        if not quarantine.admits(content):
+        if quarantine.is_condemned(content) and not quarantine.begin_trial(
+            content
+        ):
             record.refused.append(self.world.now)
             return
         if self._is_in_touch(instance):
