Split what is kept in the store, tasks beside others and rests into modules

Two tests of engines' words asked until a certain engine had had a request, which its choice may never bring about; the other engine joins later now. One failed so once.

--- /dev/null
+++ b/src/wayslip/gateway/chores.py
@@ -0,0 +1,44 @@
+"""Tasks that run beside others and whose failures must not go unseen."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
+import logging
+from typing import Any
+
+_LOG = logging.getLogger(__name__)
+
+
+class Chores:
+    """Tasks that nobody waits for. Used on the event loop only."""
+
+    def __init__(
+        self, failure: str, on_end: Callable[[], None] = lambda: None
+    ) -> None:
+        """Initializes without any task.
+
+        Args:
+            failure: Name of the event that is logged when one fails.
+            on_end: Called when one has ended, however it did.
+        """
+        self._failure = failure
+        self._on_end = on_end
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def start(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        """Has a coroutine run; returns its task."""
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._end)
+        return task
+
+    def _end(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        self._on_end()
+        if not task.cancelled() and task.exception() is not None:
+            _LOG.error(self._failure, exc_info=task.exception())
+
+    def cancel(self) -> None:
+        """Ends all that run."""
+        for task in list(self._tasks):
+            task.cancel()
--- a/src/wayslip/gateway/planner.py
+++ b/src/wayslip/gateway/planner.py
@@ -1,9 +1,7 @@
 """The work of the lease's holder: hears demand, plans loads, tells peers."""
 
 import asyncio
-from collections.abc import Coroutine
 import logging
-from typing import Any
 
 from wayslip import clock
 from wayslip import errors
@@ -15,6 +13,7 @@
 from wayslip.gateway import adapters as adapters_module
 from wayslip.gateway import books as books_module
 from wayslip.gateway import charges
+from wayslip.gateway import chores
 from wayslip.gateway import configuration
 from wayslip.gateway import facts
 from wayslip.gateway import hub as hub_module
@@ -61,11 +60,13 @@
         self._ordering = ordering
         self.members = members
         self._teller = teller
+        self._soon = asyncio.Event()
+        self._chores = chores.Chores("order_series_failed", self._soon.set)
         self._loads = loads_module.Loads(ordering, teller.tell_all)
         self._adapters = adapters_module.Adapters(
             ordering,
             self.members,
-            self._start,
+            self._chores.start,
             self._teller.tell_all,
             self._tell_waiting,
         )
@@ -76,12 +77,10 @@
         self._waiting: dict[
             adapters_module.Wish, dict[hub_module.Address, float]
         ] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
         # Loads that the holder before us told of, by endpoint and model.
         self._heard_arrivals: dict[tuple[str, str], float] = {}
         self._missing_since: dict[str, float] = {}
         self._is_prepared = False
-        self._soon = asyncio.Event()
         # What `_find_held` found before the last plan: 400 reports a second
         # ask for it at the largest fleet, and it takes a pass over all books.
         self._held: set[tuple[str, str]] = set()
@@ -100,7 +99,7 @@
         self._is_prepared = False
         self.members.begin()
         self._accounts.begin()
-        self._start(self._prepare())
+        self._chores.start(self._prepare())
 
     async def _prepare(self) -> None:
         while True:
@@ -118,7 +117,7 @@
             book = self._ordering.books.get(name)
             if book is not None and seen.claim.pending is not None:
                 book.pending = seen.claim.pending
-                self._start(self._loads.settle(book, self._is_within))
+                self._chores.start(self._loads.settle(book, self._is_within))
         self._is_prepared = True
 
     def _adopt_loads(self) -> None:
@@ -128,7 +127,7 @@
             if book is None or at < now or model in book.endpoint.models:
                 continue
             book.ready_at[model] = at
-            book.task = self._start(
+            book.task = self._chores.start(
                 self._loads.see_loaded(book, model, at - now)
             )
 
@@ -145,20 +144,7 @@
     def end(self) -> None:
         """Stops giving orders; what was sent stays in the claims."""
         self._is_prepared = False
-        for task in list(self._tasks):
-            task.cancel()
-
-    def _start(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
-        task = asyncio.get_running_loop().create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._end_task)
-        return task
-
-    def _end_task(self, task: asyncio.Task[None]) -> None:
-        self._tasks.discard(task)
-        self._soon.set()
-        if not task.cancelled() and task.exception() is not None:
-            _LOG.error("order_series_failed", exc_info=task.exception())
+        self._chores.cancel()
 
     # Hearing and telling
 
@@ -278,7 +264,7 @@
         old = [n for n, at in self._missing_since.items() if at < limit]
         for name in old:
             del self._missing_since[name]
-            self._start(self._ordering.drop_claim(name))
+            self._chores.start(self._ordering.drop_claim(name))
 
     def _plan(self) -> None:
         manifest = self._holder.manifest
@@ -346,5 +332,5 @@
         book = books[step.engine]
         # At once, so that the next plan counts this copy.
         book.ready_at[step.model] = now + step.seconds
-        book.task = self._start(self._loads.carry_out(book, step, pool))
+        book.task = self._chores.start(self._loads.carry_out(book, step, pool))
         return True
--- a/src/wayslip/gateway/quarantine.py
+++ b/src/wayslip/gateway/quarantine.py
@@ -11,6 +11,7 @@
 import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Iterable
 import dataclasses
 import logging
 import random
@@ -22,11 +23,12 @@
 from wayslip import metrics as metrics_module
 from wayslip.decisions import fleet
 from wayslip.decisions import suspicion
+from wayslip.gateway import chores
+from wayslip.gateway import condemned as condemned_module
 from wayslip.gateway import facts
 from wayslip.gateway import hub as hub_module
 from wayslip.gateway import leadership as leadership_module
 from wayslip.gateway import members as members_module
-from wayslip.gateway import records
 from wayslip.gateway import store as store_module
 from wayslip.http1 import client
 
@@ -91,8 +93,6 @@
                 others make too; given what one instance alone would wait.
         """
         self._witness = witness
-        self._find_pause = find_pause
-        self._store = store
         self._leadership = leadership
         self._members = members
         self._hub = hub
@@ -104,10 +104,8 @@
             collections.OrderedDict()
         )
         self._breaks: dict[fleet.Start, _Breaks] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
-        # Condemned contents in the store, with their objects' revisions; None
-        # until they were read in this term.
-        self._stored: dict[bytes, int] | None = None
+        self._chores = chores.Chores("quarantine_failed")
+        self._kept = condemned_module.Condemned(store, find_pause, self._learn)
         self._condemned: frozenset[bytes] = frozenset()
         self._told_at = 0.0
 
@@ -195,7 +193,7 @@
         if breaks is None:
             breaks = _Breaks(clock.now())
             self._breaks[start] = breaks
-            self._start_task(self._look(start, endpoint, open_connection))
+            self._chores.start(self._look(start, endpoint, open_connection))
         known = breaks.marks.get(content)
         attempts = 0 if content in self._answered else 1
         breaks.marks[content] = suspicion.Mark(
@@ -268,7 +266,7 @@
             )
             self._metrics.count("contents", outcome="condemned")
             if content in self._answered:
-                self._start_task(self._excuse(content))
+                self._chores.start(self._excuse(content))
         for content in self._condemned - condemned:
             logs.event(_LOG, "content_released", content=content.hex())
             self._metrics.count("contents", outcome="released")
@@ -295,7 +293,7 @@
         self._note_condemned()
 
     def _tell(self, told: facts.Suspects) -> None:
-        self._start_task(self._repeat(told))
+        self._chores.start(self._repeat(told))
 
     async def _repeat(self, told: facts.Suspects) -> None:
         for pause in _REPEATS:
@@ -328,12 +326,12 @@
 
     def begin_term(self) -> None:
         """Has the store read, because what it holds may not be known here."""
-        self._stored = None
+        self._kept.begin_term()
         self._told_at = 0.0
 
     async def run(self) -> None:
         """Forgets, and as the lease's holder tells and keeps, for ever."""
-        self._start_task(self._learn())
+        self._chores.start(self._kept.read_at_start())
         while True:
             await asyncio.sleep(_STEP_SECONDS)
             if self._suspicion.forget(clock.now()):
@@ -352,86 +350,20 @@
                 )
 
     async def _keep(self) -> None:
-        """Brings what is condemned into line between here and the store."""
-        if self._stored is None:
-            await self._read()
-        assert self._stored is not None
-        for content in self._condemned - self._stored.keys():
-            marks = tuple(self._suspicion.list_marks(content))
-            await self._create(content, marks)
-        for content in self._stored.keys() - self._condemned:
-            await self._remove(content)
-
-    async def _learn(self) -> None:
-        """Reads at the start what the instances before us kept.
-
-        The holder tells it too, but where all were killed together nobody
-        holds the lease for a while.
-        """
-        while True:
-            try:
-                listing = await self._store.list(records.SUSPECT, True)
-                break
-            except errors.ObjectError as e:
-                logs.event(
-                    _LOG, "suspects_not_read", logging.WARNING, reason=e.reason
-                )
-            await asyncio.sleep(self._find_pause(_TELL_SECONDS))
-        for item in listing.items:
-            self._suspicion.add(item.value.marks, clock.now())
-        self._note_condemned()
+        """Keeps in the store what is condemned; reads it first in a term."""
+        if await self._kept.read():
+            # Whoever started with us is to hear of it at once.
+            self._told_at = 0.0
+            self._tell_again()
+        await self._kept.keep(self._condemned, self._suspicion.list_marks)
 
-    async def _read(self) -> None:
-        listing = await self._store.list(records.SUSPECT)
-        stored = {}
-        for item in listing.items:
-            stored[item.value.content] = item.revision
-            self._suspicion.add(item.value.marks, clock.now())
-        self._stored = stored
+    def _learn(self, marks: Iterable[suspicion.Mark]) -> None:
+        self._suspicion.add(marks, clock.now())
         self._note_condemned()
-        self._told_at = 0.0
-        self._tell_again()
-
-    async def _create(
-        self, content: bytes, marks: tuple[suspicion.Mark, ...]
-    ) -> None:
-        assert self._stored is not None
-        record = records.Suspect(content, marks)
-        try:
-            stored = await self._store.create(
-                records.SUSPECT, content.hex(), record
-            )
-            self._stored[content] = stored.revision
-        except errors.ObjectConflictError:
-            # An answer was lost, or another holder wrote it.
-            self._stored = None
-
-    async def _remove(self, content: bytes) -> None:
-        assert self._stored is not None
-        try:
-            await self._store.remove(
-                records.SUSPECT, content.hex(), self._stored[content]
-            )
-            del self._stored[content]
-        except errors.ObjectConflictError:
-            self._stored = None
-
-    # Inside
-
-    def _start_task(self, work: Awaitable[None]) -> None:
-        task = asyncio.ensure_future(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._end_task)
-
-    def _end_task(self, task: asyncio.Task[None]) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            _LOG.error("quarantine_failed", exc_info=task.exception())
 
     def close(self) -> None:
         """Ends what is still to be told or looked at."""
-        for task in list(self._tasks):
-            task.cancel()
+        self._chores.cancel()
 
     def dump(self) -> list[dict[str, object]]:
         """Returns the contents that are under suspicion, condemned first."""
--- a/src/wayslip/gateway/requests.py
+++ b/src/wayslip/gateway/requests.py
@@ -25,6 +25,7 @@
 from wayslip.gateway import options as options_module
 from wayslip.gateway import placement as placement_module
 from wayslip.gateway import quarantine as quarantine_module
+from wayslip.gateway import resting
 from wayslip.gateway import view as view_module
 from wayslip.http1 import server
 
@@ -47,11 +48,6 @@
 # 1.0 to 1.25 targets a fifth was late, at 2.5 targets half.
 _WAIT_SHARE = 0.9
 _TARGET_SHARE = 2.0
-# A rest of an endpoint is waited for if it is shorter than this many latency
-# targets: the answer can still be in time.
-_REST_SHARE = 0.5
-# The return of those who are refused is spread over this, seconds.
-_RETURN_SPREAD = 0.5
 # One that is refused so should find about half a target's queue, targets.
 _RETURN_SHARE = 0.5
 
@@ -87,6 +83,7 @@
             tell_leaving: Is given an endpoint that says it takes no new work.
         """
         self._quarantine = quarantine
+        self._resting = resting.Resting(view)
         self._find_sight = find_sight
         self._limiter = limiter
         self._dialect = dialect
@@ -317,26 +314,18 @@
         )
         if verdict is retry.Verdict.RETRY:
             return True
-        rest = self._find_wait_after(job)
-        self._endings.answer_verdict(job, verdict, rest)
+        wait = self._resting.find_return(job) or jobs.SHORTEST_RETRY_AFTER
+        self._endings.answer_verdict(job, verdict, wait)
         return False
 
-    def _find_wait_after(self, job: jobs.Job) -> float:
-        """Returns the seconds until it is worth coming back after a refusal."""
-        # Those that turned it away now may take it then.
-        rest = self._view.find_rest(
-            job.service.name, job.traits, besides=frozenset()
-        )
-        return _spread_return(rest) if rest else jobs.SHORTEST_RETRY_AFTER
-
     # Choosing
 
     async def _find(self, job: jobs.Job) -> selection.Choice | None:
         """Returns an endpoint; answers the request if there is none."""
         choice = self._choose(job)
-        if choice is None:
-            choice = await self._wait_for_rest(job)
-        if choice is None and job.traits.model and not self._is_at_rest(job):
+        if choice is None and await self._resting.wait(job):
+            choice = self._choose(job)
+        if choice is None and self._may_be_loaded(job):
             choice = await self._wait_for_model(job)
         if choice is None:
             self._refuse_missing(job)
@@ -379,23 +368,9 @@
             )
         return choice
 
-    def _find_rest(self, job: jobs.Job) -> float | None:
-        """Returns the seconds until an endpoint that could serve has rested."""
-        return self._view.find_rest(job.service.name, job.traits, job.tried)
-
-    def _is_at_rest(self, job: jobs.Job) -> bool:
-        """Whether endpoints hold what a request needs, and all rest."""
-        return self._find_rest(job) is not None
-
-    async def _wait_for_rest(self, job: jobs.Job) -> selection.Choice | None:
-        """Waits for endpoints that asked for rest, if that ends soon."""
-        rest = self._find_rest(job)
-        left = job.deadline - clock.now()
-        limit = min(left * _WAIT_SHARE, job.route.target * _REST_SHARE)
-        if rest is None or rest > limit:
-            return None
-        await asyncio.sleep(rest)
-        return self._choose(job)
+    def _may_be_loaded(self, job: jobs.Job) -> bool:
+        """Whether a load could help: no endpoint that rests has the model."""
+        return bool(job.traits.model) and not self._resting.is_due(job)
 
     async def _wait_for_model(self, job: jobs.Job) -> selection.Choice | None:
         """Has a model or adapter loaded; waits while that is worth it."""
@@ -435,10 +410,9 @@
             return
         wait = self._placement.expect(job.service.name, job.traits)
         reason = "not_loaded" if job.traits.model else "no_endpoint"
-        rest = self._find_rest(job)
+        rest = self._resting.find_return(job)
         if rest is not None:
             reason = "endpoints_rest"
-            rest = _spread_return(rest)
             wait = rest if wait is None else min(wait, rest)
         if wait is None:
             is_missing = bool(job.traits.model)
@@ -448,14 +422,6 @@
         self._endings.refuse_job(job, reason, wait)
 
 
-def _spread_return(rest: float) -> float:
-    """Returns when clients that are refused until then should come back.
-
-    Not all in the moment in which an endpoint has rested.
-    """
-    return rest + random.uniform(0, _RETURN_SPREAD)
-
-
 def _find_load_time(job: jobs.Job) -> float:
     """Returns the seconds of a load from the weight store, 0 if unknown."""
     pool = job.service.pool
--- a/tests/gateway/test_engine_words.py
+++ b/tests/gateway/test_engine_words.py
@@ -37,15 +37,6 @@
     return ask_for_rest
 
 
-async def ask_until(system, engine):
-    """Asks until an engine has had a request; returns how many were sent."""
-    for n in range(100):
-        await system.ask("/get/a", f"u{n}")
-        if engine.received:
-            return
-    raise AssertionError("it gets none")
-
-
 async def ask_many(system, count=20, path="/get/a"):
     return [await system.ask(path, f"m{n}") for n in range(count)]
 
@@ -55,8 +46,8 @@
     system,
 ):
     leaving = await system.add("e1", "plain", script=say_leaving)
+    await system.ask("/get/a")
     await system.add("e2", "plain")
-    await ask_until(system, leaving)
     answers = await ask_many(system)
     assert {a.body for a in answers} == {b"e2"}
     assert len(leaving.received) == 1
@@ -123,8 +114,8 @@
 @harness.run
 async def test_engine_that_asks_for_rest_gets_none_until_it_is_over(system):
     resting = await system.add("e1", "plain", script=make_resting(3000))
+    await system.ask("/get/a")
     await system.add("e2", "plain")
-    await ask_until(system, resting)
     answers = await ask_many(system)
     assert {a.body for a in answers} == {b"e2"}
     assert len(resting.received) == 1
