--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -44,14 +44,14 @@
         self,
         ledger: Ledger,
         service: str,
-        end: Callable[["Endpoint"], None],
+        end: Callable[["Endpoint", bytes], None],
     ) -> None:
         """Has it note what it sees in a ledger.
 
         Args:
             ledger: Where it notes that.
             service: That it belongs to.
-            end: Ends it, when it begins a request that does so.
+            end: Ends it, when it begins a request with a body that does so.
         """
         self.ledger = ledger
         self.service = service
@@ -119,7 +119,7 @@
     engine.note_run(request)
     await asyncio.sleep(0.01)
     if request.body.startswith(DEADLY):
-        engine.end(engine)
+        engine.end(engine, request.body)
         return
     leaving = {"Server-Leaving": "1"} if engine.says_leaving else {}
     await line.answer(request, f"whole {request.id}".encode(), 200, **leaving)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -198,14 +198,14 @@
 ) -> None:
     """A request that ends endpoints comes again and again, at any gateway."""
     body = endpoints.DEADLY + b"%d" % rng.randrange(1_000_000)
-    ends, starts = world.ends, world.starts
+    starts = world.starts
     for number in range(_DEADLY_TRIES):
         await _ask_once(_pick(world, rng), f"{body.decode()}-{number}", body)
         await asyncio.sleep(0.2)
     most = _ENDS_MOST + world.starts - starts
-    if world.ends - ends > most:
+    if world.ends[body] > most:
         world.ledger.break_rule(
-            f"BUDGET {world.ends - ends} endpoints ended under {body!r}"
+            f"BUDGET {world.ends[body]} endpoints ended under {body!r}"
         )
 
 
--- a/soak/world.py
+++ b/soak/world.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import collections
 from collections.abc import AsyncIterator
 import contextlib
 import dataclasses
@@ -73,8 +74,9 @@
         self.ledger = endpoints.Ledger()
         self.store = platform_store.PlatformStore()
         self.version = 1
-        # Endpoints that ended under a request; gateways that were started.
-        self.ends = 0
+        # Endpoints that ended under a request, by its body; gateways that were
+        # started.
+        self.ends: collections.Counter[bytes] = collections.Counter()
         self.starts = 0
         self.endpoints: dict[str, endpoints.Endpoint] = {}
         self.proxies: dict[str, proxy_module.Proxy] = {}
@@ -158,11 +160,11 @@
         if before.name in self.store.objects["servers"]:
             self.store.remove("servers", before.name)
 
-    def _replace(self, endpoint: endpoints.Endpoint) -> None:
-        """Ends an endpoint at once, and has another one start."""
+    def _replace(self, endpoint: endpoints.Endpoint, body: bytes) -> None:
+        """Ends an endpoint under a request, and has another one start."""
         if endpoint.name not in self.endpoints:
             return
-        self.ends += 1
+        self.ends[body] += 1
         self._tasks.append(asyncio.create_task(self._end_and_add(endpoint)))
 
     async def _end_and_add(self, endpoint: endpoints.Endpoint) -> None:
