Tell the lease's holder of an end where no peers are known yet

Who does not know the holder as a peer tells it besides, and a holder that hears news tells it within a quarter of a second.

--- a/src/wayslip/gateway/quarantine.py
+++ b/src/wayslip/gateway/quarantine.py
@@ -21,6 +21,7 @@
 from wayslip import errors
 from wayslip import logs
 from wayslip import metrics as metrics_module
+from wayslip.decisions import fanout
 from wayslip.decisions import fleet
 from wayslip.decisions import suspicion
 from wayslip.gateway import chores
@@ -289,7 +290,9 @@
         now = clock.now()
         self._suspicion.clear(told.cleared, now)
         self._suspicion.excuse(told.common, now)
-        self._suspicion.add(told.marks, now)
+        if self._suspicion.add(told.marks, now):
+            # As the lease's holder, for those whom the sender does not know.
+            self._told_at = 0.0
         self._note_condemned()
 
     def _tell(self, told: facts.Suspects) -> None:
@@ -308,7 +311,18 @@
                 told.cleared[i : i + _PART],
                 told.common[i : i + _PART],
             )
-            self._hub.spread(part, self._members.peers())
+            self._hub.spread(part, self._list_peers())
+
+    def _list_peers(self) -> list[fanout.Peer]:
+        """Returns whom to tell: all, and the holder if it is not among them.
+
+        Who has just started knows no other yet, and the holder tells the rest.
+        """
+        peers = self._members.peers()
+        holder = self._leadership.holder_address
+        if holder is None or any(p.address == holder for p in peers):
+            return peers
+        return [*peers, fanout.Peer(holder, "")]
 
     def _tell_again(self) -> None:
         """Tells what others may have missed."""
--- a/tests/gateway/test_deadly_requests.py
+++ b/tests/gateway/test_deadly_requests.py
@@ -333,3 +333,18 @@
         facts.Suspects((suspicion.Mark(b"c", "e1", witness="g2", attempts=3),))
     )
     await system.until(lambda: not quarantine.is_condemned(b"c"))
+
+
+@harness.run
+async def test_who_knows_no_peers_yet_tells_the_holder(system):
+    # All gateways had just started. One saw two engines end under a request and
+    # knew no peers to tell, so two more ended: soak seed 2106.
+    other = await system.join("g2")
+    third = await system.join("g3")
+    gateways = [system.gateway, other, third]
+    holder = next(g for g in gateways if g.leadership.is_held)
+    teller, hearer = (g for g in gateways if g is not holder)
+    marks = [suspicion.Mark(b"c", "e1", attempts=3)]
+    with mock.patch.object(teller._members, "peers", list):
+        teller._quarantine._tell(facts.Suspects(tuple(marks)))
+        await system.until(lambda: hearer._quarantine.is_condemned(b"c"))
