Log limits that engines name, and each report they give

Callers saw an engine that takes 1 request a second given 14 in 4 s. The lines tell apart a word that is not read from one that each instance counts for itself, and requests from our own calls.

--- a/src/wayslip/gateway/attempts.py
+++ b/src/wayslip/gateway/attempts.py
@@ -131,6 +131,14 @@
         answer = self._dialect.read_answer(head)
         if answer.is_leaving:
             self._tell_leaving(use.tracked.endpoint)
+        if answer.limit is not None:
+            logs.event(
+                _LOG,
+                "limit_named",
+                request=traits.request_id,
+                endpoint=endpoint,
+                limit=answer.limit,
+            )
         if answer.is_refusal:
             await self._read_rest(connection)
             logs.event(
--- a/src/wayslip/gateway/dialect.py
+++ b/src/wayslip/gateway/dialect.py
@@ -82,6 +82,8 @@
         is_leaving: Whether the endpoint says that it takes no new work.
         rest: Seconds for which it wants nothing from us, None if it does not
             say so.
+        limit: Requests a second that it takes from all instances together,
+            None if it names none.
     """
 
     is_genuine: bool
@@ -91,6 +93,7 @@
     is_leaving: bool = False
     load: fleet.Load | None = None
     rest: float | None = None
+    limit: float | None = None
 
 
 class Dialect(Protocol):
--- a/src/wayslip/gateway/ordering.py
+++ b/src/wayslip/gateway/ordering.py
@@ -193,7 +193,16 @@
                 reason=e.reason,
             )
             return None
-        return state if book.take_state(state, clock.now()) else None
+        is_new = book.take_state(state, clock.now())
+        logs.event(
+            _LOG,
+            "report",
+            endpoint=book.endpoint.name,
+            orders=state.orders,
+            busy=state.is_busy,
+            new=is_new,
+        )
+        return state if is_new else None
 
     async def learn(self, book: books_module.Book) -> bool:
         """Sees to it that an engine's count and content are known."""
--- a/src/wayslip/platform/dialect.py
+++ b/src/wayslip/platform/dialect.py
@@ -23,6 +23,7 @@
 _LOAD = b"wayslip-server-load"
 _RETRY_AFTER = b"retry-after"
 _LEAVING = b"server-leaving"
+_LIMIT = b"server-limit"
 _CONTENT_TYPE = b"content-type"
 _CONTENT_ENCODING = b"content-encoding"
 _EVENT_STREAM = b"text/event-stream"
@@ -132,6 +133,7 @@
             is_leaving=head.header(_LEAVING).strip() == b"1",
             load=_read_load(head.header(_LOAD)),
             rest=_read_rest(head),
+            limit=_read_limit(head),
         )
 
     def make_retry_after(self, seconds: float) -> messages.Headers:
@@ -172,13 +174,24 @@
     """Returns the seconds of rest that a refusal asks for."""
     if head.status != _UNAVAILABLE or not head.header(_NOT_RUN):
         return None
+    seconds = _read_number(head.header(_RETRY_AFTER))
+    if not seconds:
+        return None
+    return min(seconds, _REST_MOST)
+
+
+def _read_limit(head: messages.Head) -> float | None:
+    """Returns the requests a second that an endpoint takes from all."""
+    return _read_number(head.header(_LIMIT))
+
+
+def _read_number(text: bytes) -> float | None:
+    """Returns a decimal number, None if there is none that makes sense."""
     try:
-        seconds = float(head.header(_RETRY_AFTER))
+        number = float(text)
     except ValueError:
         return None
-    if not math.isfinite(seconds) or seconds <= 0:
-        return None
-    return min(seconds, _REST_MOST)
+    return number if math.isfinite(number) and number >= 0 else None
 
 
 def _read_parts(text: bytes) -> tuple[dialect.Part, ...]:
