Give each test process addresses of its own, and tell why a gateway ended

Cause, by a run: with its peers' port held by another socket a gateway ends with 'address in use', the harness waits its 10 s and says TimeoutError, as was seen. That it was this in that run is not shown, it kept no output.

Now each process has a loopback address of its own, ports are free for both, the second copy of the search is gone (standins/ports.py), and the harness raises what ended a gateway at once.

--- a/bench/processes.py
+++ b/bench/processes.py
@@ -1,12 +1,10 @@
 """Starts stand-ins and daemons as processes for a measurement or a soak."""
 
 import contextlib
-import itertools
 import json
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -15,6 +13,8 @@
 
 import urllib3
 
+from standins import ports
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 TOKEN = "object-token-of-benches"
 CALLER_KEY = "caller-key-of-benches-1"
@@ -24,30 +24,6 @@
 _HTTP = urllib3.PoolManager(retries=False, timeout=20.0)
 
 
-# Below the range from which the system gives ports to outgoing connections, so
-# that none of those takes a port between its choice and its use.
-_PORTS = itertools.count(20_000 + os.getpid() % 50 * 200)
-
-
-def free_port() -> int:
-    """Returns a port that is free for TCP and UDP."""
-    while True:
-        port = 20_000 + (next(_PORTS) - 20_000) % 12_000
-        if _is_free(port):
-            return port
-
-
-def _is_free(port: int) -> bool:
-    kinds = (socket.SOCK_STREAM, socket.SOCK_DGRAM)
-    for kind in kinds:
-        with socket.socket(type=kind) as sock:
-            try:
-                sock.bind(("127.0.0.1", port))
-            except OSError:
-                return False
-    return True
-
-
 def fetch(
     method: str, url: str, body: Any = None, key: str = OPERATOR_KEY
 ) -> Any:
@@ -123,7 +99,7 @@
         self._dir = tempfile.TemporaryDirectory(prefix="wayslip-")
         self.log = open(f"{self._dir.name}/log", "ab")  # noqa: SIM115
         self.processes: dict[str, Process] = {}
-        self.object_port = free_port()
+        self.object_port = ports.find_free()
         self.objects_url = f"http://127.0.0.1:{self.object_port}"
         self.addresses: dict[str, str] = {}
         self.seeds: list[str] = []
@@ -162,7 +138,7 @@
 
     def start_engine(self, name: str, capacity: int, *args: str) -> None:
         """Starts an engine and puts it on the platform's list."""
-        port = free_port()
+        port = ports.find_free()
         self.addresses[name] = f"127.0.0.1:{port}"
         self.start(
             name,
@@ -179,7 +155,7 @@
 
     def start_service(self, name: str, *args: str) -> None:
         """Starts a service and puts it on the platform's list."""
-        port = free_port()
+        port = ports.find_free()
         self.addresses[name] = f"127.0.0.1:{port}"
         self.start(name, "standins.service", "--port", str(port), *args)
         self.list_endpoint(name, "service", 0)
@@ -219,9 +195,9 @@
         """Writes an instance's settings and starts some of its daemons."""
         for program in ("entry", "control"):
             for use in ("peers", "operators"):
-                port = free_port()
+                port = ports.find_free()
                 self.addresses[f"{program}/{name}/{use}"] = f"127.0.0.1:{port}"
-        self.addresses[f"entry/{name}"] = f"127.0.0.1:{free_port()}"
+        self.addresses[f"entry/{name}"] = f"127.0.0.1:{ports.find_free()}"
         first = programs[0]
         self.seeds.append(self.addresses[f"{first}/{name}/peers"])
         path = pathlib.Path(self._dir.name) / f"{name}.toml"
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -1,8 +1,6 @@
 """What an operator and endpoints write into the stand-in of the store."""
 
 from collections.abc import Iterable
-import contextlib
-import socket
 from typing import Any
 
 HOST = "shop.example"
@@ -96,11 +94,3 @@
         "seq": 77,
         **fields,
     }
-
-
-def free_port() -> int:
-    """Returns a port of the loopback address that was free a moment ago."""
-    with contextlib.closing(socket.socket()) as sock:
-        sock.bind(("127.0.0.1", 0))
-        port: int = sock.getsockname()[1]
-        return port
--- /dev/null
+++ b/standins/ports.py
@@ -0,0 +1,47 @@
+"""Addresses for what tests and benches start."""
+
+from collections.abc import Iterator
+import contextlib
+import itertools
+import os
+import socket
+
+# Below the range from which the system gives ports to outgoing connections, so
+# that none of those takes a port between its choice and its use.
+_FIRST = 20_000
+_COUNT = 12_000
+_PORTS = itertools.count(os.getpid() % 50 * 200)
+SHARED_HOST = "127.0.0.1"
+
+
+def make_own_host() -> str:
+    """Returns a loopback address that no other process here uses."""
+    pid = os.getpid()
+    return f"127.{64 + (pid >> 16) % 64}.{(pid >> 8) % 256}.{pid % 256}"
+
+
+def find_free(host: str = SHARED_HOST) -> int:
+    """Returns a port of a host that is free for TCP and UDP."""
+    while True:
+        port = _FIRST + next(_PORTS) % _COUNT
+        if is_free(host, port):
+            return port
+
+
+def is_free(host: str, port: int) -> bool:
+    """Whether a port can be bound for both."""
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(type=kind) as sock:
+            try:
+                sock.bind((host, port))
+            except OSError:
+                return False
+    return True
+
+
+@contextlib.contextmanager
+def hold(host: str, port: int) -> Iterator[None]:
+    """Holds a port with a datagram socket."""
+    with socket.socket(type=socket.SOCK_DGRAM) as sock:
+        sock.bind((host, port))
+        yield
--- a/tests/faults/test_instances.py
+++ b/tests/faults/test_instances.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from bench import processes
+from standins import ports
 from tests import system as system_module
 
 TEXT = system_module.expected_text("m@v1", "12 Salt Lake", 200)
@@ -74,7 +74,7 @@
         "in force everywhere",
     )
     fleet.objects.faults.down = True
-    fleet._ports += [processes.free_port() for _ in range(2)]
+    fleet._ports += [ports.find_free() for _ in range(2)]
     fleet.start_instance(3)
     new = fleet.entries[3]
     system_module.wait_until(
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -9,6 +9,7 @@
 from standins import platform_engine
 from standins import platform_site
 from standins import platform_store
+from standins import ports
 from wayslip import clock
 from wayslip import metrics
 from wayslip.cli import gateway as cli
@@ -17,21 +18,32 @@
 from wayslip.gateway import distribution
 from wayslip.gateway import options as options_module
 
+HOST = ports.make_own_host()
+
+
+def make_address():
+    return f"{HOST}:{ports.find_free(HOST)}"
+
 
 def make_options(name, store):
     return options_module.Options(
         name=name,
-        ip="127.0.0.1",
+        ip=HOST,
         data_hall="hall-1",
-        callers=f"127.0.0.1:{platform_site.free_port()}",
-        readiness=f"127.0.0.1:{platform_site.free_port()}",
+        callers=make_address(),
+        readiness=make_address(),
         store=store,
-        peers=f"127.0.0.1:{platform_site.free_port()}",
-        metrics_port=platform_site.free_port(),
+        peers=make_address(),
+        metrics_port=ports.find_free(HOST),
         bounds=options_module.Bounds(grace=5.0),
     )
 
 
+def replace_peers(options, peers):
+    """Returns the options with another address for peers."""
+    return dataclasses.replace(options, peers=peers)
+
+
 def make_distribution(manifest, bytes_per_s):
     """Returns the distribution of an instance that has a configuration."""
     options = make_options("g1", "127.0.0.1:1")
@@ -113,8 +125,15 @@
     async def until(self, check, seconds=10.0):
         async with asyncio.timeout(seconds):
             while not check():
+                self._raise_failure()
                 await asyncio.sleep(0.01)
 
+    def _raise_failure(self):
+        """Raises what ended a gateway that nobody stopped."""
+        for gateway, task in self._tasks.items():
+            if task.done() and not gateway._stopping.is_set():
+                task.result()
+
     async def stop(self):
         for gateway in list(self._tasks):
             await self.kill(gateway)
--- a/tests/gateway/test_deadly_requests.py
+++ b/tests/gateway/test_deadly_requests.py
@@ -198,7 +198,7 @@
 
 
 async def run_ctl(system, *args):
-    url = f"http://127.0.0.1:{system.options.metrics_port}"
+    url = f"http://{harness.HOST}:{system.options.metrics_port}"
     return await asyncio.to_thread(test_cli.run, "ctl", f"--url={url}", *args)
 
 
--- a/tests/gateway/test_distribution.py
+++ b/tests/gateway/test_distribution.py
@@ -84,7 +84,7 @@
 
 
 def _find_pages(system):
-    return "127.0.0.1", system.options.metrics_port
+    return harness.HOST, system.options.metrics_port
 
 
 @harness.run
--- /dev/null
+++ b/tests/gateway/test_harness.py
@@ -0,0 +1,26 @@
+"""The harness tells why a gateway did not start."""
+
+import pytest
+
+from standins import ports
+from tests.gateway import harness
+
+
+@harness.run
+async def test_gateway_whose_port_is_taken_is_no_silent_time_out(system):
+    # A test waited 10 s for a gateway that had ended and told nothing.
+    options = harness.make_options("g2", system.options.store)
+    gateway = system._launch(
+        harness.replace_peers(options, system.options.peers)
+    )
+    with pytest.raises(OSError, match="in use"):
+        await system.until(lambda: False)
+    del system._tasks[gateway]
+
+
+def test_port_that_a_datagram_socket_has_is_not_given_out():
+    host = ports.make_own_host()
+    port = ports.find_free(host)
+    with ports.hold(host, port):
+        assert not ports.is_free(host, port)
+    assert ports.is_free(host, port)
--- a/tests/system.py
+++ b/tests/system.py
@@ -4,9 +4,9 @@
 import json
 import time
 
-from bench import processes
 from standins import engine as engine_standin
 from standins import objects as objects_standin
+from standins import ports
 from standins import service as service_standin
 from wayslip import addresses
 from wayslip import settings as settings_module
@@ -180,7 +180,7 @@
             name = f"s{n}"
             self.services[name] = service_standin.Service().start()
             self._list(name, "service", self.services[name].address, 0)
-        self._ports = [processes.free_port() for _ in range(2 * instances)]
+        self._ports = [ports.find_free() for _ in range(2 * instances)]
         self.entries = []
         self.controls = []
         for n in range(instances):
@@ -223,12 +223,12 @@
                 "region": "kolkata-east",
             },
             "entry": {
-                "callers": f"127.0.0.1:{processes.free_port()}",
-                "operators": f"127.0.0.1:{processes.free_port()}",
+                "callers": f"127.0.0.1:{ports.find_free()}",
+                "operators": f"127.0.0.1:{ports.find_free()}",
                 "peers": f"127.0.0.1:{self._ports[2 * n]}",
             },
             "control": {
-                "operators": f"127.0.0.1:{processes.free_port()}",
+                "operators": f"127.0.0.1:{ports.find_free()}",
                 "peers": f"127.0.0.1:{self._ports[2 * n + 1]}",
             },
             "objects": {
