--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -41,6 +41,8 @@
     ) -> None:
         self.reader = reader
         self.writer = writer
+        # Headers of every answer of the endpoint's own.
+        self.headers: dict[str, str] = {}
 
     async def write(self, data: bytes) -> None:
         """Writes raw bytes."""
@@ -59,7 +61,8 @@
         **headers: str,
     ) -> None:
         """Writes a whole answer of the endpoint's own."""
-        await self.write(format_answer(request.id, body, status, **headers))
+        named = {**self.headers, **headers}
+        await self.write(format_answer(request.id, body, status, **named))
 
 
 def format_answer(
@@ -96,6 +99,8 @@
             say nothing.
         taken: How many orders it has carried out.
         report_lag: How old its reports are, seconds.
+        limit: Requests a second that its answers say it takes, None for none.
+        calls: When each request, order and report came, steady seconds.
         left: How many connections were closed while a script ran.
         is_ended: Whether it has crashed.
     """
@@ -107,6 +112,8 @@
     order_status: int = 202
     taken: int = 0
     report_lag: float = 0.0
+    limit: float | None = None
+    calls: list[float] = dataclasses.field(default_factory=list)
     _reports: list[tuple[float, dict[str, Any]]] = dataclasses.field(
         default_factory=list
     )
@@ -152,6 +159,8 @@
             self._lines.discard(line)
 
     async def _respond(self, request: Received, line: Line) -> None:
+        self.calls.append(time.monotonic())
+        line.headers = self.name_limit()
         if request.target == "/wayslip/report":
             report = json.dumps(self._find_old_report())
             await line.answer(request, report.encode())
@@ -166,6 +175,10 @@
             self.left += 1
             raise
 
+    def name_limit(self) -> dict[str, str]:
+        """Returns the headers that name its limit."""
+        return {} if self.limit is None else {"Server-Limit": str(self.limit)}
+
     def _find_old_report(self) -> dict[str, Any]:
         """Returns the report of as long ago as reports are old."""
         limit = time.monotonic() - self.report_lag
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -141,13 +141,16 @@
             engine.stop()
         self.store.stop()
 
-    async def ask(self, path, request_id="r1", method="GET", **fields):
-        client = await self.connect()
+    async def ask(
+        self, path, request_id="r1", method="GET", at=None, **fields
+    ):
+        client = await self.connect(at)
         await client.send(path, request_id, method, **fields)
         return await client.read()
 
-    async def connect(self):
-        host, _, port = self.options.callers.rpartition(":")
+    async def connect(self, gateway=None):
+        options = gateway._options if gateway else self.options
+        host, _, port = options.callers.rpartition(":")
         reader, writer = await asyncio.open_connection(host, int(port))
         return platform_client.Client(reader, writer)
 
--- /dev/null
+++ b/tests/gateway/test_engine_limits.py
@@ -0,0 +1,189 @@
+"""Limits that engines name in answers, over all instances together.
+
+An engine named a limit of 1 request a second and got 14 in 4 s from instances
+that had passed on such an answer; 11 are allowed. The word was read nowhere.
+"""
+
+import asyncio
+import time
+
+from standins import platform_engine
+from tests.gateway import harness
+from tests.gateway import test_placement
+
+WINDOW = 4.0
+
+
+def count_most(times, since=0.0):
+    """Returns the most that came within some window."""
+    late = [at for at in times if at >= since]
+    return max(
+        (sum(at <= one < at + WINDOW for one in late) for at in late),
+        default=0,
+    )
+
+
+def find_allowed(limit):
+    return 1.5 * WINDOW * limit + 5
+
+
+async def add_limited(system, name="e1", service="plain", limit=1, **fields):
+    engine = await system.add(name, service, **fields)
+    engine.limit = limit
+    return engine
+
+
+async def join_two(system, name="e1"):
+    gateways = [system.gateway]
+    for other in ("g2", "g3"):
+        gateways.append(await system.join(other))
+    for gateway in gateways:
+        await system.until(lambda g=gateway: name in g.view.tracked)
+    return gateways
+
+
+async def ask_all(system, gateways, seconds, gap=0.04, path="/get/a"):
+    """Asks all instances in turn for so long; returns the answers."""
+    tasks = []
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        for gateway in gateways:
+            number = len(tasks)
+            one = system.ask(path, f"a{number}", at=gateway)
+            tasks.append(asyncio.create_task(one))
+        await asyncio.sleep(gap)
+    return await asyncio.gather(*tasks)
+
+
+@harness.run
+async def test_limit_named_in_answers_holds_over_all_instances(system):
+    limited = await add_limited(system)
+    gateways = await join_two(system)
+    await asyncio.gather(*(system.ask("/get/a", at=g) for g in gateways))
+    await system.add("e2", "plain")
+    began = time.monotonic() + 0.5
+    answers = await ask_all(system, gateways, 5.0)
+    assert {a.status for a in answers} == {200}
+    assert count_most(limited.calls, began) <= find_allowed(1)
+
+
+@harness.run
+async def test_sole_engine_with_a_limit_is_used_to_it(system):
+    limited = await add_limited(system, limit=4)
+    gateways = await join_two(system)
+    await asyncio.gather(*(system.ask("/get/a", at=g) for g in gateways))
+    began = time.monotonic() + 0.5
+    answers = await ask_all(system, gateways, 4.0)
+    assert count_most(limited.calls, began) <= find_allowed(4)
+    assert sum(a.status == 200 for a in answers) >= 12
+
+
+@harness.run
+async def test_refused_requests_are_told_when_a_place_is_free(system):
+    limited = await add_limited(system, limit=0.01)
+    await system.ask("/get/a")
+    began = time.monotonic()
+    answers = [await system.ask("/get/a", f"r{n}") for n in range(6)]
+    assert time.monotonic() - began < 1.0
+    refused = [a for a in answers if a.status == 503]
+    assert len(refused) >= 4
+    assert all(float(a.headers["retry-after"]) > 1.0 for a in refused)
+    assert len(limited.received) <= 3
+
+
+@harness.run
+async def test_request_waits_for_a_place_that_is_free_soon(system):
+    await add_limited(system, limit=5)
+    await system.ask("/get/a")
+    asked = [system.ask("/get/a", f"r{n}") for n in range(4)]
+    answers = await asyncio.gather(*asked)
+    assert {a.status for a in answers} == {200}
+
+
+@harness.run
+async def test_instances_that_got_no_such_answer_heed_it(system):
+    limited = await add_limited(system, limit=0.01)
+    gateways = await join_two(system)
+    await system.ask("/get/a")
+    await asyncio.sleep(0.1)
+    count = len(limited.received)
+    await ask_all(system, gateways[1:], 0.3)
+    assert len(limited.received) - count <= 3
+
+
+@harness.run
+async def test_limit_ends_at_all_instances_with_an_answer_without_it(system):
+    limited = await add_limited(system, limit=3)
+    gateways = await join_two(system)
+    await system.ask("/get/a")
+    await asyncio.sleep(0.1)
+    limited.limit = None
+    await ask_all(system, gateways[:1], 1.0)
+    answers = await ask_all(system, gateways, 0.5)
+    assert {a.status for a in answers} == {200}
+
+
+@harness.run
+async def test_newest_limit_counts_and_not_the_largest(system):
+    limited = await add_limited(system, limit=50)
+    await system.ask("/get/a")
+    limited.limit = 0.01
+    await ask_all(system, [system.gateway], 0.3)
+    count = len(limited.received)
+    await ask_all(system, [system.gateway], 0.3)
+    assert len(limited.received) - count <= 1
+
+
+@harness.run
+async def test_answer_to_an_earlier_request_does_not_end_a_limit(system):
+    may_answer = asyncio.Event()
+
+    async def answer_the_first_late(engine, request, line):
+        if request.id == "r1":
+            line.headers = {}
+            await may_answer.wait()
+        await platform_engine.answer_whole(engine, request, line)
+
+    limited = await add_limited(
+        system, limit=0.01, script=answer_the_first_late
+    )
+    late = asyncio.create_task(system.ask("/get/a", "r1"))
+    await system.until(lambda: limited.received)
+    await system.ask("/get/a", "r2")
+    may_answer.set()
+    assert (await late).status == 200
+    count = len(limited.received)
+    await ask_all(system, [system.gateway], 0.3)
+    assert len(limited.received) - count <= 2
+
+
+@harness.run
+async def test_later_start_under_the_same_id_has_no_limit(system):
+    limited = await add_limited(system, limit=0.01)
+    await system.ask("/get/a")
+    limited.limit = None
+    entry = dict(system.store.objects["servers"]["e1"]["spec"], born=2_000)
+    system.store.put("servers", "e1", entry)
+    tracked = system.gateway.view.tracked
+    await system.until(lambda: tracked["e1"].endpoint.born)
+    answers = await ask_all(system, [system.gateway], 0.3)
+    assert {a.status for a in answers} == {200}
+
+
+@harness.run
+async def test_reports_and_orders_take_places_too(system):
+    limited = await add_limited(
+        system, service="models", limit=1, models=("m1",)
+    )
+    gateways = await join_two(system)
+    await test_placement.ask(system, "m1", "r0")
+    began = time.monotonic() + 0.5
+    for number in range(60):
+        # More adapters than places, so that each makes another one go.
+        model = f"m1/a{number % 4 + 1}"
+        await test_placement.ask(
+            system, model, f"r{number}", at=gateways[number % 3]
+        )
+        await asyncio.sleep(0.08)
+    assert count_most(limited.calls, began) <= find_allowed(1)
+    assert limited.orders
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -18,10 +18,11 @@
 from wayslip.platform import decoding
 
 
-async def ask(system, model, request_id, path="/gen/a"):
+async def ask(system, model, request_id, path="/gen/a", at=None):
     return await system.ask(
         path,
         request_id,
+        at=at,
         method="POST",
         body=b"prompt",
         Wayslip_Model=model,
