Tell the lease's holder that an engine leaves where no peers are known yet

An instance that has just started knows no other instance and told nobody when an engine said in an answer that it leaves; the others went on with it until they heard it themselves. The same was found and mended for requests that end engines, in the quarantine alone. Whom to tell stands once now (gateway/audience.py), and the holder passes on what was news to it.

test_instance_that_knows_no_peers_yet_tells_the_holder failed before (time-out, the third instance went on). Found by looking for whom a limit that an engine names must be told.

--- a/src/wayslip/gateway/daemon.py
+++ b/src/wayslip/gateway/daemon.py
@@ -15,6 +15,7 @@
 from wayslip.decisions import manifest
 from wayslip.decisions import pacing
 from wayslip.gateway import accounts as accounts_module
+from wayslip.gateway import audience
 from wayslip.gateway import configuration
 from wayslip.gateway import copying
 from wayslip.gateway import currency
@@ -96,7 +97,7 @@
             options, platform.store, platform.engines, self.metrics
         )
         members = members_module.Members(self.view.reading)
-        self._members = members
+        self._audience = audience.Audience(self._hub, members, self.leadership)
         detaching = detaching_module.Detaching(
             options.peers, self.leadership, members
         )
@@ -135,8 +136,7 @@
         self._quarantine = quarantine_module.Quarantine(
             platform.store,
             self.leadership,
-            members,
-            self._hub,
+            self._audience,
             self.metrics,
             options.name,
             self._find_pause,
@@ -221,7 +221,7 @@
         """
         if self.view.note_leaving(endpoint.start, self._options.name):
             told = facts.Leaving(endpoint.name, endpoint.born)
-            self._hub.spread(told, self._members.peers())
+            self._audience.spread(told)
             self._placement.notify()
 
     async def _obtain_changes(self) -> None:
@@ -373,7 +373,8 @@
             self._keeper.confirmations.take(message)
         elif isinstance(message, facts.Leaving):
             start = fleet.Start(message.endpoint, message.born)
-            self.view.note_leaving(start, source[0])
+            if self.view.note_leaving(start, source[0]):
+                self._audience.pass_on(message)
         elif isinstance(message, facts.Suspects):
             self._quarantine.take(message)
         elif isinstance(message, facts.Report) and message.is_blind:
--- a/src/wayslip/gateway/quarantine.py
+++ b/src/wayslip/gateway/quarantine.py
@@ -21,15 +21,13 @@
 from wayslip import errors
 from wayslip import logs
 from wayslip import metrics as metrics_module
-from wayslip.decisions import fanout
 from wayslip.decisions import fleet
 from wayslip.decisions import suspicion
+from wayslip.gateway import audience as audience_module
 from wayslip.gateway import chores
 from wayslip.gateway import condemned as condemned_module
 from wayslip.gateway import facts
-from wayslip.gateway import hub as hub_module
 from wayslip.gateway import leadership as leadership_module
-from wayslip.gateway import members as members_module
 from wayslip.gateway import store as store_module
 from wayslip.http1 import client
 
@@ -75,8 +73,7 @@
         self,
         store: store_module.Store,
         leadership: leadership_module.Leadership,
-        members: members_module.Members,
-        hub: hub_module.Hub,
+        audience: audience_module.Audience,
         metrics: metrics_module.Metrics,
         witness: str,
         find_pause: Callable[[float], float],
@@ -86,8 +83,7 @@
         Args:
             store: Where what is condemned is kept.
             leadership: Of the lease.
-            members: Know where the other instances are.
-            hub: Sends to them.
+            audience: The other instances.
             metrics: Where ends and contents are counted.
             witness: The name of this instance.
             find_pause: Returns the seconds to wait before an attempt that
@@ -95,8 +91,7 @@
         """
         self._witness = witness
         self._leadership = leadership
-        self._members = members
-        self._hub = hub
+        self._audience = audience
         self._metrics = metrics
         self._suspicion = suspicion.Suspicion()
         # When condemned contents were last tried here; bounded by those.
@@ -311,18 +306,7 @@
                 told.cleared[i : i + _PART],
                 told.common[i : i + _PART],
             )
-            self._hub.spread(part, self._list_peers())
-
-    def _list_peers(self) -> list[fanout.Peer]:
-        """Returns whom to tell: all, and the holder if it is not among them.
-
-        Who has just started knows no other yet, and the holder tells the rest.
-        """
-        peers = self._members.peers()
-        holder = self._leadership.holder_address
-        if holder is None or any(p.address == holder for p in peers):
-            return peers
-        return [*peers, fanout.Peer(holder, "")]
+            self._audience.spread(part)
 
     def _tell_again(self) -> None:
         """Tells what others may have missed."""
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -141,9 +141,7 @@
             engine.stop()
         self.store.stop()
 
-    async def ask(
-        self, path, request_id="r1", method="GET", at=None, **fields
-    ):
+    async def ask(self, path, request_id="r1", method="GET", at=None, **fields):
         client = await self.connect(at)
         await client.send(path, request_id, method, **fields)
         return await client.read()
--- a/tests/gateway/test_engine_words.py
+++ b/tests/gateway/test_engine_words.py
@@ -157,3 +157,17 @@
     assert {a.status for a in answers} == {503}
     assert len(resting.received) <= 2
     assert tracked is system.gateway.view.tracked["e1"]
+
+
+@harness.run
+async def test_instance_that_knows_no_peers_yet_tells_the_holder(system):
+    # Whoever had just started told nobody that an engine leaves.
+    await system.add("e1", "plain", script=say_leaving)
+    others = [await system.join(name) for name in ("g2", "g3")]
+    for other in others:
+        await system.until(lambda o=other: "e1" in o.view.tracked)
+    others[0]._audience._members._told = ()
+    others[0]._audience._members.adopt_peers = lambda peers: None
+    await system.ask("/get/a", at=others[0])
+    tracked = others[1].view.tracked
+    await system.until(lambda: tracked["e1"].endpoint.is_leaving, 1.0)
