Keep to the limit that an engine names, over all instances together

Class: a bound over all instances that each would have to keep for itself. Reading it alone does not help: six to nine instances that keep to a part of 1 a second each round up to one request.

Now the word is a fact beside the list's entry (gateway/words.py), ordered by when the answer's request was sent; all instances are told at once. Who is about to send a request to such an engine asks the lease's holder for a place (gateway/places.py, decisions/places.py): at once, a moment later if that is within half of the request's target, or not, and then another engine is chosen or the request is refused with a time at which a place is free that nobody else was told of. While no holder answers, three instances at most keep to an even part. A quota's parts in proportion to demand, which the leads propose, were not used: overshoot of parts under one request each is the number of instances; the account is the quota's level.

--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -140,9 +140,11 @@
     head = platform_engine.format_answer(
         request.id,
         b"",
+        200,
         Content_Length="",
         Transfer_Encoding="chunked",
         Content_Type="text/event-stream",
+        **line.headers,
     )
     await line.write(head)
     for number in range(after + 1, _EVENTS + 1):
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -243,6 +243,38 @@
         world.ledger.break_rule(f"BUDGET {endpoint.name} got {came} at rest")
 
 
+# Of the platform's rule on limits, seconds.
+_LIMIT_CONTACT = 3.0
+_LIMIT_WINDOW = 4.0
+_LIMIT_SECONDS = 7.0
+# Sent by a gateway that has started anew before it hears of a limit.
+_REQUESTS_UNTOLD = 6
+
+
+@register
+async def name_limit(world: world_module.World, rng: random.Random) -> None:
+    """An endpoint names how much it takes from all gateways together."""
+    endpoint = rng.choice(list(world.endpoints.values()))
+    if endpoint.limit is not None:
+        return
+    limit = rng.choice([0.3, 1.0, 1.1, 3.0])
+    endpoint.limit = limit
+    await asyncio.sleep(_LIMIT_CONTACT)
+    starts, began = world.starts, time.monotonic()
+    await asyncio.sleep(_LIMIT_SECONDS)
+    endpoint.limit = None
+    calls = [at for at in endpoint.calls if at >= began]
+    most = 1.5 * _LIMIT_WINDOW * limit + 5
+    most += (world.starts - starts) * _REQUESTS_UNTOLD
+    for first in calls:
+        came = sum(first <= at < first + _LIMIT_WINDOW for at in calls)
+        if came > most:
+            world.ledger.break_rule(
+                f"LIMIT {endpoint.name} got {came} calls at a limit of {limit}"
+            )
+            return
+
+
 @register
 async def leave_by_answers(
     world: world_module.World, rng: random.Random
--- a/src/wayslip/decisions/selection.py
+++ b/src/wayslip/decisions/selection.py
@@ -24,6 +24,9 @@
 # An endpoint that fails all of its requests looks this much slower than one
 # that fails none, so it is used only when nothing else is there.
 FAILURE_COST = 3.0
+# An endpoint that names a limit is in need: it is left alone while others have
+# little to do.
+LIMITED_COST = 0.05
 # Beyond this share of its memory for prompts an engine starts to preempt.
 MEMORY_SHARE = 0.9
 MEMORY_COST = 1.0
@@ -44,6 +47,7 @@
         is_near: Whether it is in our data hall.
         is_connected: Whether an open connection to it is idle.
         is_suspended: Whether it failed just now and should rest.
+        is_limited: Whether it names a limit for all instances together.
     """
 
     name: str
@@ -56,6 +60,7 @@
     is_near: bool = True
     is_connected: bool = True
     is_suspended: bool = False
+    is_limited: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -106,4 +111,5 @@
     distance = 0.0 if candidate.is_near else DISTANCE_COST
     connecting = 0.0 if candidate.is_connected else CONNECT_COST
     failing = candidate.failures * FAILURE_COST
-    return predict_wait(candidate) + distance + connecting + failing
+    limited = LIMITED_COST if candidate.is_limited else 0.0
+    return predict_wait(candidate) + distance + connecting + failing + limited
--- a/src/wayslip/gateway/attempts.py
+++ b/src/wayslip/gateway/attempts.py
@@ -13,6 +13,7 @@
 from wayslip.decisions import selection
 from wayslip.gateway import dialect as dialect_module
 from wayslip.gateway import jobs
+from wayslip.gateway import places as places_module
 from wayslip.gateway import quarantine as quarantine_module
 from wayslip.gateway import view as view_module
 from wayslip.http1 import client
@@ -39,6 +40,7 @@
         metrics: metrics_module.Metrics,
         quarantine: quarantine_module.Quarantine,
         tell_leaving: Callable[[fleet.Endpoint], None],
+        places: places_module.Places,
     ) -> None:
         """Initializes without any connection.
 
@@ -49,7 +51,9 @@
             metrics: Where outcomes are counted.
             quarantine: Knows requests that end endpoints.
             tell_leaving: Is given an endpoint that says it takes no new work.
+            places: Is told the limits that answers name.
         """
+        self._places = places
         self._tell_leaving = tell_leaving
         self._quarantine = quarantine
         self._dialect = dialect
@@ -122,6 +126,7 @@
         if job.sent_after is None:
             job.sent_after = clock.now() - job.began
         job.is_sent = True
+        sent_at = clock.now()
         connection.send(
             self._dialect.format_request(job.exchange.request, order),
             self._dialect.match_answer(traits.request_id, is_reused),
@@ -131,13 +136,10 @@
         answer = self._dialect.read_answer(head)
         if answer.is_leaving:
             self._tell_leaving(use.tracked.endpoint)
-        if answer.limit is not None:
-            logs.event(
-                _LOG,
-                "limit_named",
-                request=traits.request_id,
-                endpoint=endpoint,
-                limit=answer.limit,
+        if answer.limit is not None or answer.is_genuine:
+            # What is not the endpoint's own tells of no end.
+            self._places.note_answer(
+                use.tracked.endpoint, answer.limit, sent_at
             )
         if answer.is_refusal:
             await self._read_rest(connection)
--- a/src/wayslip/gateway/daemon.py
+++ b/src/wayslip/gateway/daemon.py
@@ -34,6 +34,7 @@
 from wayslip.gateway import ordering as ordering_module
 from wayslip.gateway import pages
 from wayslip.gateway import placement as placement_module
+from wayslip.gateway import places as places_module
 from wayslip.gateway import planner as planner_module
 from wayslip.gateway import quarantine as quarantine_module
 from wayslip.gateway import records
@@ -141,6 +142,16 @@
             options.name,
             self._find_pause,
         )
+        self._places = places_module.Places(
+            options.name,
+            self.view.words,
+            self._hub,
+            self.leadership,
+            self._audience,
+            lambda: self._placement.hears_holder,
+            lambda: self._placement.instances,
+        )
+        self._ordering.may_call = self._places.may_call
         self._requests = requests_module.Requests(
             options,
             platform.dialect,
@@ -152,6 +163,7 @@
             limiter,
             self._quarantine,
             self._tell_leaving,
+            self._places,
         )
         self._keeper = keeping.Keeper(
             options,
@@ -339,6 +351,7 @@
         self._keeper.watcher.currency.wake()
         self._endpoints.watcher.currency.wake()
         self._planner.begin()
+        self._places.begin_term()
         self._quarantine.begin_term()
         # Everybody hears at once whom to report to, the holder before us too:
         # it may be cut off from the store.
@@ -375,6 +388,12 @@
             start = fleet.Start(message.endpoint, message.born)
             if self.view.note_leaving(start, source[0]):
                 self._audience.pass_on(message)
+        elif isinstance(message, facts.Limited):
+            self._places.take_told(message, source[0])
+        elif isinstance(message, facts.PlaceAsk):
+            self._places.answer(message, source)
+        elif isinstance(message, facts.PlaceAnswer):
+            self._places.take_answer(message)
         elif isinstance(message, facts.Suspects):
             self._quarantine.take(message)
         elif isinstance(message, facts.Report) and message.is_blind:
--- a/src/wayslip/gateway/datagrams.py
+++ b/src/wayslip/gateway/datagrams.py
@@ -29,6 +29,9 @@
     10: facts.Confirmed,
     11: facts.Suspects,
     12: facts.Leaving,
+    13: facts.Limited,
+    14: facts.PlaceAsk,
+    15: facts.PlaceAnswer,
 }
 _NUMBERS = {kind: number for number, kind in _KINDS.items()}
 # Fields that hold one such value.
--- a/src/wayslip/gateway/facts.py
+++ b/src/wayslip/gateway/facts.py
@@ -419,6 +419,46 @@
     born: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limited:
+    """An endpoint named a limit in an answer, or names none any more.
+
+    Attributes:
+        limit: Requests a second that it takes from all instances together,
+            None for no limit.
+    """
+
+    endpoint: str
+    born: int
+    limit: float | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlaceAsk:
+    """An instance asks the lease's holder for a place; see `decisions.places`.
+
+    Attributes:
+        number: Tells the sender's questions apart.
+        limit: The endpoint's, as the sender knows it.
+        patience: Seconds that the request can wait for a place.
+    """
+
+    number: int
+    endpoint: str
+    born: int
+    limit: float
+    patience: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlaceAnswer:
+    """The lease's holder's answer; see `places.Verdict`."""
+
+    number: int
+    is_granted: bool
+    wait: float
+
+
 Message = (
     Report
     | Want
@@ -432,4 +472,7 @@
     | Confirmed
     | Suspects
     | Leaving
+    | Limited
+    | PlaceAsk
+    | PlaceAnswer
 )
--- a/src/wayslip/gateway/ordering.py
+++ b/src/wayslip/gateway/ordering.py
@@ -58,6 +58,9 @@
         self.books: dict[str, books_module.Book] = {}
         # Whether we may order without the store; set by who knows.
         self.is_detached: Callable[[], bool] = lambda: False
+        # Whether an engine's limit leaves room for a report or an order now;
+        # set by who knows.
+        self.may_call: Callable[[fleet.Endpoint], bool] = lambda endpoint: True
         # The configuration in force; set by who knows.
         self.find_version: Callable[[], int | None] = lambda: None
         # Until then a holder before us may still order without the store, as
@@ -183,6 +186,8 @@
 
     async def sync(self, book: books_module.Book) -> fleet.EngineState | None:
         """Asks an engine for its count of orders and what it holds."""
+        if not self.may_call(book.endpoint):
+            return None
         try:
             state = await self._client.report(book.endpoint)
         except errors.EndpointError as e:
@@ -287,6 +292,8 @@
         self, book: books_module.Book, pending: lease.Pending
     ) -> engines_module.OrderOutcome | None:
         """Claims the engine and sends an order; None if it was not sent."""
+        if not self.may_call(book.endpoint):
+            return None
         began = clock.now()
         claim = await self._claim(pending)
         if claim is None or clock.now() - began > lease.SEND_LIMIT:
--- a/src/wayslip/gateway/requests.py
+++ b/src/wayslip/gateway/requests.py
@@ -24,6 +24,7 @@
 from wayslip.gateway import limits as limits_module
 from wayslip.gateway import options as options_module
 from wayslip.gateway import placement as placement_module
+from wayslip.gateway import places as places_module
 from wayslip.gateway import quarantine as quarantine_module
 from wayslip.gateway import resting
 from wayslip.gateway import view as view_module
@@ -67,6 +68,7 @@
         limiter: limits_module.Limiter,
         quarantine: quarantine_module.Quarantine,
         tell_leaving: Callable[[fleet.Endpoint], None],
+        places: places_module.Places,
     ) -> None:
         """Initializes without any request.
 
@@ -81,9 +83,11 @@
             limiter: Of organisations' quotas.
             quarantine: Knows requests that end endpoints.
             tell_leaving: Is given an endpoint that says it takes no new work.
+            places: At endpoints that name a limit.
         """
+        self._places = places
         self._quarantine = quarantine
-        self._resting = resting.Resting(view)
+        self._resting = resting.Resting(view, lambda: self._placement.instances)
         self._find_sight = find_sight
         self._limiter = limiter
         self._dialect = dialect
@@ -93,7 +97,13 @@
         self._metrics = metrics
         self._endings = jobs.Endings(dialect, metrics)
         self._attempts = attempts.Attempts(
-            dialect, view, self._endings, metrics, quarantine, tell_leaving
+            dialect,
+            view,
+            self._endings,
+            metrics,
+            quarantine,
+            tell_leaving,
+            places,
         )
         self._rng = random.Random()
         self._urgency = options.urgency
@@ -268,9 +278,11 @@
             )
         while True:
             choice = await self._find(job)
-            if choice is None or not self._check_key(job):
+            if choice is None:
                 return
-            if not self._check_content(job):
+            if not await self._take_place(job, choice):
+                continue
+            if not self._check_key(job) or not self._check_content(job):
                 return
             failure = await self._attempts.make(job, choice)
             if failure is None:
@@ -318,6 +330,28 @@
         self._endings.answer_verdict(job, verdict, wait)
         return False
 
+    async def _take_place(
+        self, job: jobs.Job, choice: selection.Choice
+    ) -> bool:
+        """Takes a place in an endpoint's limit, if it names one.
+
+        Returns:
+            Whether the request may be sent there now; else another endpoint
+            is to be chosen.
+        """
+        endpoint = self._view.tracked[choice.name].endpoint
+        patience = self._resting.find_patience(job)
+        verdict = await self._places.take(
+            endpoint, patience, job.traits.request_id
+        )
+        if not verdict.is_granted:
+            self._view.words.note_spent(endpoint, verdict.wait)
+            return False
+        if verdict.wait:
+            await asyncio.sleep(verdict.wait)
+        tracked = self._view.tracked.get(choice.name)
+        return tracked is not None and not tracked.endpoint.is_leaving
+
     # Choosing
 
     async def _find(self, job: jobs.Job) -> selection.Choice | None:
--- a/src/wayslip/gateway/view.py
+++ b/src/wayslip/gateway/view.py
@@ -82,7 +82,7 @@
         self._data_hall = data_hall
         self.tracked: dict[str, Tracked] = {}
         self._by_service: dict[str, dict[str, Tracked]] = {}
-        self._words = words_module.Words()
+        self.words = words_module.Words()
         self.prefixes = prefixes.PrefixTable()
         self.reading = reading.ReadingRates()
         # Word of orders: (endpoint, model, adapter) to (is held, until).
@@ -92,7 +92,7 @@
 
     def take(self, endpoint: fleet.Endpoint) -> None:
         """Takes in an endpoint's entry, unless a newer one is known."""
-        if not endpoint.is_leaving and self._words.is_leaving(endpoint):
+        if not endpoint.is_leaving and self.words.is_leaving(endpoint):
             # Written before it said so, or by one that did not hear.
             endpoint = dataclasses.replace(endpoint, is_leaving=True)
         tracked = self.tracked.get(endpoint.name)
@@ -135,7 +135,7 @@
         Returns:
             Whether it was news.
         """
-        if not self._words.note_leaving(start):
+        if not self.words.note_leaving(start):
             return False
         logs.event(
             _LOG,
@@ -236,7 +236,7 @@
             for t in self.of_service(service)
             if t.endpoint.name not in besides
             and self._may_serve(t.endpoint, traits)
-            and not self._words.find_rest(t.endpoint)
+            and not self.words.find_rest(t.endpoint)
         ]
         usual = min((t.condition.failing(now) for t in found), default=0.0)
         return [
@@ -264,14 +264,14 @@
         That is a bound and no preference: it turns away what comes meanwhile.
         """
         endpoint = use.tracked.endpoint
-        self._words.note_rest(endpoint, seconds)
+        self.words.note_rest(endpoint, seconds)
         logs.event(
             _LOG,
             "endpoint_rests",
             endpoint=endpoint.name,
             born=endpoint.born,
             seconds=f"{seconds:.2f}",
-            left=f"{self._words.find_rest(endpoint):.2f}",
+            left=f"{self.words.find_rest(endpoint):.2f}",
         )
 
     def find_rest(
@@ -283,13 +283,28 @@
             0 if one does not rest, None if none can serve it.
         """
         rests = (
-            self._words.find_rest(t.endpoint)
+            self.words.find_rest(t.endpoint)
             for t in self.of_service(service)
             if t.endpoint.name not in besides
             and self._may_serve(t.endpoint, traits)
         )
         return min(rests, default=None)
 
+    def find_limit(self, service: str, traits: dialect.Traits) -> float | None:
+        """Returns what all that can serve a request take, requests a second.
+
+        Returns:
+            None if one of them names no limit, or if there is none.
+        """
+        limits = [
+            self.words.find_limit(t.endpoint.start)
+            for t in self.of_service(service)
+            if self._may_serve(t.endpoint, traits)
+        ]
+        if not limits or None in limits:
+            return None
+        return sum(limit or 0.0 for limit in limits)
+
     def _make_candidate(
         self,
         tracked: Tracked,
@@ -315,6 +330,7 @@
             is_near=endpoint.data_hall == self._data_hall,
             is_suspended=tracked.condition.is_resting(now)
             or _is_silent(tracked, now),
+            is_limited=self.words.find_limit(endpoint.start) is not None,
         )
 
     # What this instance does
--- a/src/wayslip/gateway/words.py
+++ b/src/wayslip/gateway/words.py
@@ -6,6 +6,8 @@
 that lapses and comes back does not.
 """
 
+import dataclasses
+
 from wayslip import clock
 from wayslip.decisions import fleet
 
@@ -13,12 +15,28 @@
 _STARTS_MOST = 2000
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Limit:
+    """A limit that an endpoint names.
+
+    Attributes:
+        rate: Requests a second.
+        heard_at: When it was last named, steady seconds.
+    """
+
+    rate: float
+    heard_at: float
+
+
 class Words:
     """Words of endpoints, by their starts. Used on the event loop only."""
 
     def __init__(self) -> None:
         self._leaving: dict[fleet.Start, float] = {}
         self._rests: dict[fleet.Start, float] = {}
+        # Until when all places of a limited endpoint are taken.
+        self._spent: dict[fleet.Start, float] = {}
+        self._limits: dict[fleet.Start, _Limit] = {}
 
     def note_leaving(self, start: fleet.Start) -> bool:
         """Notes that an endpoint takes no new work, for good.
@@ -49,12 +67,71 @@
         if len(self._rests) > _STARTS_MOST:
             del self._rests[next(iter(self._rests))]
 
+    def note_spent(self, endpoint: fleet.Endpoint, seconds: float) -> None:
+        """Notes that all places of a limited endpoint are taken for a while."""
+        self._spent[endpoint.start] = clock.now() + seconds
+        if len(self._spent) > _STARTS_MOST:
+            del self._spent[next(iter(self._spent))]
+
     def find_rest(self, endpoint: fleet.Endpoint) -> float:
         """Returns the seconds for which an endpoint wants nothing from us."""
-        if not self._rests:
-            return 0.0
         start = endpoint.start
-        left = self._rests.get(start, 0.0) - clock.now()
-        if left <= 0:
-            self._rests.pop(start, None)
-        return max(left, 0.0)
+        return max(
+            _find_left(self._rests, start), _find_left(self._spent, start)
+        )
+
+    # Limits
+
+    def note_limit(
+        self, start: fleet.Start, rate: float | None, sent_at: float
+    ) -> bool:
+        """Notes the limit that an answer names, or that it names none.
+
+        Answers overtake one another. One to a request that was sent before
+        the limit was last named may be older than that, so it can lower the
+        limit and not raise or end it.
+
+        Args:
+            start: Of the endpoint.
+            rate: Requests a second, None for no limit.
+            sent_at: When the answer's request was sent, steady seconds.
+
+        Returns:
+            Whether it was news.
+        """
+        known = self._limits.get(start)
+        if known is None and rate is None:
+            return False
+        if known is not None and sent_at < known.heard_at:
+            allows_more = rate is None or rate >= known.rate
+            if allows_more:
+                return False
+        is_news = known is None or known.rate != rate
+        if is_news:
+            self._spent.pop(start, None)
+        if rate is None:
+            del self._limits[start]
+            return True
+        self._limits[start] = _Limit(rate, clock.now())
+        if len(self._limits) > _STARTS_MOST:
+            del self._limits[next(iter(self._limits))]
+        return is_news
+
+    def find_limit(self, start: fleet.Start) -> float | None:
+        """Returns the requests a second that an endpoint takes from all.
+
+        Returns:
+            None if it names no limit.
+        """
+        known = self._limits.get(start)
+        return None if known is None else known.rate
+
+
+def _find_left(until: dict[fleet.Start, float], start: fleet.Start) -> float:
+    """Returns the seconds that are left of a time; forgets one that is over."""
+    if start not in until:
+        return 0.0
+    left = until[start] - clock.now()
+    if left <= 0:
+        del until[start]
+    return max(left, 0.0)
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -224,3 +224,22 @@
     assert DIALECT.read_answer(head(503, retry_after="3")).rest is None
     refusal = head(429, wayslip_not_executed="1", retry_after="3")
     assert DIALECT.read_answer(refusal).rest is None
+
+
+@pytest.mark.parametrize(
+    ("text", "limit"),
+    [
+        ("1.1", 1.1),
+        (" 3 ", 3.0),
+        ("0", 0.0),
+        ("", None),
+        ("-1", None),
+        ("nan", None),
+        ("inf", None),
+        ("soon", None),
+    ],
+)
+def test_limit_is_read_from_answers_of_any_status(text, limit):
+    for status in (200, 503):
+        answer = DIALECT.read_answer(head(status, server_limit=text))
+        assert answer.limit == limit
--- /dev/null
+++ b/tests/stateful/limit_world.py
@@ -0,0 +1,192 @@
+"""Engines that name limits, at real gateways over a fake network.
+
+What gateways know of limits, and the places that they give one another, is
+their own; the engines are played here, and the requests that come for them.
+"""
+
+import asyncio
+import dataclasses
+
+from tests.stateful import order_troubles
+from tests.stateful import order_world
+from tests.stateful import simulated_loop
+from wayslip.decisions import fleet
+
+# Of the platform's rule: when it holds, and over what time.
+CONTACT = 3.0
+TOLD = 0.5
+WINDOW = 4.0
+TROUBLES = (
+    order_troubles.kill_holder,
+    order_troubles.kill_many,
+    order_troubles.isolate_holder,
+    order_troubles.cut_holder_off,
+    order_troubles.stop_store,
+    order_troubles.lose_writes,
+    order_troubles.delay_datagrams,
+)
+_LIMITS = (0.3, 1.0, 1.1, 2.0, 5.0)
+_TICK = 0.05
+# Requests that come in one moment now and then.
+_CLUMP = 12
+
+
+@dataclasses.dataclass
+class Span:
+    """A time for which an engine names a limit."""
+
+    limit: float
+    since: float
+    until: float = float("inf")
+
+
+class Engine:
+    """One engine, what it names and what reached it."""
+
+    def __init__(self, number):
+        self.endpoint = fleet.Endpoint(
+            f"x{number}", "models", "10.0.9.9:1", "h"
+        )
+        self.spans = []
+        # When a request came, and whether its sender had to heed the limit.
+        self.arrivals = []
+        # When each process passed on an answer that names a limit, first.
+        self.told = {}
+
+    def find_limit(self, at):
+        return next(
+            (s.limit for s in self.spans if s.since <= at < s.until), None
+        )
+
+    def list_counts(self):
+        """Returns what came in each window that the rule looks at.
+
+        Each with the largest limit that was named meanwhile.
+        """
+        counts = []
+        for span in self.spans:
+            came = [
+                at
+                for at, is_bound in self.arrivals
+                if is_bound and span.since + CONTACT <= at < span.until
+            ]
+            counts += [
+                (sum(at <= one < at + WINDOW for one in came), span.limit)
+                for at in came
+            ]
+        return counts
+
+
+class Play:
+    """One seed's limits, requests and troubles."""
+
+    def __init__(self, seed, instances, rate):
+        self.world = order_world.World(
+            seed, engines=2, instances=instances, rate=1.0
+        )
+        self.rng = self.world.rng
+        self.engines = [Engine(n) for n in range(3)]
+        self.rate = rate
+        self.denied = 0
+        self._troubled = {}
+
+    async def run(self, seconds, troubles):
+        world = self.world
+        world.keep(asyncio.create_task(self._watch()))
+        await asyncio.sleep(4.0)
+        for engine in self.engines:
+            world.keep(asyncio.create_task(self._vary(engine)))
+        if troubles:
+            world.keep(asyncio.create_task(self._strike(troubles)))
+        end = world.now + seconds
+        while world.now < end:
+            await asyncio.sleep(self.rng.expovariate(self.rate))
+            count = _CLUMP if self.rng.random() < 0.02 else 1
+            for _ in range(count):
+                world.keep(asyncio.create_task(self._ask()))
+        await asyncio.sleep(2.0)
+        world.stop()
+        await asyncio.sleep(0)
+        return self
+
+    async def _vary(self, engine):
+        """Names a limit, changes it, ends it, for ever."""
+        while True:
+            await asyncio.sleep(self.rng.uniform(0.0, 6.0))
+            for _ in range(self.rng.randint(1, 2)):
+                span = Span(self.rng.choice(_LIMITS), self.world.now)
+                engine.spans.append(span)
+                await asyncio.sleep(self.rng.uniform(8.0, 20.0))
+                span.until = self.world.now
+
+    async def _strike(self, rate):
+        while True:
+            await asyncio.sleep(self.rng.expovariate(rate))
+            self.rng.choice(TROUBLES)(self.world)
+
+    async def _watch(self):
+        """Notes who is troubled: the rule excuses these."""
+        known = {}
+        while True:
+            faults = self.world.faults
+            away = faults.isolated | faults.cut_off
+            for instance in self.world.instances.values():
+                name = instance.options.name
+                if known.get(name) is not instance or name in away:
+                    self._troubled[name] = self.world.now
+                known[name] = instance
+            await asyncio.sleep(_TICK)
+
+    def _is_in_touch(self, instance):
+        troubled = self._troubled.get(instance.options.name, self.world.now)
+        return self.world.now - troubled > CONTACT
+
+    async def _ask(self):
+        instances = list(self.world.instances.values())
+        if not instances:
+            return
+        instance = self.rng.choice(instances)
+        engine = self.rng.choice(self.engines)
+        patience = self.rng.choice((0.0, 0.15, 0.4, 3.0))
+        taken = await instance.gateway._places.take(
+            engine.endpoint, patience, "r"
+        )
+        if not taken.is_granted:
+            self.denied += 1
+            return
+        await asyncio.sleep(taken.wait)
+        sent_at = self.world.now
+        await asyncio.sleep(self.rng.uniform(0.001, 0.004))
+        self._arrive(engine, instance)
+        await asyncio.sleep(self.rng.uniform(0.05, 1.0))
+        # Named as the answer leaves; answers overtake one another.
+        limit = engine.find_limit(self.world.now)
+        await asyncio.sleep(self.rng.uniform(0.001, 0.05))
+        if instance not in self.world.instances.values():
+            return
+        instance.gateway._places.note_answer(engine.endpoint, limit, sent_at)
+        if limit is not None:
+            engine.told.setdefault(id(instance), self.world.now)
+
+    def _arrive(self, engine, instance):
+        now = self.world.now
+        told = engine.told.get(id(instance), now)
+        is_bound = now - told >= TOLD and self._is_in_touch(instance)
+        engine.arrivals.append((now, is_bound))
+
+
+def play(seed, seconds=60.0, troubles=0.0, instances=7, rate=25.0):
+    """Plays a seed; returns what was played.
+
+    Args:
+        seed: Of all that is drawn.
+        seconds: How long requests come.
+        troubles: A second.
+        instances: How many there are.
+        rate: Requests a second, over all engines.
+    """
+
+    async def body():
+        return await Play(seed, instances, rate).run(seconds, troubles)
+
+    return simulated_loop.run(body())
--- /dev/null
+++ b/tests/stateful/test_limits.py
@@ -0,0 +1,64 @@
+"""Limits over all instances, beside kills, cuts, outages and late datagrams.
+
+Each instance sees its own requests alone; a rule of the platform bounds what an
+engine that names a limit gets from all of them in 4 s.
+"""
+
+import pytest
+
+from tests.stateful import limit_world
+
+
+def check(played):
+    for engine in played.engines:
+        for count, limit in engine.list_counts():
+            assert count <= 1.5 * limit_world.WINDOW * limit + 5
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_limit_holds_over_all_instances(seed):
+    check(limit_world.play(seed))
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_limit_holds_beside_troubles(seed):
+    check(limit_world.play(seed, troubles=0.4))
+
+
+@pytest.mark.parametrize("seed", range(2))
+def test_limit_holds_in_a_large_fleet(seed):
+    check(limit_world.play(seed, troubles=0.3, instances=30))
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_what_engines_allow_is_used(seed):
+    played = limit_world.play(seed)
+    for engine in played.engines:
+        for before, span in zip(
+            [None, *engine.spans], engine.spans, strict=False
+        ):
+            seconds = min(span.until, 1064.0) - span.since
+            if before is not None and before.until == span.since:
+                # The next place under the limit before tells of the change.
+                seconds -= 2.0 / before.limit
+            came = [
+                at for at, _ in engine.arrivals if span.since <= at < span.until
+            ]
+            assert len(came) >= 0.8 * span.limit * (seconds - 1.0) - 1
+
+
+def test_limit_ends_with_the_answers_that_name_it():
+    played = limit_world.play(3)
+    assert played.denied
+    for engine in played.engines:
+        for before, after in zip(engine.spans, engine.spans[1:], strict=False):
+            free = after.since - before.until
+            if free < 4.0:
+                continue
+            came = [
+                at
+                for at, _ in engine.arrivals
+                if before.until + 3.0 <= at < after.since
+            ]
+            # Of all requests an engine gets a third.
+            assert len(came) >= 0.5 * 25.0 / 3 * (free - 3.0) - 3
