Plan for engines in need as what they can take, at rest or under a limit

An engine that names a limit or asks for rest counted as room with the planner: the model that it holds was owed no copy elsewhere, and loads and adapters were ordered on it, whose orders and reports take the places that requests need.

An engine's capacity is the part of the horizon that it serves in, and under a limit what its limit takes of its models' work; engines in need are loaded only where no other can be. Four new tests of decisions/test_loading.py and one of gateway/test_adapters.py failed before (no load planned elsewhere; ordered on the engine in need).

--- a/src/wayslip/decisions/copies.py
+++ b/src/wayslip/decisions/copies.py
@@ -81,6 +81,9 @@
         fresh: Models that were loaded just now.
         in_memory: Models it loads in `warm_s`.
         on_disk: Models it loads in `disk_s`.
+        limit: Requests a second that it takes from all instances together,
+            None for no limit.
+        rest: Seconds for which it wants no requests.
     """
 
     name: str
@@ -92,6 +95,13 @@
     fresh: frozenset[str] = frozenset()
     in_memory: frozenset[str] = frozenset()
     on_disk: frozenset[str] = frozenset()
+    limit: float | None = None
+    rest: float = 0.0
+
+    @property
+    def is_in_need(self) -> bool:
+        """Whether it takes less than it could."""
+        return self.limit is not None or self.rest > 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -184,8 +194,11 @@
         self._demand = demand
         self.copies = _find_copies(engines, pool)
         self._busy = {e.name: self._sum_work(e) for e in engines.values()}
+        self._capacity = {
+            e.name: self._find_capacity(e) for e in engines.values()
+        }
         self.spare = {
-            name: max(BUSY_SHARE - busy, 0.0)
+            name: max(BUSY_SHARE * self._capacity[name] - busy, 0.0)
             for name, busy in self._busy.items()
         }
         self.busy_loss = self._find_busy_loss()
@@ -216,15 +229,31 @@
     def _sum_work(self, engine: Engine) -> float:
         return sum(self._part(m) for m in engine.models)
 
+    def _find_capacity(self, engine: Engine) -> float:
+        """Returns the part of the horizon that an engine serves in."""
+        served = 1.0 - min(engine.rest / HORIZON, 1.0)
+        if engine.limit is None:
+            return served
+        asked = sum(
+            self.demand(m).rate / max(len(self.copies[m].held), 1)
+            for m in engine.models
+            if m in self.copies
+        )
+        if not asked:
+            return 0.0
+        work = self._busy[engine.name] / asked
+        return min(engine.limit * work, served)
+
     def _sum_excess(self, model: str) -> tuple[float, float]:
         """Returns the work that its engines do late, and can not do at all."""
         part = self._part(model)
         late = lost = 0.0
         for name in self.copies[model].held:
             busy = self._busy[name]
-            if busy > BUSY_SHARE:
-                late += part * (min(busy, 1.0) - BUSY_SHARE) / busy
-                lost += part * max(busy - 1.0, 0.0) / busy
+            most = self._capacity[name]
+            if busy > BUSY_SHARE * most:
+                late += part * (min(busy, most) - BUSY_SHARE * most) / busy
+                lost += part * max(busy - most, 0.0) / busy
         return late, lost
 
     def _count_requests(self, model: str, work: float) -> float:
@@ -252,15 +281,14 @@
         """Returns engines that can take a model of some size.
 
         They can be ordered now, and the one that loses least by what makes
-        way comes first.
+        way comes first. Engines in need are left alone while others can be
+        ordered.
         """
         known = self._free.get(weights_mb)
         if known is None:
-            rooms = {
-                e.name: self._make_room(e, weights_mb)
-                for e in self.engines.values()
-                if e.is_free
-            }
+            free = [e for e in self.engines.values() if e.is_free]
+            able = [e for e in free if not e.is_in_need] or free
+            rooms = {e.name: self._make_room(e, weights_mb) for e in able}
             made = {n: room for n, room in rooms.items() if room is not None}
             names = sorted(made, key=lambda name: made[name].loss)
             known = [self.engines[name] for name in names]
--- a/src/wayslip/gateway/adapters.py
+++ b/src/wayslip/gateway/adapters.py
@@ -18,6 +18,7 @@
 from wayslip.gateway import engines
 from wayslip.gateway import members as members_module
 from wayslip.gateway import ordering as ordering_module
+from wayslip.gateway import words as words_module
 
 # Time that an adapter takes to load, seconds and seconds for each megabyte,
 # twice what the users' sheets say (5 to 6.3 ms for 12 MB, 14 to 19 for 66);
@@ -47,6 +48,7 @@
         tell_waiting: Callable[[Wish, books_module.Book], None] = (
             lambda wish, book: None
         ),
+        words: words_module.Words | None = None,
     ) -> None:
         """Initializes without any series.
 
@@ -56,7 +58,9 @@
             start: Starts a series.
             tell_all: Has the instances told soon what changed.
             tell_waiting: Tells those who wait for an adapter at once.
+            words: What engines said of themselves.
         """
+        self._words = words or words_module.Words()
         self._ordering = ordering
         self._members = members
         self._start = start
@@ -109,7 +113,8 @@
         for book in books:
             may_claim = self._ordering.may_claim(book.endpoint.name)
             if (
-                not charges.is_free(book, may_claim, now)
+                self._is_in_need(book)
+                or not charges.is_free(book, may_claim, now)
                 or book.lock.locked()
                 or charges.count_adapters(book) >= pool.adapter_slots
             ):
@@ -162,6 +167,8 @@
             and charges.is_resting(b, now)
             and self._ordering.may_claim(b.endpoint.name)
         }
+        able = {n: b for n, b in found.items() if not self._is_in_need(b)}
+        found = able or found
         usages = self._members.total_usages()
         name = loading.choose_adapter_engine(
             {n: charges.count_adapters(b) for n, b in found.items()},
@@ -170,6 +177,12 @@
         )
         return found[name] if name is not None else None
 
+    def _is_in_need(self, book: books_module.Book) -> bool:
+        """Whether an engine takes less than it could."""
+        endpoint = book.endpoint
+        limit = self._words.find_limit(endpoint.start)
+        return limit is not None or self._words.find_rest(endpoint) > 0
+
     async def _carry_out(
         self,
         wish: Wish,
--- a/src/wayslip/gateway/charges.py
+++ b/src/wayslip/gateway/charges.py
@@ -4,6 +4,7 @@
 from wayslip.decisions import copies
 from wayslip.decisions import manifest
 from wayslip.gateway import books as books_module
+from wayslip.gateway import words as words_module
 
 
 def count_adapters(book: books_module.Book) -> int:
@@ -43,7 +44,10 @@
 
 
 def make_engine(
-    book: books_module.Book, pool: manifest.Pool, may_claim: bool
+    book: books_module.Book,
+    pool: manifest.Pool,
+    may_claim: bool,
+    words: words_module.Words,
 ) -> copies.Engine:
     """Returns an engine as the planner sees it."""
     now = clock.now()
@@ -63,4 +67,6 @@
         ),
         in_memory=endpoint.in_memory,
         on_disk=endpoint.on_disk,
+        limit=words.find_limit(endpoint.start),
+        rest=words.find_rest(endpoint),
     )
--- a/src/wayslip/gateway/planner.py
+++ b/src/wayslip/gateway/planner.py
@@ -69,6 +69,7 @@
             self._chores.start,
             self._teller.tell_all,
             self._tell_waiting,
+            view.words,
         )
         self._buckets: dict[str, rate.Bucket] = {}
         # Adapters that requests wait for, and until when.
@@ -302,7 +303,9 @@
         now = clock.now()
         books = {b.endpoint.name: b for b in self._books_of(service)}
         found = {
-            n: charges.make_engine(b, pool, self._ordering.may_claim(n))
+            n: charges.make_engine(
+                b, pool, self._ordering.may_claim(n), self._view.words
+            )
             for n, b in books.items()
         }
         demand = self.members.find_demand(service, pool)
--- a/src/wayslip/gateway/view.py
+++ b/src/wayslip/gateway/view.py
@@ -236,7 +236,7 @@
             for t in self.of_service(service)
             if t.endpoint.name not in besides
             and self._may_serve(t.endpoint, traits)
-            and not self.words.find_rest(t.endpoint)
+            and not self.words.find_pause(t.endpoint)
         ]
         usual = min((t.condition.failing(now) for t in found), default=0.0)
         return [
@@ -277,13 +277,13 @@
     def find_rest(
         self, service: str, traits: dialect.Traits, besides: frozenset[str]
     ) -> float | None:
-        """Returns the seconds until one that can serve a request has rested.
+        """Returns the seconds until one that can serve a request may take it.
 
         Returns:
-            0 if one does not rest, None if none can serve it.
+            0 if one may now, None if none can serve it.
         """
         rests = (
-            self.words.find_rest(t.endpoint)
+            self.words.find_pause(t.endpoint)
             for t in self.of_service(service)
             if t.endpoint.name not in besides
             and self._may_serve(t.endpoint, traits)
--- a/src/wayslip/gateway/words.py
+++ b/src/wayslip/gateway/words.py
@@ -75,10 +75,15 @@
 
     def find_rest(self, endpoint: fleet.Endpoint) -> float:
         """Returns the seconds for which an endpoint wants nothing from us."""
-        start = endpoint.start
-        return max(
-            _find_left(self._rests, start), _find_left(self._spent, start)
-        )
+        return _find_left(self._rests, endpoint.start)
+
+    def find_pause(self, endpoint: fleet.Endpoint) -> float:
+        """Returns the seconds until an endpoint may take a request of ours.
+
+        It asked for rest, or all places in its limit are taken.
+        """
+        spent = _find_left(self._spent, endpoint.start)
+        return max(self.find_rest(endpoint), spent)
 
     # Limits
 
--- a/tests/decisions/test_loading.py
+++ b/tests/decisions/test_loading.py
@@ -335,3 +335,42 @@
     # What its engines can not do at all pays for it also then.
     rush = {**demand, "busy": asked(35.0, 3.0)}
     assert plan(loading_now, pool, rush).model == "busy"
+
+
+def test_model_whose_engine_names_a_limit_is_owed_a_copy_elsewhere():
+    pool = make_pool("a", "b", "c")
+    demand = {"a": asked(4, 0.2)}
+    other = make_engine("e2", "b", on_disk=frozenset({"a"}))
+    assert plan([make_engine("e1", "a"), other], pool, demand) is None
+    limited = make_engine("e1", "a", limit=1.0)
+    step = plan([limited, other], pool, demand)
+    assert (step.engine, step.model) == ("e2", "a")
+
+
+def test_limit_above_the_demand_changes_nothing():
+    pool = make_pool("a", "b", "c")
+    demand = {"a": asked(4, 0.2)}
+    other = make_engine("e2", "b", on_disk=frozenset({"a"}))
+    limited = make_engine("e1", "a", limit=20.0)
+    assert plan([limited, other], pool, demand) is None
+
+
+def test_model_whose_engine_rests_is_owed_a_copy_elsewhere():
+    pool = make_pool("a", "b", "c")
+    demand = {"a": asked(8, 0.4)}
+    other = make_engine("e2", "b", on_disk=frozenset({"a"}))
+    assert plan([make_engine("e1", "a"), other], pool, demand) is None
+    resting = make_engine("e1", "a", rest=9.0)
+    step = plan([resting, other], pool, demand)
+    assert (step.engine, step.model) == ("e2", "a")
+
+
+@pytest.mark.parametrize("need", [{"limit": 1.0}, {"rest": 2.0}])
+def test_engine_in_need_is_loaded_only_where_no_other_can_be(need):
+    pool = make_pool("a", "b", "c")
+    in_need = make_engine("e1", **need)
+    other = make_engine("e2", "a")
+    demand = {"a": asked(2), "c": asked(3)}
+    assert plan([in_need, other], pool, demand).engine == "e2"
+    busy = dataclasses.replace(other, is_free=False)
+    assert plan([in_need, busy], pool, demand).engine == "e1"
--- a/tests/gateway/test_adapters.py
+++ b/tests/gateway/test_adapters.py
@@ -4,6 +4,7 @@
 from wayslip.decisions import manifest
 from wayslip.gateway import adapters
 from wayslip.gateway import members
+from wayslip.gateway import words as words_module
 
 
 class Ordering:
@@ -11,14 +12,18 @@
         return True
 
 
-def fill(weights_mb):
+def fill(weights_mb, words=None):
     """Returns how many loads are started on an engine that holds 100 MB."""
     model = manifest.Model("m1", 100.0, 10.0, ("a1",), 1.0, 1.0, 1.0)
     pool = manifest.Pool(8, 1000, weights_mb, 2, 1.0, {"m1": model})
     book = test_ordering.make_book("m1")
     started = []
     loader = adapters.Adapters(
-        Ordering(), members.Members(), started.append, lambda: None
+        Ordering(),
+        members.Members(),
+        started.append,
+        lambda: None,
+        words=words,
     )
     loader.fill("s", pool, [book])
     for work in started:
@@ -35,3 +40,13 @@
     # of its processor time until something else changed (bellandi trouble-3,
     # seed 2, after all instances were killed).
     assert fill(109.0) == 0
+
+
+def test_adapter_is_not_loaded_ahead_on_an_engine_that_names_a_limit():
+    # Its orders and reports take the places that requests need.
+    words = words_module.Words()
+    start = test_ordering.make_book("m1").endpoint.start
+    words.note_limit(start, 1.0, 0.0)
+    assert fill(110.0, words) == 0
+    words.note_limit(start, None, float("inf"))
+    assert fill(110.0, words) == 1
