Log the store's era, and lists that are dropped as old

Three hypotheses: what the holder tells is dropped because revisions went back; the entries themselves are, because engines wrote them again with lower beats; the holder's watch goes on from a revision that is not there. The log told neither that the store came back nor that something told was dropped.

--- a/src/wayslip/gateway/following.py
+++ b/src/wayslip/gateway/following.py
@@ -16,8 +16,10 @@
 import asyncio
 from collections.abc import Callable
 import dataclasses
+import logging
 
 from wayslip import clock
+from wayslip import logs
 from wayslip import metrics as metrics_module
 from wayslip.decisions import fleet
 from wayslip.gateway import currency as currency_module
@@ -26,6 +28,7 @@
 from wayslip.gateway import view as view_module
 from wayslip.gateway import watching
 
+_LOG = logging.getLogger(__name__)
 # An entry that lapsed is back within about two seconds of the store's return.
 _RETURN_SECONDS = 2.0
 # Engines' entries change with every adapter; a leaving endpoint is heard of
@@ -173,6 +176,15 @@
         """Takes in what the holder tells of the list."""
         revision = self.watcher.revision
         if told.revision and revision is not None and revision >= told.revision:
+            logs.event(
+                _LOG,
+                "told_list_is_old",
+                logging.DEBUG if revision == told.revision else logging.INFO,
+                told=told.revision,
+                known=revision,
+                term=told.term,
+                entries=len(told.listed),
+            )
             return
         self._listed.update(listed.endpoint for listed in told.listed)
         self._take_all([listed.restore() for listed in told.listed])
--- a/src/wayslip/platform/store.py
+++ b/src/wayslip/platform/store.py
@@ -1,9 +1,11 @@
 """Client of the platform's store, over HTTP on the event loop."""
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Mapping
 import dataclasses
 import json
+import logging
 from typing import Any
 from typing import TypeVar
 import urllib.parse
@@ -11,12 +13,15 @@
 
 from wayslip import clock
 from wayslip import errors
+from wayslip import logs
 from wayslip.gateway import store
 from wayslip.http1 import client
+from wayslip.http1 import messages
 from wayslip.http1 import whole
 
 T = TypeVar("T")
 
+_LOG = logging.getLogger(__name__)
 _PREFIX = "/wayslip/objects/"
 # The store answers in 4 ms; a hundred times that is no answer, seconds.
 _CALL_SECONDS = 0.8
@@ -33,6 +38,7 @@
 _MS = 1000
 # Asks for an answer that may be seconds old, at a tenth of the price.
 _STALE = {"serializable": "1"}
+_ERA = b"store-era"
 # Connections for writes of one kind: lost answers then hold up a quarter.
 _WRITE_LINES = 4
 
@@ -63,6 +69,18 @@
     def __init__(self, address: tuple[str, int]) -> None:
         self._address = address
         self._lines: dict[str, _Line] = {}
+        self._era = 0
+
+    def _note_era(self, head: messages.Head) -> None:
+        """Logs that the store came back from a copy."""
+        text = head.header(_ERA)
+        era = int(text) if text.isdigit() else self._era
+        if era == self._era:
+            return
+        logs.event(
+            _LOG, "store_era", logging.WARNING, era=era, before=self._era
+        )
+        self._era = era
 
     async def list(
         self, kind: store.Kind[T], may_be_stale: bool = False
@@ -211,7 +229,7 @@
 
     def _line(self, purpose: str) -> "_Line":
         if purpose not in self._lines:
-            self._lines[purpose] = _Line(self._address)
+            self._lines[purpose] = _Line(self._address, self._note_era)
         return self._lines[purpose]
 
     def close(self) -> None:
@@ -223,8 +241,13 @@
 class _Line:
     """One connection to the store, used for one call after the other."""
 
-    def __init__(self, address: tuple[str, int]) -> None:
+    def __init__(
+        self,
+        address: tuple[str, int],
+        note_head: Callable[[messages.Head], None],
+    ) -> None:
         self._address = address
+        self._note_head = note_head
         self._connection: client.Connection | None = None
         self._lock = asyncio.Lock()
 
@@ -282,6 +305,7 @@
             _format(self._address, method, path, content), lambda head: True
         )
         head, data = await reader.read(connection, patience)
+        self._note_head(head)
         body = read_json(data) if data else {}
         return _Answer(head.status, body, asked_at, reader.told_at)
 
