--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -13,6 +13,7 @@
 import urllib.parse
 
 from wayslip.decisions import manifest
+from wayslip.http1 import messages
 from wayslip.http1 import server
 
 _PREFIX = "/wayslip/objects/"
@@ -56,6 +57,9 @@
         self.oldest = 0
         self.history: list[tuple[int, str, bool, dict[str, Any]]] = []
         self.calls: list[tuple[str, str]] = []
+        # Rises each time that the store comes back from a copy.
+        self.era = 1
+        self._backup: tuple[_Objects, int] | None = None
         # Objects and revision that the copies stay at, None if at the newest.
         self._copies: tuple[_Objects, int] | None = None
         self._server = server.Server(
@@ -111,6 +115,20 @@
         """Lets reads that may be stale see nothing newer from now on."""
         self._copies = (copy.deepcopy(self.objects), self.revision)
 
+    def keep_backup(self) -> None:
+        """Keeps a copy of what is there, to come back from."""
+        self._backup = (copy.deepcopy(self.objects), self.revision)
+
+    def return_to_backup(self) -> None:
+        """Loses all that was written since the copy was kept."""
+        assert self._backup is not None, "keep a copy first"
+        objects, self.revision = self._backup
+        self.objects = copy.deepcopy(objects)
+        self.history = [h for h in self.history if h[0] <= self.revision]
+        self.oldest = min(self.oldest, self.revision)
+        self._copies = None
+        self.era += 1
+
     # Calls
 
     async def _answer(self, exchange: server.Exchange) -> None:
@@ -120,7 +138,7 @@
         while self.faults.is_silent:
             await asyncio.sleep(_STEP)
         if self.faults.is_down:
-            exchange.answer(503, (), b"")
+            exchange.answer(503, self._headers(), b"")
             return
         kind, _, name = url.path.removeprefix(_PREFIX).partition("/")
         query = dict(urllib.parse.parse_qsl(url.query))
@@ -141,7 +159,7 @@
                 await asyncio.Event().wait()
         body = json.dumps(value).encode()
         if self.faults.bytes_per_s is None:
-            exchange.answer(status, _JSON, body)
+            exchange.answer(status, self._headers(), body)
         else:
             await self._answer_slowly(
                 exchange, status, body, self.faults.bytes_per_s
@@ -155,7 +173,7 @@
         bytes_per_s: int,
     ) -> None:
         """Sends an answer as over a narrow link, some bytes each step."""
-        exchange.start(status, _JSON, len(body))
+        exchange.start(status, self._headers(), len(body))
         step = max(int(bytes_per_s * _STEP), 1)
         for first in range(0, len(body), step):
             stall = self.faults.stalls_after
@@ -165,6 +183,9 @@
             await asyncio.sleep(_STEP)
         exchange.finish()
 
+    def _headers(self) -> messages.Headers:
+        return (*_JSON, (b"store-era", b"%d" % self.era))
+
     def _find(self, query: dict[str, str]) -> tuple[_Objects, int]:
         """Returns the objects and the revision that a read sees."""
         if self._copies is not None and query.get("serializable") == "1":
@@ -195,7 +216,7 @@
         loop = asyncio.get_running_loop()
         end = loop.time() + int(query["wait_ms"]) / 1000
         while True:
-            if since < self.oldest:
+            if since < self.oldest or since > self.revision:
                 return 410, {}
             events = [
                 {"object": value, "removed": is_removed}
