Follow a store that comes back from a copy

Cause: the store had come back from a copy some seconds old. Its revisions went back, and every instance but the lease's holder took what the holder told of the list for older than what it had, until the revisions had caught up, and believed itself current. Class: a number of the store's orders what is believed and is taken never to fall.

Now revisions are positions in the store's history, era and revision in one number that rises over all eras (decisions/position.py), made at the one place that reads the store. A watch or a condition of an earlier era ends as expired or as a conflict, also where the new history has reached the same revision; answers of an earlier era are not taken; tokens come from positions, and terms begin anew above all earlier ones. A holder whose lease was lost takes it again at once. Whoever was not the holder for sure keeps away from engines for the distance of two holders, since claims are lost too; a claim that is known to be later than the copy's stays. Endpoints that had left do not return with the copy, those that it lacks have 2 s to come back, also where the list is read again meanwhile. Condemned contents are written again. A read proves nothing of the configuration for 2 s after a return, nor where it is older than what is held, and 404 is 503 for as long.

Adapted: tests that took the stand-in's revisions for positions, one that waited for term 1, and two that reached the members at the daemon.

--- a/src/wayslip/decisions/lease.py
+++ b/src/wayslip/decisions/lease.py
@@ -16,6 +16,8 @@
 import dataclasses
 import enum
 
+from wayslip.decisions import position
+
 # Seconds for which a written lease entitles its holder to plan; about two
 # renewals of which one may be lost.
 HOLD = 1.2
@@ -28,6 +30,8 @@
 SEND_LIMIT = 0.5
 # Seconds that an order may take on its way.
 TRAVEL = 0.3
+# Terms of one era of the store.
+_TERMS = 1_000_000
 
 
 class Action(enum.StrEnum):
@@ -108,6 +112,30 @@
     return Claim(pending.endpoint, holder, token, pending)
 
 
+def see_claim(
+    known: SeenClaim | None, claim: Claim, revision: int, now: float
+) -> SeenClaim:
+    """Returns what is known of a claim after it was read.
+
+    Args:
+        known: What was known before, None for nothing.
+        claim: As it was read.
+        revision: Its position in the store's history.
+        now: Steady seconds.
+    """
+    if known is None:
+        return SeenClaim(claim, revision, now)
+    if known.revision == revision:
+        return SeenClaim(claim, revision, known.since)
+    is_of_a_copy = position.find_era(revision) > position.find_era(
+        known.revision
+    )
+    if is_of_a_copy and claim.token <= known.claim.token:
+        # The store has lost what is known.
+        return SeenClaim(known.claim, revision, known.since)
+    return SeenClaim(claim, revision, now)
+
+
 def may_claim(
     seen: SeenClaim | None, holder: str, distance: float, now: float
 ) -> bool:
@@ -151,6 +179,17 @@
         return dataclasses.replace(self, beat=self.beat + 1, is_released=True)
 
 
+def next_term(highest: int, era: int) -> int:
+    """Returns the term of an instance that takes the lease.
+
+    Args:
+        highest: The highest term that is known.
+        era: Of the store's history. Terms of an earlier one may have been lost
+            with the last writes, and none may be given out twice.
+    """
+    return max(highest, era * _TERMS) + 1
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Sight:
     """A lease as an instance sees it.
--- a/src/wayslip/gateway/condemned.py
+++ b/src/wayslip/gateway/condemned.py
@@ -44,6 +44,8 @@
         # Contents with their objects' revisions; None until they were read in
         # this term.
         self._revisions: dict[bytes, int] | None = None
+        # What the store has lost is written again.
+        store.on_return(self.begin_term)
 
     def begin_term(self) -> None:
         """Has them read again, since another holder may have changed them."""
--- a/src/wayslip/gateway/following.py
+++ b/src/wayslip/gateway/following.py
@@ -14,6 +14,7 @@
 """
 
 import asyncio
+import collections
 from collections.abc import Callable
 import dataclasses
 import logging
@@ -22,6 +23,7 @@
 from wayslip import logs
 from wayslip import metrics as metrics_module
 from wayslip.decisions import fleet
+from wayslip.decisions import position
 from wayslip.gateway import currency as currency_module
 from wayslip.gateway import facts
 from wayslip.gateway import store as store_module
@@ -34,6 +36,10 @@
 # Engines' entries change with every adapter; a leaving endpoint is heard of
 # this much later, of two seconds that are allowed.
 _REST_SECONDS = 0.25
+# An entry goes after three heartbeats of silence; that is told a moment later,
+# seconds.
+_LAPSE_SECONDS = 6.0
+_DEPARTED_MOST = 1000
 # For so long after an outage a missing entry may have lapsed in it, seconds.
 _AFTERMATH_SECONDS = 3.0
 # Entries told with one datagram; each takes 0.3 KB of the 30 KB it may have.
@@ -71,6 +77,14 @@
         # Endpoints that have ended though they are listed; bounded by those.
         self._replaced: set[str] = set()
         self._outage_ended = -_AFTERMATH_SECONDS
+        # Endpoints that left the list, as last known; the oldest are forgotten.
+        self._departed: collections.OrderedDict[str, fleet.Endpoint] = (
+            collections.OrderedDict()
+        )
+        # Missing ones that have time to come back.
+        self._lapsed: set[str] = set()
+        # Departed ones that a copy lists again, until that is settled.
+        self._withheld: dict[str, fleet.Endpoint] = {}
         # The store's revision once the last known change was made.
         self.changed_at = 0
         self.watcher = watching.Watcher(
@@ -88,16 +102,22 @@
     # From the store
 
     def _take_list(self, listing: store_module.Listing[fleet.Endpoint]) -> None:
-        self._listed = {item.name for item in listing.items}
+        found = [item.value for item in listing.items]
+        self._note_outage()
+        # What a copy lacks is written again, as after an outage.
+        is_of_a_copy = self._is_of_a_copy(listing.revision)
+        may_return = is_of_a_copy or self._may_have_lapsed()
+        if is_of_a_copy:
+            found = self._withhold_departed(found)
+        self._listed = {e.name for e in found}
         self._replaced &= self._listed
-        self._take_all([item.value for item in listing.items])
-        missing = [n for n in self._view.tracked if n not in self._listed]
+        self._take_all(found)
+        # One that has time to come back keeps it, though it is missing still.
+        present = self._listed | self._lapsed
+        missing = [n for n in self._view.tracked if n not in present]
         # A whole list follows on whatever was known before.
-        self._tell_all(
-            0, listing.revision, [i.value for i in listing.items], missing
-        )
-        for name in missing:
-            self._miss(name)
+        self._tell_all(0, listing.revision, found, missing, may_return)
+        self._miss_all(missing, may_return)
         self._on_change()
 
     def _take_changes(
@@ -106,19 +126,23 @@
         newest = {c.name: c.value for c in changes.items}
         found = [e for e in newest.values() if e is not None]
         missing = [n for n, e in newest.items() if e is None]
-        self._tell_all(self.changed_at, changes.revision, found, missing)
-        self._take_entries(found, missing)
-
-    def _take_entries(
-        self, found: list[fleet.Endpoint], missing: list[str]
-    ) -> None:
-        self._listed.update(e.name for e in found)
-        self._take_all(found)
+        self._note_outage()
+        may_return = self._may_have_lapsed()
+        self._tell_all(
+            self.changed_at, changes.revision, found, missing, may_return
+        )
+        self._take_entries(found)
         for name in missing:
             self._forget(name)
-            self._miss(name)
+        self._miss_all(missing, may_return)
         self._on_change()
 
+    def _take_entries(self, found: list[fleet.Endpoint]) -> None:
+        self._listed.update(e.name for e in found)
+        for endpoint in found:
+            self._withheld.pop(endpoint.name, None)
+        self._take_all(found)
+
     def _take_all(self, endpoints: list[fleet.Endpoint]) -> None:
         """Takes entries into the view, and out what they replace."""
         known = {t.endpoint.address: n for n, t in self._view.tracked.items()}
@@ -141,6 +165,47 @@
     def _forget(self, name: str) -> None:
         self._listed.discard(name)
         self._replaced.discard(name)
+        self._withheld.pop(name, None)
+
+    # A store that came back from a copy
+
+    def _is_of_a_copy(self, revision: int) -> bool:
+        """Whether a list is of a later era than what was known."""
+        known = self.watcher.revision
+        if known is None:
+            return False
+        return position.find_era(revision) > position.find_era(known)
+
+    def _withhold_departed(
+        self, found: list[fleet.Endpoint]
+    ) -> list[fleet.Endpoint]:
+        """Returns entries without those that left before the store lost it.
+
+        An endpoint that lives is listed still once an entry without heartbeats
+        would have lapsed.
+        """
+        withheld = {
+            e.name: e
+            for e in found
+            if e.name in self._departed
+            and not e.succeeds(self._departed[e.name])
+            and e.beat <= self._departed[e.name].beat
+        }
+        if withheld:
+            self._withheld.update(withheld)
+            logs.event(_LOG, "entries_withheld", entries=",".join(withheld))
+            loop = asyncio.get_running_loop()
+            loop.call_later(_LAPSE_SECONDS, self._take_withheld)
+        return [e for e in found if e.name not in withheld]
+
+    def _take_withheld(self) -> None:
+        found = list(self._withheld.values())
+        self._withheld.clear()
+        if found:
+            for part in _split(found):
+                self._tell(facts.Changes(0, 0, 0, part))
+            self._take_entries(found)
+            self._on_change()
 
     def _tell_all(
         self,
@@ -148,8 +213,8 @@
         revision: int,
         found: list[fleet.Endpoint],
         missing: list[str],
+        may_return: bool,
     ) -> None:
-        self._note_outage()
         parts = _split(found)
         for part in parts[:-1]:
             self._tell(facts.Changes(0, 0, 0, part))
@@ -157,7 +222,6 @@
             # A part may get lost without anybody seeing it. So these follow
             # on nothing, and whoever can reads the list.
             since = revision
-        may_return = self._may_have_lapsed()
         self.changed_at = max(self.changed_at, revision)
         self._tell(
             facts.Changes(
@@ -186,8 +250,11 @@
                 entries=len(told.listed),
             )
             return
-        self._listed.update(listed.endpoint for listed in told.listed)
-        self._take_all([listed.restore() for listed in told.listed])
+        found = [listed.restore() for listed in told.listed]
+        if self._is_of_a_copy(told.revision):
+            found = self._withhold_departed(found)
+        self._listed.update(e.name for e in found)
+        self._take_all(found)
         for name in told.gone:
             self._forget(name)
             self._remove(name)
@@ -237,24 +304,31 @@
     def _may_have_lapsed(self) -> bool:
         return clock.now() - self._outage_ended < _AFTERMATH_SECONDS
 
-    def _miss(self, name: str) -> None:
-        """Takes an endpoint out, now or when it had time to come back."""
-        self._note_outage()
-        if self._may_have_lapsed():
-            self._remove_later(name)
-        else:
-            self._remove(name)
+    def _miss_all(self, names: list[str], may_return: bool) -> None:
+        """Takes endpoints out, now or when they had time to come back."""
+        for name in names:
+            if may_return:
+                self._remove_later(name)
+            else:
+                self._remove(name)
 
     def _remove_later(self, name: str) -> None:
+        self._lapsed.add(name)
         loop = asyncio.get_running_loop()
         loop.call_later(_RETURN_SECONDS, self._remove_if_missing, name)
 
     def _remove_if_missing(self, name: str) -> None:
+        self._lapsed.discard(name)
         if name not in self._listed:
             self._remove(name)
             self._on_change()
 
     def _remove(self, name: str) -> None:
+        tracked = self._view.tracked.get(name)
+        if tracked is not None:
+            self._departed[name] = tracked.endpoint
+            if len(self._departed) > _DEPARTED_MOST:
+                self._departed.popitem(last=False)
         self._view.remove(name)
         self._on_gone(name)
 
--- a/src/wayslip/gateway/keeping.py
+++ b/src/wayslip/gateway/keeping.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from collections.abc import Set
 
+from wayslip import clock
 from wayslip import metrics as metrics_module
 from wayslip.decisions import access
 from wayslip.decisions import manifest
@@ -23,6 +24,10 @@
 from wayslip.gateway import store as store_module
 from wayslip.gateway import watching
 
+# What a store that comes back from a copy has lost is written again within
+# this, seconds; entries of endpoints take as long.
+_REWRITE_SECONDS = 2.0
+
 
 class Keeper:
     """What an instance does to hold the newest configuration.
@@ -67,6 +72,11 @@
         self._name = name
         self._holder = holder
         self._on_own = on_own
+        # The version that the store has, as last read.
+        self._read_version = 0
+        # Until then the store may lack what it came back without.
+        self._rewritten_at = float("-inf")
+        store.on_return(self._note_return)
         self.distribution = distribution_module.Distribution(
             options,
             holder,
@@ -102,9 +112,16 @@
     @property
     def sight(self) -> access.Sight:
         """What is known of the configuration in force."""
-        return access.Sight(
-            self.confirmations.is_reliable, self.watcher.is_current
-        )
+        is_newest = self.watcher.is_current and not self._may_lack
+        return access.Sight(self.confirmations.is_reliable, is_newest)
+
+    @property
+    def _may_lack(self) -> bool:
+        """Whether the store may lack a configuration that it has lost."""
+        return clock.now() < self._rewritten_at
+
+    def _note_return(self) -> None:
+        self._rewritten_at = clock.now() + _REWRITE_SECONDS
 
     @property
     def seen(self) -> facts.Seen:
@@ -143,10 +160,17 @@
                 self._take(change.value)
 
     def _take(self, value: manifest.Manifest) -> None:
+        self._read_version = value.version
         if self._holder.offer(value):
             self._on_own()
 
     def _note_read(self, asked_at: float, refused: Set[str]) -> None:
-        """Notes a read of the store, unless it could not read our object."""
-        if self._name not in refused:
-            self.confirmations.note_read(asked_at)
+        """Notes a read of the store, unless it proves nothing.
+
+        It does not where our object could not be read, or where the store may
+        have lost a later one.
+        """
+        is_older = self._read_version < (self._holder.version or 0)
+        if self._name in refused or self._may_lack or is_older:
+            return
+        self.confirmations.note_read(asked_at)
--- a/src/wayslip/gateway/leadership.py
+++ b/src/wayslip/gateway/leadership.py
@@ -9,6 +9,7 @@
 from wayslip import errors
 from wayslip import logs
 from wayslip.decisions import lease
+from wayslip.decisions import position
 from wayslip.gateway import doubt
 from wayslip.gateway import options as options_module
 from wayslip.gateway import store as store_module
@@ -91,6 +92,10 @@
         # Until the store has answered once, it is taken as away.
         self._is_cut_off = True
         self._own_term = 0
+        # Of a record that the store has lost, too.
+        self._highest_term = 0
+        # Whether the store lost our lease, so that we may write it again.
+        self._may_retake = False
         self._follows_another = False
         self._is_stopping = False
         self._valid_until = 0.0
@@ -102,7 +107,8 @@
     @property
     def seen_term(self) -> int:
         """The highest term that was seen; our own while we hold the lease."""
-        return self.sight.lease.term if self.sight else 0
+        term = self.sight.lease.term if self.sight else 0
+        return max(term, self._highest_term)
 
     @property
     def revision(self) -> int:
@@ -158,6 +164,8 @@
         if self._is_held:
             self._lose("a holder with a higher term is heard")
         told = lease.Lease("", address, term)
+        self._may_retake = False
+        self._highest_term = max(self.seen_term, term)
         self.sight = lease.Sight(told, revision, clock.now())
 
     @property
@@ -261,6 +269,8 @@
             stored = await self._store.get(self._kind, NAME, may_be_stale)
             self._is_cut_off = False
             if stored is None:
+                if self._is_held:
+                    self._lose_with_writes()
                 return None
             self._note(stored, began)
             return self.sight
@@ -272,6 +282,7 @@
         if self.sight is not None and stored.revision < self.sight.revision:
             # An old answer, or one that the holder's word has overtaken.
             return
+        self._highest_term = self.seen_term
         sight = lease.see(
             self.sight, stored.value, stored.revision, clock.now()
         )
@@ -282,6 +293,9 @@
             sight.lease.holder == self._options.name
             and sight.lease.term == self._own_term
         )
+        if not is_ours and sight.lease.term < self._own_term:
+            self._lose_with_writes()
+            return
         if not is_ours:
             self._lose("another instance took it")
             return
@@ -292,6 +306,9 @@
     async def _look(self) -> None:
         if self._is_stopping:
             return
+        if self._may_retake:
+            await self._retake()
+            return
         await self._wait_until_free()
         await self._let_others_go_first()
         # One that the store did not answer goes on asking: the holder may be
@@ -313,6 +330,17 @@
         await asyncio.sleep(_LOOK_SECONDS)
         # Unless the holder was heard meanwhile, whoever watches it asks again.
 
+    async def _retake(self) -> None:
+        """Takes the lease again where the store came back without it.
+
+        A record with an earlier term is of the copy, and its holder does not
+        hold the lease any more.
+        """
+        sight = await self._read()
+        self._may_retake = False
+        if sight is None or sight.lease.term < self.seen_term:
+            await self._take(sight)
+
     async def _wait_until_free(self) -> None:
         """Waits until a silent holder's lease has run out, if it is known when.
 
@@ -352,15 +380,16 @@
 
     async def _take(self, sight: lease.Sight | None) -> None:
         began = clock.now()
+        era = self._store.era
+        term = lease.next_term(self.seen_term, era)
+        mine = lease.Lease(self._options.name, self._options.peers, term)
         if sight is None:
-            mine = lease.Lease(self._options.name, self._options.peers, 1)
             stored = await self._store.create(self._kind, NAME, mine)
+            if position.find_era(stored.revision) != era:
+                raise errors.ObjectConflictError(
+                    "the store lost writes meanwhile", "take it again"
+                )
         else:
-            mine = lease.Lease(
-                self._options.name,
-                self._options.peers,
-                sight.lease.term + 1,
-            )
             stored = await self._store.replace(
                 self._kind, store_module.Stored(NAME, sight.revision, mine)
             )
@@ -418,8 +447,14 @@
             )
         self._lose("it was released")
 
+    def _lose_with_writes(self) -> None:
+        """Loses the lease with what the store lost, until it is retaken."""
+        self._lose("the store came back from a copy without it")
+        self._may_retake = not self._is_stopping
+
     def _lose(self, reason: str) -> None:
         self._is_held = False
+        self._highest_term = self.seen_term
         self._doubt.end()
         logs.event(_LOG, "lease_lost", logging.WARNING, reason=reason)
         self._on_lost()
--- a/src/wayslip/gateway/ordering.py
+++ b/src/wayslip/gateway/ordering.py
@@ -36,6 +36,8 @@
 # seconds; reports are some hundred milliseconds old.
 _LEARN_SECONDS = 0.15
 _LEARN_TRIES = 5
+# The first era of a store that has lost nothing yet.
+_FIRST_ERA = 1
 # An engine that was busy, or whose count we had wrong, is left alone for as
 # long as its reports may be old, seconds.
 _BUSY_REST = 0.2
@@ -67,6 +69,11 @@
         # was heard, and as the process before this one may have heard.
         self._kept_away_until = 0.0
         self._unsure_until = self._find_end_of_detached_orders()
+        # Until then orders may be near that the store has lost the claims of.
+        self._returned_until = 0.0
+        self._store.on_return(self._note_return)
+        # Whether we hold the lease for sure; set by who knows.
+        self.holds_lease: Callable[[], bool] = lambda: False
         # The store's revision at which this instance took the lease.
         self.least_token = 0
         # Claims as they were read, written, or told by another holder.
@@ -89,7 +96,21 @@
 
     def follow_nobody(self) -> None:
         """Notes that no other instance held the lease before this one."""
-        self._unsure_until = 0.0
+        if self._store.era <= _FIRST_ERA:
+            # A later one may lack the lease of another instance.
+            self._unsure_until = 0.0
+
+    def _note_return(self) -> None:
+        """Keeps away from all engines once the store has lost writes.
+
+        Another instance may have ordered them and the store have lost that,
+        unless that was us. Nobody can write claims before this is over who
+        knows less of it.
+        """
+        if self.holds_lease() or self.is_detached():
+            return
+        distance = self._options.bounds.lease + lease.TRAVEL
+        self._returned_until = clock.now() + lease.SEND_LIMIT + distance
 
     def _find_end_of_detached_orders(self) -> float:
         """Returns until when a holder heard now may be too near with orders."""
@@ -107,12 +128,11 @@
             self._note_claim(stored)
 
     def _note_claim(self, stored: store_module.Stored[lease.Claim]) -> None:
-        known = self.claims.get(stored.name)
-        since = clock.now()
-        if known is not None and known.revision == stored.revision:
-            since = known.since
-        self.claims[stored.name] = lease.SeenClaim(
-            stored.value, stored.revision, since
+        self.claims[stored.name] = lease.see_claim(
+            self.claims.get(stored.name),
+            stored.value,
+            stored.revision,
+            clock.now(),
         )
 
     async def drop_claim(self, endpoint: str) -> None:
@@ -130,7 +150,9 @@
     def may_claim(self, endpoint: str) -> bool:
         """Whether an engine may be ordered by this instance now."""
         now = clock.now()
-        away_until = max(self._kept_away_until, self._unsure_until)
+        away_until = max(
+            self._kept_away_until, self._unsure_until, self._returned_until
+        )
         return now >= away_until and lease.may_claim(
             self.claims.get(endpoint),
             self._options.name,
@@ -181,6 +203,8 @@
             return
         if stored is not None:
             self._note_claim(stored)
+        else:
+            self.claims.pop(endpoint, None)
 
     # Orders
 
--- a/src/wayslip/gateway/store.py
+++ b/src/wayslip/gateway/store.py
@@ -95,10 +95,20 @@
 class Store(Protocol):
     """Reads and conditionally writes objects.
 
+    All revisions that are given and taken are positions in the store's history,
+    which rise even when it comes back from a copy; see `decisions.position`.
+
     Every call raises ObjectUnavailableError when the store does not answer;
     a write may then have taken effect, or may seconds later.
     """
 
+    @property
+    def era(self) -> int:
+        """Of the store's history, as last seen."""
+
+    def on_return(self, listener: Callable[[], None]) -> None:
+        """Has a listener called when the store came back from a copy."""
+
     async def list(
         self, kind: Kind[T], may_be_stale: bool = False
     ) -> Listing[T]:
--- a/src/wayslip/gateway/view.py
+++ b/src/wayslip/gateway/view.py
@@ -92,7 +92,10 @@
 
     def take(self, endpoint: fleet.Endpoint) -> None:
         """Takes in an endpoint's entry, unless a newer one is known."""
-        if not endpoint.is_leaving and self.words.is_leaving(endpoint):
+        if endpoint.is_leaving:
+            # The list may come back from a copy that does not say so yet.
+            self.words.note_leaving(endpoint.start)
+        elif self.words.is_leaving(endpoint):
             # Written before it said so, or by one that did not hear.
             endpoint = dataclasses.replace(endpoint, is_leaving=True)
         tracked = self.tracked.get(endpoint.name)
--- a/src/wayslip/platform/store.py
+++ b/src/wayslip/platform/store.py
@@ -14,6 +14,7 @@
 from wayslip import clock
 from wayslip import errors
 from wayslip import logs
+from wayslip.decisions import position
 from wayslip.gateway import store
 from wayslip.http1 import client
 from wayslip.http1 import messages
@@ -48,6 +49,7 @@
     """An answer of the store.
 
     Attributes:
+        era: Of the store's history that it belongs to.
         asked_at: Monotonic time at which the call began.
         told_at: When its first bytes came.
     """
@@ -56,6 +58,7 @@
     body: Any
     asked_at: float
     told_at: float
+    era: int
 
 
 class PlatformStore:
@@ -69,18 +72,40 @@
     def __init__(self, address: tuple[str, int]) -> None:
         self._address = address
         self._lines: dict[str, _Line] = {}
-        self._era = 0
+        self._era: int | None = None
+        # Called when the store is seen to have come back from a copy.
+        self._listeners: list[Callable[[], None]] = []
 
-    def _note_era(self, head: messages.Head) -> None:
-        """Logs that the store came back from a copy."""
+    @property
+    def era(self) -> int:
+        """Of the store's history, as last seen; see `decisions.position`."""
+        return self._era or 0
+
+    def on_return(self, listener: Callable[[], None]) -> None:
+        """Has a listener called when the store came back from a copy."""
+        self._listeners.append(listener)
+
+    def _read_era(self, head: messages.Head) -> int:
+        """Returns the era of an answer, and notes one that is new.
+
+        Raises:
+            ObjectUnavailableError: It is of an earlier era.
+        """
         text = head.header(_ERA)
-        era = int(text) if text.isdigit() else self._era
-        if era == self._era:
-            return
-        logs.event(
-            _LOG, "store_era", logging.WARNING, era=era, before=self._era
-        )
-        self._era = era
+        era = int(text) if text.isdigit() else self.era
+        if era < self.era:
+            raise errors.ObjectUnavailableError(
+                f"an answer of the store's era {era} came in era {self.era}",
+                "call again",
+            )
+        before, self._era = self._era, era
+        if before is not None and era > before:
+            logs.event(
+                _LOG, "store_era", logging.WARNING, era=era, before=before
+            )
+            for listener in self._listeners:
+                listener()
+        return era
 
     async def list(
         self, kind: store.Kind[T], may_be_stale: bool = False
@@ -95,12 +120,20 @@
             # A page may be newer than the first; watching from the first
             # one's revision repeats changes and leaves none out.
             first = first or answer
-            page = [_read_object(kind, raw) for raw in answer.body["items"]]
+            page = [
+                _read_object(kind, raw, answer.era)
+                for raw in answer.body["items"]
+            ]
             found += page
             if not answer.body.get("has_more") or not page:
+                if answer.era != first.era:
+                    raise errors.ObjectUnavailableError(
+                        f"the store lost writes while {kind.name} was listed",
+                        "list again",
+                    )
                 return store.Listing(
                     tuple(f for f in found if isinstance(f, store.Stored)),
-                    int(first.body["as_of"]),
+                    position.make(first.era, int(first.body["as_of"])),
                     first.asked_at,
                     tuple(f for f in found if isinstance(f, store.Refused)),
                 )
@@ -110,11 +143,13 @@
         self, kind: store.Kind[T], revision: int, wait: float
     ) -> store.Changes[T]:
         """Returns what changed, nothing if nothing did for `wait` seconds."""
-        path = (
-            f"{_PREFIX}{kind.name}?watch={revision}&wait_ms={int(wait * _MS)}"
-        )
+        self._check_era(kind, revision, self.era)
+        since = position.find_revision(revision)
+        path = f"{_PREFIX}{kind.name}?watch={since}&wait_ms={int(wait * _MS)}"
         line = self._line(f"watch-{kind.name}")
         answer = await line.call("GET", path, None, wait + _WATCH_SLACK)
+        # The new history may have reached the same revision by now.
+        self._check_era(kind, revision, answer.era)
         if answer.status == 410:
             raise errors.WatchExpiredError(
                 f"revision {revision} of {kind.name} is no longer kept",
@@ -124,7 +159,7 @@
         changes: list[store.Change[T]] = []
         refused = []
         for event in answer.body.get("events") or ():
-            found = _read_object(kind, event["object"])
+            found = _read_object(kind, event["object"], answer.era)
             if event.get("removed"):
                 changes.append(store.Change(found.name, None))
             elif isinstance(found, store.Refused):
@@ -134,12 +169,22 @@
                 changes.append(store.Change(found.name, found.value))
         return store.Changes(
             tuple(changes),
-            int(answer.body["as_of"]),
+            position.make(answer.era, int(answer.body["as_of"])),
             answer.told_at,
             tuple(refused),
             answer.asked_at,
         )
 
+    def _check_era(
+        self, kind: store.Kind[Any], revision: int, era: int
+    ) -> None:
+        """Raises WatchExpiredError if a revision is of another era."""
+        if position.find_era(revision) != era:
+            raise errors.WatchExpiredError(
+                f"revision {revision} of {kind.name} is of another era",
+                "list again",
+            )
+
     async def get(
         self, kind: store.Kind[T], name: str, may_be_stale: bool = False
     ) -> store.Stored[T] | None:
@@ -149,7 +194,7 @@
         if answer.status == 404:
             return None
         _expect(answer.status, 200)
-        return _decode(kind, answer.body)
+        return _decode(kind, answer.body, answer.era)
 
     async def create(
         self, kind: store.Kind[T], name: str, value: T
@@ -157,7 +202,8 @@
         """Makes an object."""
         content = {"metadata": {"name": name}, "spec": kind.encode(value)}
         path = f"{_PREFIX}{kind.name}"
-        return await self._write(kind, name, "POST", path, content)
+        answer = await self._write(kind, name, "POST", path, content)
+        return _decode(kind, answer.body, answer.era)
 
     async def replace(
         self,
@@ -166,20 +212,34 @@
         patience: float | None = None,
     ) -> store.Stored[T]:
         """Replaces an object if it still has the revision it was read at."""
-        metadata = {"name": stored.name, "revision": stored.revision}
+        self._check_condition(stored.name, stored.revision, self.era)
+        revision = position.find_revision(stored.revision)
+        metadata = {"name": stored.name, "revision": revision}
         content = {"metadata": metadata, "spec": kind.encode(stored.value)}
         name = urllib.parse.quote(stored.name, safe="")
         path = f"{_PREFIX}{kind.name}/{name}"
-        return await self._write(
+        answer = await self._write(
             kind, stored.name, "PUT", path, content, patience
         )
+        # What was written over may have been another writer's by then.
+        self._check_condition(stored.name, stored.revision, answer.era)
+        return _decode(kind, answer.body, answer.era)
+
+    def _check_condition(self, name: str, revision: int, era: int) -> None:
+        """Raises ObjectConflictError if a condition is of another era."""
+        if position.find_era(revision) != era:
+            raise errors.ObjectConflictError(
+                f"the store lost writes since {name} was read", "read it again"
+            )
 
     async def remove(
         self, kind: store.Kind[T], name: str, revision: int
     ) -> None:
         """Removes an object if it still has a revision."""
+        self._check_condition(name, revision, self.era)
         quoted = urllib.parse.quote(name, safe="")
-        path = f"{_PREFIX}{kind.name}/{quoted}?revision={revision}"
+        number = position.find_revision(revision)
+        path = f"{_PREFIX}{kind.name}/{quoted}?revision={number}"
         answer = await self._write_line(kind, name).call(
             "DELETE", path, None, _CALL_SECONDS
         )
@@ -207,7 +267,7 @@
         path: str,
         content: Any,
         patience: float | None = None,
-    ) -> store.Stored[T]:
+    ) -> _Answer:
         answer = await self._write_line(kind, name).call(
             method, path, content, patience or _CALL_SECONDS
         )
@@ -216,7 +276,7 @@
                 f"{path} was changed by somebody else", "read it again"
             )
         _expect(answer.status, 200, 201)
-        return _decode(kind, answer.body)
+        return answer
 
     def _write_line(self, kind: store.Kind[Any], name: str) -> "_Line":
         """Returns the connection for writes of an object.
@@ -229,7 +289,7 @@
 
     def _line(self, purpose: str) -> "_Line":
         if purpose not in self._lines:
-            self._lines[purpose] = _Line(self._address, self._note_era)
+            self._lines[purpose] = _Line(self._address, self._read_era)
         return self._lines[purpose]
 
     def close(self) -> None:
@@ -244,10 +304,10 @@
     def __init__(
         self,
         address: tuple[str, int],
-        note_head: Callable[[messages.Head], None],
+        read_era: Callable[[messages.Head], int],
     ) -> None:
         self._address = address
-        self._note_head = note_head
+        self._read_era = read_era
         self._connection: client.Connection | None = None
         self._lock = asyncio.Lock()
 
@@ -305,9 +365,9 @@
             _format(self._address, method, path, content), lambda head: True
         )
         head, data = await reader.read(connection, patience)
-        self._note_head(head)
+        era = self._read_era(head)
         body = read_json(data) if data else {}
-        return _Answer(head.status, body, asked_at, reader.told_at)
+        return _Answer(head.status, body, asked_at, reader.told_at, era)
 
     @property
     def _is_open(self) -> bool:
@@ -356,10 +416,10 @@
 _Read = store.Stored[T] | store.Refused
 
 
-def _read_object(kind: store.Kind[T], raw: Any) -> _Read[T]:
+def _read_object(kind: store.Kind[T], raw: Any, era: int) -> _Read[T]:
     """Returns an object, or why it can not be read."""
     try:
-        return _decode(kind, raw)
+        return _decode(kind, raw, era)
     except errors.ObjectError as e:
         field = e.field if isinstance(e, errors.ObjectFieldError) else "any"
         name, revision = _identify(raw)
@@ -378,11 +438,11 @@
     )
 
 
-def _decode(kind: store.Kind[T], raw: Any) -> store.Stored[T]:
+def _decode(kind: store.Kind[T], raw: Any, era: int) -> store.Stored[T]:
     try:
         metadata = raw["metadata"]
         name = metadata["name"]
-        revision = int(metadata["revision"])
+        revision = position.make(era, int(metadata["revision"]))
         spec = raw.get("spec")
     except (KeyError, TypeError, ValueError, AttributeError) as e:
         raise errors.ObjectError(
--- a/tests/gateway/test_deadly_requests.py
+++ b/tests/gateway/test_deadly_requests.py
@@ -345,6 +345,6 @@
     holder = next(g for g in gateways if g.leadership.is_held)
     teller, hearer = (g for g in gateways if g is not holder)
     marks = [suspicion.Mark(b"c", "e1", attempts=3)]
-    with mock.patch.object(teller._members, "peers", list):
+    with mock.patch.object(teller._audience._members, "peers", list):
         teller._quarantine._tell(facts.Suspects(tuple(marks)))
         await system.until(lambda: hearer._quarantine.is_condemned(b"c"))
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -68,7 +68,7 @@
     # Its statements may be late on their way, and show less than there is.
     await system.add("e1", "plain")
     gateway = system.gateway
-    await system.until(lambda: gateway.leadership.seen_term == 1)
+    await system.until(lambda: gateway.leadership.seen_term > 0)
     for told in (
         facts.Changes(0, 0, 10**9, (), gone=("e1",)),
         facts.Changes(0, 0, 10**9, (), names=("e9",)),
--- a/tests/platform/test_foreign_entries.py
+++ b/tests/platform/test_foreign_entries.py
@@ -19,6 +19,7 @@
 from tests.gateway import harness
 from wayslip import addresses
 from wayslip import errors
+from wayslip.decisions import position
 from wayslip.platform import decoding
 from wayslip.platform import kinds
 from wayslip.platform import store
@@ -141,7 +142,7 @@
 @with_client
 async def _read_mixture(standin, client, entries):
     """Reads good and bad entries by a list and by a watch."""
-    revision = standin.revision
+    revision = (await client.list(kinds.ENDPOINTS)).revision
     for number, (entry, _) in enumerate(entries):
         standin.put("servers", f"e{number}", entry)
     good = {f"e{n}" for n, (_, is_good) in enumerate(entries) if is_good}
@@ -152,7 +153,8 @@
     }
     changes = await client.watch(kinds.ENDPOINTS, revision, 0.1)
     assert {c.name for c in changes.items if c.value is not None} == good
-    assert changes.revision == standin.revision
+    newest = position.make(standin.era, standin.revision)
+    assert changes.revision == newest
 
 
 _ENTRIES = strategies.lists(
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -179,10 +179,11 @@
 
 @with_store
 async def test_large_change_is_watched_over_a_narrow_link(standin, client):
-    revision = standin.put("config", "main", platform_site.manifest())
+    standin.put("config", "main", platform_site.manifest())
+    listing = await client.list(kinds.CONFIGURATION)
     standin.put("config", "main", platform_site.large_manifest(2, _ROUTES))
     standin.faults.bytes_per_s = _NARROW
-    changes = await client.watch(kinds.CONFIGURATION, revision, 0.1)
+    changes = await client.watch(kinds.CONFIGURATION, listing.revision, 0.1)
     assert [c.value.version for c in changes.items] == [2]
 
 
@@ -208,3 +209,98 @@
     standin.faults.bytes_per_s = None
     listing = await client.list(kinds.CONFIGURATION)
     assert listing.items[0].value.version == 2
+
+
+# A store that comes back from a copy
+
+
+async def return_from_copy(standin, lost=10):
+    standin.keep_backup()
+    for number in range(lost):
+        standin.put("others", f"o{number}", {})
+    return standin.revision
+
+
+@with_store
+async def test_watch_ends_though_the_new_history_has_reached_its_revision(
+    standin, client
+):
+    add_endpoints(standin, 1)
+    last = await return_from_copy(standin)
+    listing = await client.list(kinds.ENDPOINTS)
+    standin.return_to_backup()
+    add_endpoints(standin, 20)
+    assert standin.revision > last
+    with pytest.raises(errors.WatchExpiredError):
+        await client.watch(kinds.ENDPOINTS, listing.revision, 0.1)
+    anew = await client.list(kinds.ENDPOINTS)
+    assert anew.revision > listing.revision
+    changes = await client.watch(kinds.ENDPOINTS, anew.revision, 0.01)
+    assert changes.revision == anew.revision
+
+
+@with_store
+async def test_watch_that_waits_meanwhile_ends(standin, client):
+    add_endpoints(standin, 1)
+    await return_from_copy(standin)
+    listing = await client.list(kinds.ENDPOINTS)
+    waiting = asyncio.create_task(
+        client.watch(kinds.ENDPOINTS, listing.revision, 0.5)
+    )
+    await asyncio.sleep(0.1)
+    standin.return_to_backup()
+    with pytest.raises(errors.WatchExpiredError):
+        await waiting
+
+
+@with_store
+async def test_answer_of_an_earlier_era_is_not_taken(standin, client):
+    add_endpoints(standin, 1)
+    await return_from_copy(standin)
+    standin.return_to_backup()
+    await client.list(kinds.ENDPOINTS)
+    standin.era -= 1
+    with pytest.raises(errors.ObjectUnavailableError, match="era"):
+        await client.list(kinds.ENDPOINTS, may_be_stale=True)
+
+
+@with_store
+async def test_write_on_a_condition_of_an_earlier_era_is_a_conflict(
+    standin, client
+):
+    mine = lease.Lease("g1", "127.0.0.1:1", 1)
+    before = await client.create(records.LEASE, "one", mine)
+    standin.keep_backup()
+    stored = await client.replace(
+        records.LEASE, store_module.Stored("one", before.revision, mine.renew())
+    )
+    standin.return_to_backup()
+    # Another one gets the same revision in the new history.
+    other = lease.Lease("g2", "127.0.0.1:2", 7)
+    spec = records.LEASE.encode(other)
+    standin.put("wayslip-leases", "one", spec)
+    with pytest.raises(errors.ObjectConflictError):
+        await client.replace(
+            records.LEASE,
+            store_module.Stored("one", stored.revision, mine.renew()),
+        )
+    calls = len(standin.calls)
+    with pytest.raises(errors.ObjectConflictError):
+        await client.remove(records.LEASE, "one", stored.revision)
+    assert len(standin.calls) == calls
+
+
+@with_store
+async def test_return_is_told_once_and_not_at_the_first_answer(standin, client):
+    told = []
+    client.on_return(lambda: told.append(client.era))
+    add_endpoints(standin, 1)
+    await return_from_copy(standin)
+    await client.list(kinds.ENDPOINTS)
+    assert not told
+    standin.return_to_backup()
+    standin.faults.is_down = True
+    for _ in range(2):
+        with pytest.raises(errors.ObjectUnavailableError):
+            await client.list(kinds.ENDPOINTS)
+    assert told == [2]
--- a/tests/stateful/order_network.py
+++ b/tests/stateful/order_network.py
@@ -7,6 +7,7 @@
 import dataclasses
 
 from wayslip import errors
+from wayslip.decisions import position
 from wayslip.gateway import engines as engines_module
 from wayslip.gateway import store as store_module
 
@@ -66,6 +67,8 @@
     def __init__(self, world):
         self.world = world
         self.revision = 1
+        self.era = 1
+        self._backup = None
         self.objects = {}
         self.events = []
         self.calls = []
@@ -73,6 +76,27 @@
         self.sizes = {}
         self.changed = asyncio.Event()
 
+    def keep_backup(self):
+        objects = {kind: dict(found) for kind, found in self.objects.items()}
+        self._backup = (self.revision, objects, list(self.events))
+
+    def return_to_backup(self):
+        """Loses what was written since; engines and operator write again."""
+        lost = self.objects
+        self.revision, self.objects, self.events = self._backup
+        self.era += 1
+        self.keep_backup()
+        for kind in ("servers", "config"):
+            delay = self.world.rng.uniform(0.1, 1.5)
+            self.world.later(delay, self._write_again, kind, lost.get(kind, {}))
+
+    def _write_again(self, kind, lost):
+        for name, (_, value) in lost.items():
+            self.put(kind, name, value)
+        for name in list(self.objects.get(kind, {})):
+            if name not in lost:
+                self.drop(kind, name)
+
     def put(self, kind, name, value):
         known = self.objects.setdefault(kind, {}).get(name)
         if known is not None and known[1] == value:
@@ -115,6 +139,29 @@
         self._world = world
         self._store = world.store
         self._owner = owner
+        self._listeners = []
+        self._era = None
+
+    @property
+    def era(self):
+        return self._era or 0
+
+    def on_return(self, listener):
+        self._listeners.append(listener)
+
+    def _hear(self, era):
+        """Takes in an answer's era, as the platform's client does."""
+        if self._era is not None and era < self._era:
+            raise errors.ObjectUnavailableError("an earlier era", "wait")
+        before, self._era = self._era, era
+        if before is not None and era > before:
+            for listener in self._listeners:
+                listener()
+        return era
+
+    def _check(self, revision, era, error):
+        if position.find_era(revision) != era:
+            raise error("another era", "read again")
 
     async def _reach(self, verb, kind, may_be_stale=False):
         world = self._world
@@ -134,23 +181,30 @@
     async def list(self, kind, may_be_stale=False):
         began = self._world.now
         await self._reach("list", kind, may_be_stale)
+        era = self._store.era
         found = self._store.objects.get(kind.name, {})
         items = [
-            store_module.Stored(name, revision, value)
+            store_module.Stored(name, position.make(era, revision), value)
             for name, (revision, value) in found.items()
         ]
         revision = self._store.revision
         await self._receive(kind, len(items))
-        return store_module.Listing(tuple(items), revision, began)
+        self._hear(era)
+        return store_module.Listing(
+            tuple(items), position.make(era, revision), began
+        )
 
     async def watch(self, kind, revision, wait):
+        expired = errors.WatchExpiredError
+        self._check(revision, self.era, expired)
+        since = position.find_revision(revision)
         await self._reach("watch", kind)
         end = self._world.now + wait
         while True:
             found = [
                 store_module.Change(name, value)
                 for at, name_of_kind, name, value in self._store.events
-                if at > revision and name_of_kind == kind.name
+                if at > since and name_of_kind == kind.name
             ]
             left = end - self._world.now
             if found or left <= 0:
@@ -160,11 +214,16 @@
                     await self._store.changed.wait()
             except TimeoutError:
                 pass
-        seen = self._store.revision
+        era, seen = self._store.era, self._store.revision
         seen_at = self._world.now
         await self._travel()
         await self._receive(kind, len(found))
-        return store_module.Changes(tuple(found), seen, seen_at)
+        self._check(revision, self._hear(era), expired)
+        if since > seen:
+            raise expired("410", "list again")
+        return store_module.Changes(
+            tuple(found), position.make(era, seen), seen_at
+        )
 
     async def _receive(self, kind, count):
         """Waits until objects of a kind have come over our link."""
@@ -174,19 +233,29 @@
 
     async def get(self, kind, name, may_be_stale=False):
         await self._reach("get", kind, may_be_stale)
+        era = self._hear(self._store.era)
         found = self._store.objects.get(kind.name, {}).get(name)
-        return found and store_module.Stored(name, *found)
+        if not found:
+            return None
+        return store_module.Stored(name, position.make(era, found[0]), found[1])
 
     async def create(self, kind, name, value):
         return await self._write(kind, name, 0, value)
 
     async def replace(self, kind, stored, patience=None):
-        return await self._write(
-            kind, stored.name, stored.revision, stored.value
+        conflict = errors.ObjectConflictError
+        self._check(stored.revision, self.era, conflict)
+        revision = position.find_revision(stored.revision)
+        written = await self._write(kind, stored.name, revision, stored.value)
+        self._check(
+            stored.revision, position.find_era(written.revision), conflict
         )
+        return written
 
     async def remove(self, kind, name, revision):
+        self._check(revision, self.era, errors.ObjectConflictError)
         await self._reach("remove", kind)
+        self._hear(self._store.era)
         self._store.drop(kind.name, name)
 
     async def _write(self, kind, name, revision, value):
@@ -199,11 +268,15 @@
             )
             await asyncio.sleep(STORE_PATIENCE)
             raise errors.ObjectUnavailableError("no answer", "wait")
-        new = self._store.write(kind.name, name, revision, value)
+        era = self._store.era
+        try:
+            new = self._store.write(kind.name, name, revision, value)
+        finally:
+            self._hear(era)
         if rng.random() < faults.write_lost:
             await asyncio.sleep(STORE_PATIENCE)
             raise errors.ObjectUnavailableError("no answer", "wait")
-        return store_module.Stored(name, new, value)
+        return store_module.Stored(name, position.make(era, new), value)
 
     def _write_late(self, *write):
         try:
@@ -258,6 +331,7 @@
             world.later(rng.uniform(0.5, 12.0), world.arrive, engine, order)
             await asyncio.sleep(ENGINE_PATIENCE)
             return unknown
+        world.note_order(engine, self._owner, authority.token)
         outcome = world.arrive(engine, order)
         if rng.random() < faults.answer_lost:
             await asyncio.sleep(rng.choice((0.01, ENGINE_PATIENCE)))
--- a/tests/stateful/order_world.py
+++ b/tests/stateful/order_world.py
@@ -141,6 +141,8 @@
         self.faults = order_network.Faults()
         self.adapter_seconds = order_engine.ADAPTER_SECONDS
         self.over = []
+        # Orders as they arrived: when, at which engine, whose, which token.
+        self.orders = []
         self.taken = 0
         self.restarts = 0
         self.shift = 0
@@ -199,6 +201,9 @@
         self.taken += outcome is engines_module.OrderOutcome.TAKEN
         return outcome
 
+    def note_order(self, engine, owner, token):
+        self.orders.append((self.now, engine.name, owner, token))
+
     def note_over(self, engine, order):
         self.over.append((round(self.now - 1000, 3), engine.name, order))
 
