--- a/soak/faults.py
+++ b/soak/faults.py
@@ -132,6 +132,27 @@
         world.store.put("servers", name, item["spec"])
 
 
+@register
+async def return_store(world: world_module.World, rng: random.Random) -> None:
+    """The store comes back from a copy; others write again what it lost."""
+    store = world.store
+    store.keep_backup()
+    await asyncio.sleep(rng.uniform(0.3, 3.0))
+    store.faults.is_down = rng.random() < 0.7
+    await asyncio.sleep(rng.uniform(0.0, 0.8))
+    lost = {k: dict(store.objects.get(k, {})) for k in ("servers", "config")}
+    store.return_to_backup()
+    store.faults.is_down = False
+    await asyncio.sleep(rng.uniform(0.1, 1.0))
+    for kind, objects in lost.items():
+        for name, item in objects.items():
+            if kind == "config" or name in world.endpoints:
+                store.put(kind, name, item["spec"])
+    for name in list(store.objects.get("servers", {})):
+        if name not in world.endpoints:
+            store.remove("servers", name)
+
+
 @register
 async def lose_writes(world: world_module.World, rng: random.Random) -> None:
     """Writes are done and not answered."""
