--- a/src/wayslip/gateway/adapters.py
+++ b/src/wayslip/gateway/adapters.py
@@ -111,7 +111,7 @@
             if name == service
         }
         for book in books:
-            may_claim = self._ordering.may_claim(book.endpoint.name)
+            may_claim = self._ordering.claims.may_claim(book.endpoint.name)
             if (
                 self._is_in_need(book)
                 or not charges.is_free(book, may_claim, now)
@@ -165,7 +165,7 @@
             for b in books
             if (model, "") in b.usable()
             and charges.is_resting(b, now)
-            and self._ordering.may_claim(b.endpoint.name)
+            and self._ordering.claims.may_claim(b.endpoint.name)
         }
         able = {n: b for n, b in found.items() if not self._is_in_need(b)}
         found = able or found
--- a/src/wayslip/gateway/daemon.py
+++ b/src/wayslip/gateway/daemon.py
@@ -102,9 +102,9 @@
         detaching = detaching_module.Detaching(
             options.peers, self.leadership, members
         )
-        self._ordering.is_detached = lambda: detaching.is_granted
+        self._ordering.claims.is_detached = lambda: detaching.is_granted
         self._ordering.find_version = lambda: self.holder.version
-        self._ordering.holds_lease = lambda: self.leadership.is_valid
+        self._ordering.claims.holds_lease = lambda: self.leadership.is_valid
         allowance = options.bounds.allowance
         limiter = limits_module.Limiter(self.holder, allowance)
         accounts = accounts_module.Accounts(self.holder, limiter, allowance)
--- a/src/wayslip/gateway/planner.py
+++ b/src/wayslip/gateway/planner.py
@@ -93,9 +93,9 @@
         self._ordering.books.clear()
         self._follow_list()
         self._held = self._find_held()
-        self._ordering.least_token = self._leadership.revision
+        self._ordering.claims.least_token = self._leadership.revision
         if not self._leadership.follows_another:
-            self._ordering.follow_nobody()
+            self._ordering.claims.follow_nobody()
         self._buckets.clear()
         self._is_prepared = False
         self.members.begin()
@@ -105,7 +105,7 @@
     async def _prepare(self) -> None:
         while True:
             try:
-                await self._ordering.read_claims()
+                await self._ordering.claims.read_all()
                 break
             except errors.ObjectError as e:
                 logs.event(
@@ -114,7 +114,7 @@
                 await asyncio.sleep(_PERIOD)
         self._follow_list()
         self._adopt_loads()
-        for name, seen in self._ordering.claims.items():
+        for name, seen in self._ordering.claims.known.items():
             book = self._ordering.books.get(name)
             if book is not None and seen.claim.pending is not None:
                 book.pending = seen.claim.pending
@@ -184,7 +184,7 @@
         """Remembers what a successor of the holder needs."""
         if isinstance(message, facts.State):
             if message.is_detached:
-                self._ordering.keep_away()
+                self._ordering.claims.keep_away()
             return
         if isinstance(message, facts.Handover):
             if message.term < self._leadership.seen_term:
@@ -194,7 +194,7 @@
             if message.peers:
                 self.members.adopt_peers(message.peers)
             for claim in message.claims:
-                self._ordering.hear_claim(claim.endpoint, claim.revision)
+                self._ordering.claims.hear(claim.endpoint, claim.revision)
         elif isinstance(message, facts.News):
             self._take_arrivals(message)
 
@@ -232,7 +232,9 @@
             self._follow_list()
             if self._leadership.is_held:
                 self._held = self._find_held()
-            may_plan = self._leadership.is_valid or self._ordering.is_detached()
+            may_plan = (
+                self._leadership.is_valid or self._ordering.claims.is_detached()
+            )
             if may_plan and self._is_prepared:
                 self._plan()
                 self._drop_claims()
@@ -265,7 +267,7 @@
         old = [n for n, at in self._missing_since.items() if at < limit]
         for name in old:
             del self._missing_since[name]
-            self._chores.start(self._ordering.drop_claim(name))
+            self._chores.start(self._ordering.claims.drop(name))
 
     def _plan(self) -> None:
         manifest = self._holder.manifest
@@ -304,7 +306,7 @@
         books = {b.endpoint.name: b for b in self._books_of(service)}
         found = {
             n: charges.make_engine(
-                b, pool, self._ordering.may_claim(n), self._view.words
+                b, pool, self._ordering.claims.may_claim(n), self._view.words
             )
             for n, b in books.items()
         }
--- a/src/wayslip/gateway/telling.py
+++ b/src/wayslip/gateway/telling.py
@@ -151,7 +151,7 @@
         peers = tuple((p.address, p.data_hall) for p in self._members.peers())
         claims = [
             facts.ClaimRevision(name, seen.revision)
-            for name, seen in self._ordering.claims.items()
+            for name, seen in self._ordering.claims.known.items()
         ]
         rates = self._members.list_rates()
         readings = self._members.list_readings()
--- a/tests/gateway/test_adapters.py
+++ b/tests/gateway/test_adapters.py
@@ -8,6 +8,10 @@
 
 
 class Ordering:
+    @property
+    def claims(self):
+        return self
+
     def may_claim(self, endpoint):
         return True
 
--- a/tests/gateway/test_detaching.py
+++ b/tests/gateway/test_detaching.py
@@ -90,7 +90,7 @@
     assert "m2" in engine.models
     assert len(system.store.objects.get("wayslip-claims", {})) == writes
     # The other one keeps away from the engine for a while.
-    assert not other._ordering.may_claim("e1")
+    assert not other._ordering.claims.may_claim("e1")
     system.store.faults.is_silent = False
     await system.until(lambda: system.gateway.leadership.is_valid)
     assert not other.leadership.is_held
--- a/tests/gateway/test_ordering.py
+++ b/tests/gateway/test_ordering.py
@@ -230,9 +230,9 @@
         self.ordering = ordering.Ordering(
             options, self.store, engines.PlatformEngines(), metrics.Metrics()
         )
-        self.ordering.least_token = 40
+        self.ordering.claims.least_token = 40
         if follows_nobody:
-            self.ordering.follow_nobody()
+            self.ordering.claims.follow_nobody()
 
     def stop(self):
         self.store.close()
@@ -314,8 +314,8 @@
     await fixture.ordering.order(fixture.book, lease.Action.LOAD, M2)
     other = Fixture("g2", fixture.standin)
     other.connect(fixture.address)
-    await other.ordering.read_claims()
-    assert not other.ordering.may_claim("e1")
+    await other.ordering.claims.read_all()
+    assert not other.ordering.claims.may_claim("e1")
     book = books_module.Book(fixture.book.endpoint)
     other.ordering.books["e1"] = book
     outcome = await other.ordering.order(book, lease.Action.LOAD, M3)
@@ -331,10 +331,10 @@
     await fixture.ordering.order(fixture.book, lease.Action.LOAD, M2)
     again = Fixture("g1", fixture.standin)
     again.connect(fixture.address, follows_nobody=False)
-    await again.ordering.read_claims()
-    assert not again.ordering.may_claim("e1")
-    again.ordering.follow_nobody()
-    assert again.ordering.may_claim("e1")
+    await again.ordering.claims.read_all()
+    assert not again.ordering.claims.may_claim("e1")
+    again.ordering.claims.follow_nobody()
+    assert again.ordering.claims.may_claim("e1")
     again.store.close()
 
 
--- a/tests/gateway/test_suspended.py
+++ b/tests/gateway/test_suspended.py
@@ -88,7 +88,7 @@
 
 @harness.run
 async def test_holder_without_the_store_goes_on_no_longer(system):
-    detaching = system.gateway._ordering.is_detached.__closure__[0]
+    detaching = system.gateway._ordering.claims.is_detached.__closure__[0]
     detaching = detaching.cell_contents
     leadership = system.gateway.leadership
     await system.until(lambda: leadership.is_valid)
