Split the choice of endpoints from the way of requests

requests.py had 474 lines: the way of a request, and which endpoint it goes to, with the places, waits and refusals that belong to that. The second is gateway/choosing.py now. When a client is to return is asked for only where it is told, since asking takes a place.

--- a/src/wayslip/gateway/requests.py
+++ b/src/wayslip/gateway/requests.py
@@ -13,10 +13,9 @@
 from wayslip.decisions import fleet
 from wayslip.decisions import manifest as manifest_module
 from wayslip.decisions import retry
-from wayslip.decisions import selection
 from wayslip.decisions import urgency
-from wayslip.decisions import waiting
 from wayslip.gateway import attempts
+from wayslip.gateway import choosing
 from wayslip.gateway import configuration
 from wayslip.gateway import dialect as dialect_module
 from wayslip.gateway import events
@@ -26,31 +25,14 @@
 from wayslip.gateway import placement as placement_module
 from wayslip.gateway import places as places_module
 from wayslip.gateway import quarantine as quarantine_module
-from wayslip.gateway import resting
 from wayslip.gateway import view as view_module
 from wayslip.http1 import server
 
 _LOG = logging.getLogger(__name__)
 # Endpoints that could not be reached before the request is given up.
 _MISSES = 3
-# Told where nobody knows when an endpoint will be there, seconds.
+# Told where the configuration in force is not known, seconds.
 _UNKNOWN_RETRY_AFTER = 1.0
-# The same for a model that nobody loads yet: the planner begins within a
-# moment, and a load takes two seconds from an engine's disk and nine from the
-# weight store, so that who comes back after one second is refused again.
-_LOAD_RETRY_AFTER = 2.5
-# Share of the time that a client has left after which it comes back at the
-# latest, whatever it is told; from the operators' pages.
-_RETURN_MOST = 1 / 3
-# A request is refused if it would wait for more than this share of the time
-# that is left, or for more than this many times its latency target. A queue
-# that is longer makes everybody late; refused at once, most can be answered
-# in time when they come back. Waits are overestimated: of those predicted at
-# 1.0 to 1.25 targets a fifth was late, at 2.5 targets half.
-_WAIT_SHARE = 0.9
-_TARGET_SHARE = 2.0
-# One that is refused so should find about half a target's queue, targets.
-_RETURN_SHARE = 0.5
 
 
 class Requests:
@@ -85,9 +67,7 @@
             tell_leaving: Is given an endpoint that says it takes no new work.
             places: At endpoints that name a limit.
         """
-        self._places = places
         self._quarantine = quarantine
-        self._resting = resting.Resting(view, lambda: self._placement.instances)
         self._find_sight = find_sight
         self._limiter = limiter
         self._dialect = dialect
@@ -105,9 +85,17 @@
             tell_leaving,
             places,
         )
+        self._choosing = choosing.Choosing(
+            options,
+            view,
+            placement,
+            places,
+            self._endings,
+            metrics,
+            self._attempts.pool.has_idle,
+        )
         self._rng = random.Random()
         self._urgency = options.urgency
-        self._patience = waiting.PATIENCES.get(options.patience)
         bounds = options.bounds
         self._terms = budget_module.Terms(
             bounds.budget_ratio, bounds.budget_window, bounds.budget_slack
@@ -274,14 +262,15 @@
                 job.traits.model, job.traits.prompt_tokens
             )
             self._placement.note_demand(
-                job.service.name, job.traits, work, _can_wait_for_load(job)
+                job.service.name,
+                job.traits,
+                work,
+                choosing.can_wait_for_load(job),
             )
         while True:
-            choice = await self._find(job)
+            choice = await self._choosing.find(job)
             if choice is None:
                 return
-            if not await self._take_place(job, choice):
-                continue
             if not self._check_key(job) or not self._check_content(job):
                 return
             failure = await self._attempts.make(job, choice)
@@ -326,149 +315,10 @@
         )
         if verdict is retry.Verdict.RETRY:
             return True
-        wait = self._resting.find_return(job) or jobs.SHORTEST_RETRY_AFTER
-        self._endings.answer_verdict(job, verdict, wait)
-        return False
-
-    async def _take_place(
-        self, job: jobs.Job, choice: selection.Choice
-    ) -> bool:
-        """Takes a place in an endpoint's limit, if it names one.
-
-        Returns:
-            Whether the request may be sent there now; else another endpoint
-            is to be chosen.
-        """
-        endpoint = self._view.tracked[choice.name].endpoint
-        patience = self._resting.find_patience(job)
-        verdict = await self._places.take(
-            endpoint, patience, job.traits.request_id
-        )
-        if not verdict.is_granted:
-            self._view.words.note_spent(endpoint, verdict.wait)
-            return False
-        if verdict.wait:
-            await asyncio.sleep(verdict.wait)
-        tracked = self._view.tracked.get(choice.name)
-        return tracked is not None and not tracked.endpoint.is_leaving
-
-    # Choosing
-
-    async def _find(self, job: jobs.Job) -> selection.Choice | None:
-        """Returns an endpoint; answers the request if there is none."""
-        choice = self._choose(job)
-        if choice is None and await self._resting.wait(job):
-            choice = self._choose(job)
-        if choice is None and self._may_be_loaded(job):
-            choice = await self._wait_for_model(job)
-        if choice is None:
-            self._refuse_missing(job)
-            return None
-        left = job.deadline - clock.now()
-        target = job.route.target
-        limit = min(left * _WAIT_SHARE, target * _TARGET_SHARE)
-        if choice.wait > limit and not job.progress.may_have_run:
-            drained = choice.wait - target * _RETURN_SHARE
-            self._endings.refuse_job(job, "too_long_a_wait", drained)
-            return None
-        return choice
-
-    def _choose(self, job: jobs.Job) -> selection.Choice | None:
-        pool = job.service.pool
-        candidates = self._view.candidates(
-            job.service.name,
-            job.traits,
-            pool.kv_tokens if pool else 0,
-            job.rank,
-            job.tried,
-            self._attempts.pool.has_idle,
-        )
-        unseen = self._placement.find_unseen(job.service.name, job.traits.model)
-        choice = selection.choose(candidates, self._rng.random(), unseen)
-        self._metrics.latency("word_age").observe(self._placement.word_age)
-        if choice is not None:
-            logs.event(
-                _LOG,
-                "chosen",
-                request=job.traits.request_id,
-                route=job.route.name,
-                model=job.traits.model,
-                adapter=job.traits.adapter,
-                endpoint=choice.name,
-                candidates=len(candidates),
-                unseen=f"{unseen:.3f}",
-                wait=f"{choice.wait:.3f}",
-                occupancy=f"{choice.occupancy:.2f}",
-            )
-        return choice
-
-    def _may_be_loaded(self, job: jobs.Job) -> bool:
-        """Whether a load could help: no endpoint that rests has the model."""
-        return bool(job.traits.model) and not self._resting.is_due(job)
-
-    async def _wait_for_model(self, job: jobs.Job) -> selection.Choice | None:
-        """Has a model or adapter loaded; waits while that is worth it."""
-        while not job.progress.attempts:
-            left = self._find_patience(job)
-            if left <= 0:
-                return None
-            is_told = await self._placement.want(
-                job.service.name, job.traits, left
-            )
-            choice = self._choose(job)
-            if choice is not None or not is_told:
-                return choice
-        return None
-
-    def _find_patience(self, job: jobs.Job) -> float:
-        """Returns for how long a request should wait for its model."""
-        now = clock.now()
-        situation = waiting.Situation(
-            waited=now - job.began,
-            target=job.route.target,
-            expected=self._placement.expect(job.service.name, job.traits),
-            lacks_adapter_only=self._lacks_adapter_only(job),
+        wait = None
+        if verdict is retry.Verdict.NOT_RUN:
+            wait = self._choosing.find_return(job)
+        self._endings.answer_verdict(
+            job, verdict, wait or jobs.SHORTEST_RETRY_AFTER
         )
-        return self._patience(situation)
-
-    def _lacks_adapter_only(self, job: jobs.Job) -> bool:
-        """Whether an engine holds the model, but not the adapter."""
-        traits = job.traits
-        return bool(traits.adapter) and self._view.holds_anywhere(
-            job.service.name, traits.model
-        )
-
-    def _refuse_missing(self, job: jobs.Job) -> None:
-        if job.relayed or job.progress.may_have_run:
-            self._endings.answer_verdict(job, retry.Verdict.UNKNOWN)
-            return
-        wait = self._placement.expect(job.service.name, job.traits)
-        reason = "not_loaded" if job.traits.model else "no_endpoint"
-        rest = self._resting.find_return(job)
-        if rest is not None:
-            reason = "endpoints_rest"
-            wait = rest if wait is None else min(wait, rest)
-        if wait is None:
-            is_missing = bool(job.traits.model)
-            wait = _LOAD_RETRY_AFTER if is_missing else _UNKNOWN_RETRY_AFTER
-            if _can_wait_for_load(job):
-                wait = _find_load_time(job)
-        self._endings.refuse_job(job, reason, wait)
-
-
-def _find_load_time(job: jobs.Job) -> float:
-    """Returns the seconds of a load from the weight store, 0 if unknown."""
-    pool = job.service.pool
-    model = pool.models.get(job.traits.model) if pool else None
-    return model.load_s if model else 0.0
-
-
-def _can_wait_for_load(job: jobs.Job) -> bool:
-    """Whether a load that begins now can still serve the request's client.
-
-    It comes back after a part of the time that it has left at most, and waits
-    then for as long as the request may wait for a model that is on its way.
-    """
-    left = job.deadline - job.began
-    longest = left * _RETURN_MOST + job.route.target * waiting.SURE_SHARE
-    return 0.0 < _find_load_time(job) <= longest
+        return False
