Keep an endpoint that had lapsed and came back when the store returns from a copy

An endpoint that had left the list once and come back stayed among the departed. Where the store then came back from a copy it was withheld, and a live engine got no requests for four seconds. Found by reading. test_engine_that_had_lapsed_and_came_back_stays failed before.

--- a/src/wayslip/gateway/following.py
+++ b/src/wayslip/gateway/following.py
@@ -160,6 +160,7 @@
             if tracked is not None and endpoint.succeeds(tracked.endpoint):
                 # Connections to the start before say nothing more.
                 self._remove(endpoint.name)
+            self._departed.pop(endpoint.name, None)
             self._view.take(endpoint)
 
     def _forget(self, name: str) -> None:
--- a/tests/gateway/test_store_returns.py
+++ b/tests/gateway/test_store_returns.py
@@ -116,6 +116,24 @@
     assert not gone.received
 
 
+@harness.run
+async def test_engine_that_had_lapsed_and_came_back_stays(system):
+    await system.add("e1", "plain")
+    gateways = await join(system, "g2")
+    note_entries(system)
+    system.store.keep_backup()
+    system.store.remove("servers", "e1")
+    for gateway in gateways:
+        await system.until(lambda g=gateway: "e1" not in g.view.tracked)
+    list_engine(system, "e1")
+    for gateway in gateways:
+        await system.until(lambda g=gateway: "e1" in g.view.tracked)
+    system.store.return_to_backup()
+    for _ in range(35):
+        await asyncio.sleep(0.1)
+        assert all("e1" in g.view.tracked for g in gateways)
+
+
 @harness.run
 async def test_engine_that_the_copy_lacks_has_time_to_come_back(system):
     gateways = await join(system, "g2")
