--- a/tests/gateway/test_engine_limits.py
+++ b/tests/gateway/test_engine_limits.py
@@ -91,6 +91,19 @@
     assert len(limited.received) <= 3
 
 
+@harness.run
+async def test_refused_requests_are_told_different_places(system):
+    # All would come back for one place in the same moment.
+    await add_limited(system, limit=0.5)
+    await system.until(lambda: system.gateway._placement.instances == 1)
+    await system.ask("/get/a")
+    answers = [await system.ask("/get/a", f"r{n}") for n in range(5)]
+    assert {a.status for a in answers} == {503}
+    times = [float(a.headers["retry-after"]) for a in answers]
+    gaps = [b - a for a, b in zip(times, times[1:], strict=False)]
+    assert all(1.5 < gap < 2.5 for gap in gaps), times
+
+
 @harness.run
 async def test_request_waits_for_a_place_that_is_free_soon(system):
     await add_limited(system, limit=10)
