--- a/soak/faults.py
+++ b/soak/faults.py
@@ -53,20 +53,21 @@
     gateway = _pick(world, rng)
     if not gateway.is_up or gateway.is_stopping or gateway.is_paused:
         return
+    process = gateway.process
+    assert process is not None
     gateway.is_stopping = True
     gateway.send(signal.SIGTERM)
     if rng.random() < 0.3:
         await asyncio.sleep(rng.uniform(0, 1))
-        gateway.send(rng.choice([signal.SIGTERM, signal.SIGHUP]))
-    process = gateway.process
-    assert process is not None
+        # Another fault may have killed it meanwhile; its successor stays.
+        process.send_signal(rng.choice([signal.SIGTERM, signal.SIGHUP]))
     waited = 0.0
     while process.poll() is None and waited < world_module.GRACE_SECONDS * 3:
         await asyncio.sleep(0.1)
         waited += 0.1
     if process.poll() is None and not gateway.is_paused:
         world.ledger.break_rule(f"LOST {gateway.name} does not stop")
-        gateway.send(signal.SIGKILL)
+        process.kill()
 
 
 @register
