Log why an attempt was not sent, and for how long a broken connection had idled

Hypotheses 1 and 2 of the incident could not be told apart: a connection that could not be opened left no line, and a request that ended without a further attempt did not say how many endpoints could not be reached.

attempt_not_sent names the reason and the time it took, attempt_unclear the time that the connection had idled before, ended the endpoints that were not reached, and wayslip_failed_attempts_total counts both kinds.

--- a/src/wayslip/gateway/serving/attempts.py
+++ b/src/wayslip/gateway/serving/attempts.py
@@ -80,6 +80,8 @@
         found_slot = choice.in_flight < choice.slots
         connection = self.pool.take(choice.name)
         is_reused = connection is not None
+        idle = clock.now() - connection.idle_since if connection else 0.0
+        began = clock.now()
         try:
             if connection is None:
                 address = addresses.split_address(tracked.endpoint.address)
@@ -89,8 +91,17 @@
                 seconds = clock.now() - active.began
                 self.slot_times.learn(job.service.name, seconds)
             return failure
-        except errors.NotSentError:
+        except errors.NotSentError as e:
             self._view.note_failed_attempt(active)
+            logs.event(
+                _LOG,
+                "attempt_not_sent",
+                request=job.traits.request_id,
+                endpoint=choice.name,
+                seconds=f"{clock.now() - began:.3f}",
+                reason=e.reason,
+            )
+            self._metrics.count("failed_attempts", kind="not_sent")
             return retry.Failure.NOT_SENT
         except errors.EndpointError as e:
             self._view.note_failed_attempt(active)
@@ -101,8 +112,11 @@
                 endpoint=choice.name,
                 content=job.content.hex(),
                 reused=is_reused,
+                idle=f"{idle:.3f}",
+                seconds=f"{clock.now() - began:.3f}",
                 reason=e.reason,
             )
+            self._metrics.count("failed_attempts", kind="unclear")
             job.broken_attempts += 1
             self._quarantine.note_broken_attempt(
                 tracked.endpoint, job.content, depth, self.pool.open
--- a/src/wayslip/gateway/serving/jobs.py
+++ b/src/wayslip/gateway/serving/jobs.py
@@ -205,6 +205,8 @@
             first_after=_format_seconds(job.first_after),
             retry_after=retry_after,
             content=content,
+            unreachable=str(job.unreachable_count),
+            tried=str(len(job.tried)),
         )
 
     def record_outcome(
