Reach endpoints through another instance where the own links are cut

Cause: the only way to an endpoint was the instance's own link, and a failure of it was taken for one of the endpoint: refused, backed off, model not loaded.

An instance now opens a connection through another one (HTTP CONNECT over TCP at the address for peers) when its own attempt fails or takes longer than 60 ms. Only the path is borrowed: choice, quota, shares, budget and retries stay where the request came in, and the bytes pass unread. Weighed: handing the whole request over; everything that counts requests would have had to be split between two instances.

--- a/src/wayslip/gateway/daemon.py
+++ b/src/wayslip/gateway/daemon.py
@@ -31,6 +31,7 @@
 from wayslip.gateway.sharing import configuration_sync
 from wayslip.gateway.sharing import copy_client
 from wayslip.gateway.sharing import endpoint_follower
+from wayslip.gateway.sharing import endpoint_paths
 from wayslip.gateway.sharing import facts
 from wayslip.gateway.sharing import fair_shares as fair_shares_module
 from wayslip.gateway.sharing import hub as hub_module
@@ -46,6 +47,7 @@
 from wayslip.gateway.sharing import share_accounts as share_accounts_module
 from wayslip.gateway.sharing import speed_exchange as speed_exchange_module
 from wayslip.gateway.sharing import staleness
+from wayslip.gateway.sharing import tunnel_service
 from wayslip.gateway.sharing import view as view_module
 from wayslip.http1 import server
 
@@ -183,6 +185,19 @@
             lambda: self._placement.instances,
             self.metrics,
         )
+        self.paths = endpoint_paths.EndpointPaths(
+            options.data_hall,
+            options.peers,
+            self._peer_broadcast.list_peers,
+            self.metrics,
+        )
+        self._tunnels = tunnel_service.TunnelService(
+            options.peers,
+            self.view,
+            self.paths,
+            self._peer_broadcast.list_peers,
+            self.metrics,
+        )
         self._requests = requests_module.Requests(
             options,
             platform.dialect,
@@ -196,6 +211,7 @@
             self._report_leaving,
             self._permit_broker,
             self._fair_shares,
+            self.paths,
         )
         self._configuration_sync = configuration_sync.ConfigurationSync(
             options,
@@ -294,6 +310,7 @@
         # All settings that may change at run time come from the store.
         loop.add_signal_handler(signal.SIGHUP, self._note_reload)
         await self._hub.start(addresses.split_address(self._options.peers))
+        await self._tunnels.start()
         await self._readiness.start()
         await self._operators.start()
         await self._callers.start()
@@ -343,6 +360,7 @@
     async def _stop(self) -> None:
         began = clock.now()
         self._callers.is_draining = True
+        self._tunnels.is_draining = True
         logs.event(_LOG, "stopping", active=self._callers.active)
         self._placement.announce_leaving()
         if self.leadership.is_held:
@@ -355,17 +373,20 @@
             if clock.now() - began >= _BALANCER_SECONDS:
                 self._callers.stop_listening()
                 self._callers.close_idle()
-                if not self._callers.active:
+                if not self._callers.active and not len(self._tunnels):
                     break
             await asyncio.sleep(_STOP_POLL_SECONDS)
         logs.event(
             _LOG,
             "stopped",
             cut=self._callers.active,
+            tunnels=len(self._tunnels),
             seconds=f"{clock.now() - began:.1f}",
         )
         self._callers.abort_all()
         self._requests.close()
+        self._tunnels.close()
+        self.paths.close()
         self._quarantine.close()
         self._hub.close()
         for task in self._tasks:
@@ -480,6 +501,8 @@
             "holds_lease": self.leadership.is_valid,
             "endpoints": self.view.dump(),
             "active": self._callers.active,
+            "paths": self.paths.dump(),
+            "tunnels": len(self._tunnels),
             "suspects": self._quarantine.dump(),
             "shares": self._fair_shares.dump(),
             "engines": [
--- a/src/wayslip/gateway/serving/attempts.py
+++ b/src/wayslip/gateway/serving/attempts.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 import logging
 
-from wayslip import addresses
 from wayslip import clock
 from wayslip import errors
 from wayslip import logs
@@ -14,6 +13,7 @@
 from wayslip.decisions import slot_times
 from wayslip.gateway import dialect as dialect_module
 from wayslip.gateway.serving import jobs
+from wayslip.gateway.sharing import endpoint_paths
 from wayslip.gateway.sharing import permit_broker as permit_broker_module
 from wayslip.gateway.sharing import quarantine as quarantine_module
 from wayslip.gateway.sharing import view as view_module
@@ -22,9 +22,6 @@
 from wayslip.http1 import pool as pool_module
 
 _LOG = logging.getLogger(__name__)
-# Connecting inside a region takes 2 ms, and a lost packet is retransmitted
-# after a few hundred. After this time the endpoint counts as unreachable.
-CONNECT_TIMEOUT_SECONDS = 0.4
 # Answers up to this size are buffered before they are forwarded, so that a
 # request whose answer breaks off can be retried.
 _MAX_BUFFERED_BYTES = 256 * 1024
@@ -42,6 +39,7 @@
         quarantine: quarantine_module.Quarantine,
         report_leaving: Callable[[fleet.Endpoint], None],
         permit_broker: permit_broker_module.PermitBroker,
+        paths: endpoint_paths.EndpointPaths,
     ) -> None:
         """Initializes without open connections.
 
@@ -54,7 +52,9 @@
             report_leaving: Called with an endpoint whose answer says that it
                 takes no new work.
             permit_broker: Records the rate limits that answers name.
+            paths: Opens connections to endpoints.
         """
+        self._paths = paths
         self._permit_broker = permit_broker
         self._report_leaving = report_leaving
         self._quarantine = quarantine
@@ -62,7 +62,8 @@
         self._view = view
         self._responder = responder
         self._metrics = metrics
-        self.pool = pool_module.Pool(CONNECT_TIMEOUT_SECONDS)
+        self.pool = pool_module.Pool(endpoint_paths.CONNECT_TIMEOUT_SECONDS)
+        paths.on_found = self.pool.add
         self.slot_times = slot_times.SlotTimes()
         # Called when a request of this instance has left an endpoint.
         self.on_end: Callable[[], None] = lambda: None
@@ -78,21 +79,25 @@
         active = self._view.begin(choice.name, job.traits, job.rank)
         depth = self._find_depth(job)
         found_slot = choice.in_flight < choice.slots
-        connection = self.pool.take(choice.name)
+        connection = self.pool.take(
+            choice.name, self._paths.find_trusted_since(choice.name)
+        )
         is_reused = connection is not None
         idle = clock.now() - connection.idle_since if connection else 0.0
         began = clock.now()
         try:
             if connection is None:
-                address = addresses.split_address(tracked.endpoint.address)
-                connection = await self.pool.open(address)
+                connection = await self._paths.open(tracked.endpoint)
+            if connection.peer:
+                self._log_tunnel(job, connection)
             failure = await self._exchange(job, active, connection, is_reused)
             if failure is None and found_slot:
                 seconds = clock.now() - active.began
                 self.slot_times.learn(job.service.name, seconds)
             return failure
         except errors.NotSentError as e:
-            self._view.note_failed_attempt(active)
+            if not self._paths.is_cut_off:
+                self._view.note_failed_attempt(active)
             logs.event(
                 _LOG,
                 "attempt_not_sent",
@@ -119,7 +124,7 @@
             self._metrics.count("failed_attempts", kind="unclear")
             job.broken_attempts += 1
             self._quarantine.note_broken_attempt(
-                tracked.endpoint, job.content, depth, self.pool.open
+                tracked.endpoint, job.content, depth, self._paths.probe
             )
             return retry.Failure.UNCLEAR
         finally:
@@ -128,6 +133,17 @@
             if connection is not None and not connection.is_pooled:
                 connection.close()
 
+    def _log_tunnel(self, job: jobs.Job, connection: client.Connection) -> None:
+        logs.event(
+            _LOG,
+            "sent_through_peer",
+            request=job.traits.request_id,
+            endpoint=job.endpoint,
+            peer=connection.peer,
+            age=f"{clock.now() - connection.opened_at:.3f}",
+        )
+        self._metrics.count("requests_through_peers")
+
     def _find_depth(self, job: jobs.Job) -> int:
         """Returns the request's suspicion depth at the time it is sent."""
         if not self._quarantine:
--- a/src/wayslip/gateway/serving/requests.py
+++ b/src/wayslip/gateway/serving/requests.py
@@ -24,6 +24,7 @@
 from wayslip.gateway.serving import profiles
 from wayslip.gateway.serving import share_gate
 from wayslip.gateway.sharing import configuration
+from wayslip.gateway.sharing import endpoint_paths
 from wayslip.gateway.sharing import fair_shares as fair_shares_module
 from wayslip.gateway.sharing import limits as limits_module
 from wayslip.gateway.sharing import permit_broker as permit_broker_module
@@ -56,6 +57,7 @@
         report_leaving: Callable[[fleet.Endpoint], None],
         permit_broker: permit_broker_module.PermitBroker,
         fair_shares: fair_shares_module.FairShares,
+        paths: endpoint_paths.EndpointPaths,
     ) -> None:
         """Initializes the handler.
 
@@ -74,7 +76,9 @@
                 takes no new work.
             permit_broker: Grants permits at endpoints with a rate limit.
             fair_shares: Keeps organisations to their shares of a service.
+            paths: Opens connections to endpoints.
         """
+        self._paths = paths
         self._quarantine = quarantine
         self._find_configuration_status = find_configuration_status
         self._limiter = limiter
@@ -94,6 +98,7 @@
             quarantine,
             report_leaving,
             permit_broker,
+            paths,
         )
         self._endpoint_chooser = endpoint_chooser.EndpointChooser(
             options,
@@ -122,6 +127,7 @@
     def drop_endpoint(self, name: str) -> None:
         """Closes idle connections to an endpoint that was removed."""
         self._attempts.pool.drop(name)
+        self._paths.forget(name)
         self._endpoint_chooser.notify()
 
     def close(self) -> None:
--- /dev/null
+++ b/src/wayslip/gateway/sharing/endpoint_paths.py
@@ -0,0 +1,350 @@
+"""Opens connections to endpoints, directly or through another instance.
+
+A direct connection is tried first. If it fails, or takes long, others that know
+the endpoint are asked for a tunnel to it. So a request is lost to an endpoint
+only if nobody reaches it, whatever links of this instance are cut.
+
+Once a path is known to be lost, tunnels come first and the path is tried again
+in the background.
+"""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Sequence
+import logging
+import random
+
+from wayslip import addresses
+from wayslip import clock
+from wayslip import errors
+from wayslip import logs
+from wayslip import metrics as metrics_module
+from wayslip.decisions import fanout
+from wayslip.decisions import fleet
+from wayslip.decisions import reachability
+from wayslip.gateway import background
+from wayslip.http1 import client
+from wayslip.http1 import tunnels
+
+_LOG = logging.getLogger(__name__)
+# Connecting inside a region takes 2 ms, and a lost packet is retransmitted
+# after a few hundred. After this time an endpoint counts as unreachable.
+CONNECT_TIMEOUT_SECONDS = 0.4
+# Another instance is asked once an attempt has had no answer for this long,
+# many round trips.
+_HEDGE_SECONDS = 0.06
+# Limit for a tunnel; another instance is asked meanwhile.
+_TUNNEL_TIMEOUT_SECONDS = 0.5
+# Instances that are asked for a tunnel before an endpoint counts as
+# unreachable. Half of them may be cut off too.
+_MAX_PEERS = 4
+# Instances that could not connect to an endpoint, this one included, after
+# which it counts as unreachable.
+_ENOUGH_VERDICTS = 3
+# For how long an instance is asked last after it could not open a tunnel.
+_PEER_PAUSE_SECONDS = 1.0
+
+Dial = Callable[[tuple[str, int], float], Awaitable[client.Connection]]
+Opener = Callable[[], Awaitable[client.Connection]]
+
+
+class EndpointPaths:
+    """Paths of this instance to endpoints. Used on the event loop only.
+
+    Attributes:
+        dial: Opens a direct connection, see `client.connect`.
+        on_found: Gets a connection that was opened over a path that had been
+            lost, with the endpoint's name.
+    """
+
+    def __init__(
+        self,
+        data_hall: str,
+        own_address: str,
+        list_peers: Callable[[], list[fanout.Peer]],
+        metrics: metrics_module.Metrics,
+    ) -> None:
+        """Initializes with all paths in order.
+
+        Args:
+            data_hall: The data hall of this instance.
+            own_address: Address of this instance for its peers, "IP:PORT".
+            list_peers: Returns the known instances.
+            metrics: Where tunnels and lost paths are counted.
+        """
+        self._data_hall = data_hall
+        self._own_address = own_address
+        self._list_peers = list_peers
+        self._metrics = metrics
+        self._reachability = reachability.Reachability()
+        # Until when an instance is asked last, by address.
+        self._pauses: dict[str, float] = {}
+        self._reached_by_peer_at = 0.0
+        self._rng = random.Random()
+        self._tasks = background.BackgroundTasks("path_trial_failed")
+        self.dial: Dial = client.connect
+        self.on_found: Callable[[str, client.Connection], None] = (
+            lambda name, connection: connection.close()
+        )
+
+    # State
+
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether this instance reaches no endpoint, and others do."""
+        return self._reachability.is_cut_off
+
+    @property
+    def is_in_doubt(self) -> bool:
+        """Whether failures may be due to this instance's own links."""
+        return self.is_cut_off or self._reachability.is_in_doubt(clock.now())
+
+    def is_lost(self, name: str) -> bool:
+        """Whether others reach an endpoint, and this instance doesn't."""
+        return self._reachability.is_lost(name)
+
+    def find_trusted_since(self, name: str) -> float:
+        """Returns since when a connection must have been heard to be used."""
+        return self._reachability.find_trusted_since(name, clock.now())
+
+    def note_opened(self, name: str) -> None:
+        """Records that this instance connected to an endpoint."""
+        lost_for = self._reachability.note_opened(name, clock.now())
+        if lost_for is not None:
+            logs.event(
+                _LOG, "path_found", endpoint=name, seconds=f"{lost_for:.2f}"
+            )
+
+    def note_failed(self, name: str, is_silent: bool) -> None:
+        """Records that this instance could not connect to an endpoint."""
+        now = clock.now()
+        if self._reachability.note_failed(name, is_silent, now):
+            self._note_lost(name)
+
+    def forget(self, name: str) -> None:
+        """Forgets an endpoint that was removed."""
+        self._reachability.forget(name)
+
+    def dump(self) -> dict[str, object]:
+        """Returns the state for operators."""
+        return {
+            "is_cut_off": self.is_cut_off,
+            "lost": self._reachability.list_lost(),
+        }
+
+    def close(self) -> None:
+        """Cancels attempts in the background."""
+        self._tasks.cancel()
+
+    # Opening
+
+    async def open(self, endpoint: fleet.Endpoint) -> client.Connection:
+        """Returns a new connection to an endpoint.
+
+        Raises:
+            NobodyListensError: The connection was refused, also elsewhere.
+            NotSentError: Neither this instance nor others could connect.
+        """
+        openers = [self._make_tunnel_opener(endpoint, p) for p in self._rank()]
+        is_lost = self.is_lost(endpoint.name)
+        if not openers:
+            return await self._open_directly(endpoint)
+        if not is_lost and not self.is_cut_off:
+            openers.insert(0, lambda: self._open_directly(endpoint))
+            return await self._race(endpoint, openers)
+        now = clock.now()
+        if self._reachability.take_trial(
+            endpoint.name, self._rng.random(), now
+        ):
+            self._tasks.start(self._try_directly(endpoint))
+        return await self._race(endpoint, openers)
+
+    async def probe(self, endpoint: fleet.Endpoint) -> None:
+        """Returns if an endpoint can be reached.
+
+        Raises:
+            NobodyListensError: Its process has ended, as far as this instance
+                and others see.
+            NotSentError: It can't be told.
+        """
+        try:
+            connection = await self._open_directly(endpoint)
+        except errors.NobodyListensError as e:
+            if self.is_cut_off:
+                raise errors.NotSentError(
+                    f"this instance reaches no endpoint, {endpoint.name} too",
+                    "see path_lost in its log",
+                ) from e
+            raise
+        connection.close()
+
+    async def _open_directly(
+        self, endpoint: fleet.Endpoint
+    ) -> client.Connection:
+        name = endpoint.name
+        address = addresses.split_address(endpoint.address)
+        try:
+            connection = await self.dial(address, CONNECT_TIMEOUT_SECONDS)
+        except errors.NotSentError as e:
+            self.note_failed(name, not isinstance(e, errors.NobodyListensError))
+            raise
+        self.note_opened(name)
+        return connection
+
+    async def _try_directly(self, endpoint: fleet.Endpoint) -> None:
+        """Tries a lost path; keeps the connection if that succeeds."""
+        try:
+            connection = await self._open_directly(endpoint)
+        except errors.NotSentError as e:
+            logs.event(
+                _LOG, "path_tried", endpoint=endpoint.name, reason=e.reason
+            )
+            return
+        self.on_found(endpoint.name, connection)
+
+    # Tunnels
+
+    def _rank(self) -> list[str]:
+        """Returns the addresses of instances to ask, the best first.
+
+        Those of the same data hall come first, since bytes between data halls
+        cost, and those that could not help recently come last.
+        """
+        now = clock.now()
+        peers = [
+            p for p in self._list_peers() if p.address != self._own_address
+        ]
+        self._pauses = {a: t for a, t in self._pauses.items() if t > now}
+        self._rng.shuffle(peers)
+        peers.sort(
+            key=lambda p: (
+                p.address in self._pauses,
+                p.data_hall != self._data_hall,
+            )
+        )
+        return [p.address for p in peers[:_MAX_PEERS]]
+
+    def _make_tunnel_opener(
+        self, endpoint: fleet.Endpoint, peer: str
+    ) -> Opener:
+        async def open_tunnel() -> client.Connection:
+            try:
+                connection = await tunnels.connect(
+                    addresses.split_address(self._own_address)[0],
+                    addresses.split_address(peer),
+                    endpoint.name,
+                    _TUNNEL_TIMEOUT_SECONDS,
+                )
+            except (errors.PeerError, errors.NotSentError) as e:
+                self._note_no_tunnel(endpoint, peer, e)
+                raise
+            self._note_tunnel(endpoint, peer)
+            return connection
+
+        return open_tunnel
+
+    def _note_no_tunnel(
+        self, endpoint: fleet.Endpoint, peer: str, error: errors.WayslipError
+    ) -> None:
+        if isinstance(error, errors.PeerError):
+            self._pauses[peer] = clock.now() + _PEER_PAUSE_SECONDS
+        self._metrics.count("tunnels", outcome=type(error).__name__)
+        logs.event(
+            _LOG,
+            "tunnel_not_opened",
+            endpoint=endpoint.name,
+            peer=peer,
+            reason=error.reason,
+        )
+
+    def _note_tunnel(self, endpoint: fleet.Endpoint, peer: str) -> None:
+        now = clock.now()
+        self._pauses.pop(peer, None)
+        self._reached_by_peer_at = now
+        self._metrics.count("tunnels", outcome="opened")
+        logs.event(_LOG, "tunnel_opened", endpoint=endpoint.name, peer=peer)
+        if self._reachability.note_reached_by_peer(endpoint.name, now):
+            self._note_lost(endpoint.name)
+
+    def _note_lost(self, name: str) -> None:
+        self._metrics.count("paths_lost")
+        logs.event(
+            _LOG,
+            "path_lost",
+            logging.WARNING,
+            endpoint=name,
+            cut_off=self.is_cut_off,
+        )
+
+    async def _race(
+        self, endpoint: fleet.Endpoint, openers: Sequence[Opener]
+    ) -> client.Connection:
+        """Returns the first connection that is opened.
+
+        The next opener starts when the one before fails, or has not succeeded
+        for a while. Those that succeed too late are kept or closed.
+
+        Raises:
+            NobodyListensError: The connection was refused, also elsewhere.
+            NotSentError: No opener succeeded.
+        """
+        failures: list[BaseException | None] = []
+        running: set[asyncio.Task[client.Connection]] = set()
+        waiting = list(openers)
+        try:
+            while waiting or running:
+                if waiting:
+                    opener = waiting.pop(0)
+                    running.add(asyncio.ensure_future(opener()))
+                done, running = await asyncio.wait(
+                    running,
+                    timeout=_HEDGE_SECONDS if waiting else None,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                opened = [t for t in done if t.exception() is None]
+                if opened:
+                    running |= set(opened[1:])
+                    return opened[0].result()
+                failures += [t.exception() for t in done]
+                if _count_verdicts(failures) >= _ENOUGH_VERDICTS:
+                    break
+        finally:
+            for task in running:
+                task.add_done_callback(lambda t: self._keep(endpoint.name, t))
+        raise _summarize(endpoint, failures)
+
+    def _keep(self, name: str, task: asyncio.Task[client.Connection]) -> None:
+        """Keeps a connection that was opened too late."""
+        if task.cancelled() or task.exception() is not None:
+            # The opener has recorded its failure.
+            return
+        self.on_found(name, task.result())
+
+
+def _count_verdicts(failures: Sequence[BaseException | None]) -> int:
+    """Returns how many failures tell something of the endpoint."""
+    return sum(isinstance(e, errors.NotSentError) for e in failures)
+
+
+def _summarize(
+    endpoint: fleet.Endpoint, failures: Sequence[BaseException | None]
+) -> errors.NotSentError:
+    """Returns the error of an endpoint that nobody reached.
+
+    Nobody listens there only if all say so that could tell.
+    """
+    reasons = "; ".join(
+        e.reason if isinstance(e, errors.WayslipError) else repr(e)
+        for e in failures
+    )
+    verdicts = [e for e in failures if isinstance(e, errors.NotSentError)]
+    kind: type[errors.NotSentError] = errors.NotSentError
+    if verdicts and all(
+        isinstance(e, errors.NobodyListensError) for e in verdicts
+    ):
+        kind = errors.NobodyListensError
+    return kind(
+        f"{endpoint.name} was not reached: {reasons}",
+        "check that the endpoint runs and can be reached",
+    )
--- a/src/wayslip/gateway/sharing/quarantine.py
+++ b/src/wayslip/gateway/sharing/quarantine.py
@@ -18,7 +18,6 @@
 import logging
 import random
 
-from wayslip import addresses
 from wayslip import clock
 from wayslip import errors
 from wayslip import logs
@@ -32,7 +31,6 @@
 from wayslip.gateway.sharing import facts
 from wayslip.gateway.sharing import leadership as leadership_module
 from wayslip.gateway.sharing import peer_broadcast as peer_broadcast_module
-from wayslip.http1 import client
 
 _LOG = logging.getLogger(__name__)
 # Pauses before each announcement of a change. It is repeated because a lost
@@ -77,7 +75,9 @@
     )
 
 
-OpenConnection = Callable[[tuple[str, int]], Awaitable[client.Connection]]
+# Returns if an endpoint can be reached; raises NobodyListensError if its
+# process has ended, and NotSentError if that can't be told.
+Probe = Callable[[fleet.Endpoint], Awaitable[None]]
 
 
 class Quarantine:
@@ -233,7 +233,7 @@
         endpoint: fleet.Endpoint,
         content: bytes,
         depth: int,
-        open_connection: OpenConnection,
+        probe: Probe,
     ) -> None:
         """Records that an attempt broke off at an endpoint.
 
@@ -241,8 +241,7 @@
             endpoint: Where it was sent.
             content: The digest of the request's content.
             depth: The content's depth of suspicion when it was sent.
-            open_connection: Opens a connection to an address; raises
-                NobodyListensError if the endpoint's process is gone.
+            probe: Finds out whether the endpoint's process has ended.
         """
         if endpoint.is_leaving:
             # Its process ends as planned, whatever requests are in progress.
@@ -251,7 +250,7 @@
         broken = self._broken_attempts.get(start)
         if broken is None:
             look = self._background_tasks.start(
-                self._probe_endpoint(start, endpoint, open_connection)
+                self._probe_endpoint(start, endpoint, probe)
             )
             broken = _BrokenAttempts(clock.now(), look)
             self._broken_attempts[start] = broken
@@ -270,15 +269,13 @@
         self,
         start: fleet.Incarnation,
         endpoint: fleet.Endpoint,
-        open_connection: OpenConnection,
+        probe: Probe,
     ) -> None:
         """Determines whether an endpoint crashed or only reset connections."""
         # Lets attempts that broke off at the same time be recorded first.
         await asyncio.sleep(0)
         try:
-            address = addresses.split_address(endpoint.address)
-            connection = await open_connection(address)
-            connection.close()
+            await probe(endpoint)
         except errors.NobodyListensError:
             self._record_crash(start)
         except errors.NotSentError as e:
--- a/src/wayslip/http1/client.py
+++ b/src/wayslip/http1/client.py
@@ -13,6 +13,7 @@
 
 import httptools
 
+from wayslip import clock
 from wayslip import errors
 from wayslip.http1 import messages
 
@@ -27,10 +28,27 @@
 Matcher = Callable[[messages.Head], bool]
 
 
+def configure_socket(sock: socket.socket) -> None:
+    """Sets the options of a socket to an endpoint or another instance."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _TCP_USER_TIMEOUT_MS
+    )
+
+
 class Connection(asyncio.Protocol):
-    """One connection to an endpoint."""
+    """One connection to an endpoint.
+
+    Attributes:
+        peer: The instance that it leads through, "IP:PORT"; empty if direct.
+        opened_at: When it was opened, steady seconds.
+        heard_at: When the other end was last heard.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, peer: str = "") -> None:
+        self.peer = peer
+        self.opened_at = 0.0
+        self.heard_at = 0.0
         self._transport: asyncio.Transport | None = None
         self._parser: Any = httptools.HttpResponseParser(self)
         self._waiter: asyncio.Future[None] | None = None
@@ -144,14 +162,12 @@
         """Configures the socket of the new connection."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        sock = transport.get_extra_info("socket")
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        sock.setsockopt(
-            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _TCP_USER_TIMEOUT_MS
-        )
+        self.opened_at = self.heard_at = clock.now()
+        configure_socket(transport.get_extra_info("socket"))
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes."""
+        self.heard_at = clock.now()
         if self._is_complete:
             # No response is expected, so these bytes belong to no request.
             self._is_dirty = True
@@ -177,9 +193,13 @@
             self._transport.pause_reading()
 
     def eof_received(self) -> bool:
-        """Ends a response without a length; any other is truncated."""
+        """Ends a response without a length; any other is truncated.
+
+        Through another instance, a reset may arrive as an orderly close.
+        """
         head = self._head
-        if not self._is_complete and head is not None and not head.is_framed:
+        is_end = head is not None and not head.is_framed and not self.peer
+        if not self._is_complete and is_end:
             self._is_complete = True
             self._is_dirty = True
         self._fail("the connection was closed")
--- a/src/wayslip/http1/pool.py
+++ b/src/wayslip/http1/pool.py
@@ -1,6 +1,7 @@
 """Pool of idle connections to endpoints."""
 
 import asyncio
+import math
 
 from wayslip import clock
 from wayslip import errors
@@ -14,6 +15,10 @@
 # earlier.
 _IDLE_MARGIN_SECONDS = 0.7
 _MAX_IDLE_PER_ENDPOINT = 64
+# Limits for connections through another instance, idle and in total. That
+# instance may be about to stop, and then lets those in use end.
+_TUNNEL_IDLE_SECONDS = 2.0
+_MAX_TUNNEL_SECONDS = 3.0
 
 
 class Pool:
@@ -35,13 +40,25 @@
             for c in self._idle.get(endpoint, ())
         )
 
-    def take(self, endpoint: str) -> client.Connection | None:
-        """Removes and returns a usable idle connection, None without one."""
+    def take(
+        self, endpoint: str, trusted_since: float = -math.inf
+    ) -> client.Connection | None:
+        """Removes and returns a usable idle connection, None without one.
+
+        Args:
+            endpoint: The id of its endpoint.
+            trusted_since: Connections on which nothing arrived since then are
+                closed.
+        """
         now = clock.now()
         idle = self._idle.get(endpoint, [])
         while idle:
             connection = idle.pop()
-            if connection.is_reusable and _is_fresh(connection, now):
+            if (
+                connection.is_reusable
+                and _is_fresh(connection, now)
+                and connection.heard_at > trusted_since
+            ):
                 return connection
             connection.close()
         return None
@@ -75,6 +92,11 @@
         connection.idle_limit = _parse_keep_alive(keep_alive)
         idle.append(connection)
 
+    def add(self, endpoint: str, connection: client.Connection) -> None:
+        """Adds a connection that was opened and not used yet."""
+        connection.is_pooled = True
+        self.give_back(endpoint, connection, b"")
+
     async def fetch(
         self,
         endpoint: str,
@@ -133,6 +155,10 @@
 
 def _is_fresh(connection: client.Connection, now: float) -> bool:
     limit = connection.idle_limit or _IDLE_SECONDS
+    if connection.peer:
+        limit = min(limit, _TUNNEL_IDLE_SECONDS + _IDLE_MARGIN_SECONDS)
+        if now - connection.opened_at > _MAX_TUNNEL_SECONDS:
+            return False
     return now - connection.idle_since < limit - _IDLE_MARGIN_SECONDS
 
 
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -99,12 +99,10 @@
     def install_links(self, gateway):
         """Has a gateway connect to endpoints through links that can be cut."""
         links = self.links[gateway] = links_module.Links()
-        for pool in (
-            gateway._requests._attempts.pool,
-            gateway._platform.engines._pool,
-        ):
-            seconds = pool._connect_seconds
-            pool.open = lambda address, s=seconds: links.connect(address, s)
+        gateway.paths.dial = links.connect
+        pool = gateway._platform.engines._pool
+        seconds = pool._connect_seconds
+        pool.open = lambda address: links.connect(address, seconds)
 
     async def kill(self, gateway):
         """Stops a gateway abruptly, without a planned stop."""
--- a/tests/gateway/test_deadly_requests.py
+++ b/tests/gateway/test_deadly_requests.py
@@ -150,7 +150,7 @@
     system.store.put("servers", "e1", leaving)
     await system.until(lambda: tracked.endpoint.is_leaving)
     system.gateway._quarantine.note_broken_attempt(
-        tracked.endpoint, b"c", 0, system.gateway._requests._attempts.pool.open
+        tracked.endpoint, b"c", 0, system.gateway.paths.probe
     )
     engine.crash()
     await asyncio.sleep(0.1)
--- a/tests/gateway/test_unreachable_endpoints.py
+++ b/tests/gateway/test_unreachable_endpoints.py
@@ -10,6 +10,7 @@
 
 from tests.gateway import harness
 from tests.gateway import links
+from wayslip.http1 import tunnels
 
 STATES = [links.State.RESET, links.State.KEPT, links.State.SILENT]
 # Sent at once in each round, more than there are connections from the warm-up.
@@ -24,7 +25,7 @@
 COUNTED_ROUNDS = 8
 
 
-async def make_fleet(system, count):
+async def make_fleet(system, count, has_links=True):
     """Adds endpoints and gateways; returns all gateways, the holder first."""
     for n in (1, 2):
         await system.add(f"p{n}", "plain")
@@ -34,7 +35,8 @@
         gateways.append(await system.join(f"g{n}"))
     for gateway in gateways:
         await system.until(lambda g=gateway: len(g.view.tracked) == 4)
-        system.install_links(gateway)
+        if has_links:
+            system.install_links(gateway)
     return gateways
 
 
@@ -97,3 +99,81 @@
         await check_served(system, gateways, gateways[:1], state)
 
     check()
+
+
+@harness.run
+async def test_path_is_used_again_after_it_healed(system):
+    gateways = await make_fleet(system, 2)
+    cut = gateways[1]
+    system.links[cut].cut(links.State.RESET)
+    await count_served(system, cut, SETTLING_ROUNDS, "cut")
+    assert cut.paths.is_cut_off
+    system.links[cut].cut(links.State.WHOLE)
+    before = len(system.links[cut].opened)
+    rounds = 0
+    while cut.paths.dump()["lost"]:
+        rounds += 1
+        await ask_round(system, cut, f"healing{rounds}")
+    assert len(system.links[cut].opened) > before
+    assert await count_served(system, cut, 2, "healed") == 2 * len(PATHS)
+
+
+@harness.run
+async def test_endpoint_that_ended_is_not_reached_through_others(system):
+    await make_fleet(system, 3, has_links=False)
+    for engine in system.engines.values():
+        engine.crash()
+    answer = await system.ask("/once/a", "r1")
+    assert answer.status == 503
+    assert not system.gateway.paths.dump()["lost"]
+
+
+@harness.run
+async def test_client_that_leaves_ends_the_work_behind_a_tunnel(system):
+    gateways = await make_fleet(system, 2)
+    cut = gateways[1]
+    system.links[cut].cut(links.State.RESET)
+    await count_served(system, cut, 2, "cut")
+    plain = [e for e in system.engines.values() if e.name.startswith("p")]
+    for engine in plain:
+        engine.script = wait_for_end
+    client = await system.connect(cut)
+    await client.send("/get/a", "leaving")
+    await system.until(
+        lambda: any(e.received[-1].id == "leaving" for e in plain)
+    )
+    client.close()
+    await system.until(lambda: any(e.left for e in plain))
+
+
+async def wait_for_end(engine, request, connection):
+    if not await connection.reader.read(1):
+        raise ConnectionResetError
+
+
+@harness.run
+async def test_only_known_instances_get_tunnels(system):
+    await make_fleet(system, 2)
+    service = system.gateway._tunnels
+    assert service._judge("127.1.2.3", "p1") is tunnels.Status.FORBIDDEN
+    assert service._judge(harness.HOST, "p1") != tunnels.Status.FORBIDDEN
+    assert service._judge(harness.HOST, "other") is tunnels.Status.BUSY
+
+
+@harness.run
+async def test_instance_that_stops_opens_no_tunnels(system):
+    await make_fleet(system, 2)
+    service = system.gateway._tunnels
+    service.is_draining = True
+    assert service._judge(harness.HOST, "p1") is tunnels.Status.BUSY
+
+
+@harness.run
+async def test_instances_of_the_release_before_are_not_asked_in_vain(system):
+    gateways = await make_fleet(system, 2)
+    gateways[0]._tunnels.close()
+    cut = gateways[1]
+    system.links[cut].cut(links.State.RESET)
+    answers = [await system.ask("/get/a", f"r{n}", at=cut) for n in range(3)]
+    assert {a.status for a in answers} == {503}
+    assert not cut.paths.is_cut_off
