Detect open connections to endpoints that lead nowhere any more

After a cut, requests were sent on connections that had been idle for up to 7.9 s and ended 502 after 2 to 3 s without an answer, or their clients left: 5 and 3 broken off and 8 left at the two instances cut off, 3 to 12 s after the cut.

Keep-alive probes after a second find them within 3 s. TCP_USER_TIMEOUT decides when they give up, so it is 2 s; an endpoint that is silent for a second keeps its connections.

--- a/src/wayslip/http1/client.py
+++ b/src/wayslip/http1/client.py
@@ -20,8 +20,13 @@
 # Body bytes buffered for a slow client before reading from the endpoint pauses.
 _READ_BUFFER_BYTES = 256 * 1024
 # A connection with bytes unacknowledged for this long is closed; detects
-# endpoints that became unreachable. See also `server`.
-_TCP_USER_TIMEOUT_MS = 3_000
+# endpoints that became unreachable. It also decides when keep-alive probes give
+# up. A sound endpoint may be silent for a second. See also `server`.
+_TCP_USER_TIMEOUT_MS = 2_000
+# Keep-alive probes detect idle connections that lead nowhere any more, before a
+# request is sent on one.
+_KEEP_ALIVE_SECONDS = 1
+_KEEP_ALIVE_PROBES = 2
 # The response fails if its head is still incomplete after this many bytes.
 _MAX_HEAD_BYTES = 64 * 1024
 
@@ -34,6 +39,10 @@
     sock.setsockopt(
         socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _TCP_USER_TIMEOUT_MS
     )
+    for option in (socket.TCP_KEEPIDLE, socket.TCP_KEEPINTVL):
+        sock.setsockopt(socket.IPPROTO_TCP, option, _KEEP_ALIVE_SECONDS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEP_ALIVE_PROBES)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
 
 
 class Connection(asyncio.Protocol):
