Take no lost path for an endpoint that crashed

An instance whose links reset connections looked at the endpoint, was refused and told all instances that it had ended under the requests in flight. Contents could be blocked for callers of sound instances.

The look now asks other instances as requests do. Test: without the change test_lost_path_is_not_reported_as_a_crash fails (the content is suspect at both instances), with it it passes.

--- a/src/wayslip/gateway/sharing/endpoint_paths.py
+++ b/src/wayslip/gateway/sharing/endpoint_paths.py
@@ -169,7 +169,7 @@
             NotSentError: It can't be told.
         """
         try:
-            connection = await self._open_directly(endpoint)
+            connection = await self.open(endpoint)
         except errors.NobodyListensError as e:
             if self.is_cut_off:
                 raise errors.NotSentError(
@@ -195,7 +195,7 @@
     async def _try_directly(self, endpoint: fleet.Endpoint) -> None:
         """Tries a lost path; keeps the connection if that succeeds."""
         try:
-            connection = await self._open_directly(endpoint)
+            connection = await self.open(endpoint)
         except errors.NotSentError as e:
             logs.event(
                 _LOG, "path_tried", endpoint=endpoint.name, reason=e.reason
--- a/tests/gateway/test_unreachable_endpoints.py
+++ b/tests/gateway/test_unreachable_endpoints.py
@@ -177,3 +177,18 @@
     answers = [await system.ask("/get/a", f"r{n}", at=cut) for n in range(3)]
     assert {a.status for a in answers} == {503}
     assert not cut.paths.is_cut_off
+
+
+@harness.run
+async def test_lost_path_is_not_reported_as_a_crash(system):
+    engine = await system.add("p1", "plain", script=wait_for_end)
+    cut = await system.join("g2")
+    await system.until(lambda: "p1" in cut.view.tracked)
+    system.install_links(cut)
+    asked = asyncio.create_task(system.ask("/once/a", at=cut))
+    await system.until(lambda: engine.received)
+    system.links[cut].cut(links.State.RESET)
+    await asked
+    await system.until(lambda: not cut._quarantine._broken_attempts)
+    assert not cut._quarantine
+    assert not system.gateway._quarantine
