--- a/src/wayslip/gateway/sharing/endpoint_paths.py
+++ b/src/wayslip/gateway/sharing/endpoint_paths.py
@@ -195,7 +195,7 @@
     async def _try_directly(self, endpoint: fleet.Endpoint) -> None:
         """Tries a lost path; keeps the connection if that succeeds."""
         try:
-            connection = await self.open(endpoint)
+            connection = await self._open_directly(endpoint)
         except errors.NotSentError as e:
             logs.event(
                 _LOG, "path_tried", endpoint=endpoint.name, reason=e.reason
