Hand the lease over while its holder reaches no engine

In the incident the holder was one of the instances that were cut off. It kept renewing the lease at the store, and could neither order nor read reports: report_failed for engine after engine, every 0.15 s for 12 s.

The holder now tells the paths which engines it can not connect to, so that others are asked.

test_lease_goes_to_an_instance_that_reaches_engines (holder and one more of three cut off, a model that has to be loaded) timed out without the change and passes. The harness closes connections that were opened before its links were.

--- a/src/wayslip/gateway/daemon.py
+++ b/src/wayslip/gateway/daemon.py
@@ -23,6 +23,7 @@
     detached_operation as detached_operation_module,
 )
 from wayslip.gateway.planning import engines as engines_module
+from wayslip.gateway.planning import link_watch
 from wayslip.gateway.planning import order_sender as order_sender_module
 from wayslip.gateway.planning import planner as planner_module
 from wayslip.gateway.serving import requests as requests_module
@@ -191,6 +192,11 @@
             self._peer_broadcast.list_peers,
             self.metrics,
         )
+        self.leadership.is_impaired = lambda: self.paths.is_cut_off
+        self._order_sender.on_unreachable = self.paths.note_unreachable
+        self._link_watch = link_watch.LinkWatch(
+            self.paths, self.leadership, self._announce_own_state
+        )
         self._tunnels = tunnel_service.TunnelService(
             options.peers,
             self.view,
@@ -326,6 +332,7 @@
             self._quarantine.run(),
             self._fair_shares.run(lambda: self._placement.instances),
             self._share_accounts.run(),
+            self._link_watch.run(),
             lag.observe(self.metrics),
         ):
             self._start_task(work)
@@ -367,7 +374,7 @@
             await self.leadership.release()
             # Announces that the lease is released, so that another instance
             # takes it before it would detect this itself.
-            self._announcer.announce_state(self._find_store_progress())
+            self._announce_own_state()
         limit = began + self._options.bounds.grace - _ABORT_SECONDS
         while clock.now() < limit:
             if clock.now() - began >= _BALANCER_SECONDS:
@@ -400,7 +407,10 @@
         With the next periodic state it would be known up to 0.25 s later.
         """
         if self.leadership.is_held:
-            self._announcer.announce_state(self._find_store_progress())
+            self._announce_own_state()
+
+    def _announce_own_state(self) -> None:
+        self._announcer.announce_state(self._find_store_progress())
 
     def _begin_term(self) -> None:
         self._configuration_sync.watcher.staleness.wake()
@@ -411,7 +421,7 @@
         self._share_accounts.begin()
         # Announces at once where to report. The previous holder must receive
         # this too, since it may be disconnected from the store.
-        self._announcer.announce_state(self._find_store_progress())
+        self._announce_own_state()
 
     def _end_term(self) -> None:
         self._planner.end()
--- a/src/wayslip/gateway/planning/order_sender.py
+++ b/src/wayslip/gateway/planning/order_sender.py
@@ -58,6 +58,11 @@
         self.may_call: Callable[[fleet.Endpoint], bool] = lambda endpoint: True
         # Returns the version of the configuration in force; set by the daemon.
         self.find_version: Callable[[], int | None] = lambda: None
+        # Told of an engine to which no connection could be opened, and whether
+        # it did not answer at all; set by the daemon.
+        self.on_unreachable: Callable[[fleet.Endpoint, bool], None] = (
+            lambda endpoint, is_silent: None
+        )
         self.claims = claims_module.Claims(options, store)
 
     # Orders
@@ -81,6 +86,9 @@
                 endpoint=tracked_engine.endpoint.name,
                 reason=e.reason,
             )
+            if isinstance(e, errors.NotSentError):
+                is_silent = not isinstance(e, errors.NobodyListensError)
+                self.on_unreachable(tracked_engine.endpoint, is_silent)
             return None
         is_new = tracked_engine.apply_report(state, clock.now())
         logs.event(
--- a/src/wayslip/gateway/sharing/endpoint_paths.py
+++ b/src/wayslip/gateway/sharing/endpoint_paths.py
@@ -44,6 +44,11 @@
 _ENOUGH_VERDICTS = 3
 # For how long an instance is asked last after it could not open a tunnel.
 _PEER_PAUSE_SECONDS = 1.0
+# Interval of questions to others about an endpoint that the planner does not
+# reach.
+_CHECK_PERIOD_SECONDS = 1.0
+# What others reached this long ago says that they do now.
+_MAX_WITNESS_AGE_SECONDS = 1.5
 
 Dial = Callable[[tuple[str, int], float], Awaitable[client.Connection]]
 Opener = Callable[[], Awaitable[client.Connection]]
@@ -81,6 +86,9 @@
         # Until when an instance is asked last, by address.
         self._pauses: dict[str, float] = {}
         self._reached_by_peer_at = 0.0
+        # When others may be asked for an endpoint again that the planner does
+        # not reach, by name.
+        self._next_checks: dict[str, float] = {}
         self._rng = random.Random()
         self._tasks = background.BackgroundTasks("path_trial_failed")
         self.dial: Dial = client.connect
@@ -95,6 +103,12 @@
         """Whether this instance reaches no endpoint, and others do."""
         return self._reachability.is_cut_off
 
+    @property
+    def is_cut_off_alone(self) -> bool:
+        """Whether it is cut off, and another instance lately was not."""
+        age = clock.now() - self._reached_by_peer_at
+        return self.is_cut_off and age < _MAX_WITNESS_AGE_SECONDS
+
     @property
     def is_in_doubt(self) -> bool:
         """Whether failures may be due to this instance's own links."""
@@ -122,6 +136,41 @@
         if self._reachability.note_failed(name, is_silent, now):
             self._note_lost(name)
 
+    def note_unreachable(
+        self, endpoint: fleet.Endpoint, is_silent: bool
+    ) -> None:
+        """Records a failure to connect, and asks others what they see.
+
+        Args:
+            endpoint: The endpoint.
+            is_silent: Whether it did not answer at all.
+        """
+        self.note_failed(endpoint.name, is_silent)
+        now = clock.now()
+        if now < self._next_checks.get(endpoint.name, 0.0):
+            return
+        self._next_checks = {
+            n: t for n, t in self._next_checks.items() if t > now
+        }
+        self._next_checks[endpoint.name] = now + _CHECK_PERIOD_SECONDS
+        self._tasks.start(self._ask_others(endpoint))
+
+    async def _ask_others(self, endpoint: fleet.Endpoint) -> None:
+        openers = [self._make_tunnel_opener(endpoint, p) for p in self._rank()]
+        if not openers:
+            return
+        try:
+            connection = await self._race(endpoint, openers)
+        except errors.NotSentError as e:
+            logs.event(
+                _LOG,
+                "endpoint_not_reached",
+                endpoint=endpoint.name,
+                reason=e.reason,
+            )
+            return
+        self.on_found(endpoint.name, connection)
+
     def forget(self, name: str) -> None:
         """Forgets an endpoint that was removed."""
         self._reachability.forget(name)
--- a/src/wayslip/gateway/sharing/leadership.py
+++ b/src/wayslip/gateway/sharing/leadership.py
@@ -43,6 +43,9 @@
 # 2.9 s where the holder was on a narrow link, and after 0.5 s otherwise.
 _LINK_DELAY_SECONDS = 0.25
 _LINK_HALF_BYTES_PER_S = 3_125_000.0
+# Delay of an instance that reaches no endpoint, and so could not order any:
+# longer than all other delays together.
+_IMPAIRED_DELAY_SECONDS = 1.0
 
 
 class Leadership:
@@ -51,6 +54,7 @@
     Attributes:
         observed: The record as last read, written or announced.
         seen_term: The highest term seen; messages of older ones are dropped.
+        is_impaired: Returns whether others should take the lease if they can.
     """
 
     def __init__(
@@ -104,6 +108,7 @@
         self._valid_until = 0.0
         self._renewal_timeout = renewal_timeout.RenewalTimeout()
         self.observed: lease.ObservedLease | None = None
+        self.is_impaired: Callable[[], bool] = lambda: False
 
     # State
 
@@ -392,6 +397,8 @@
         delay = _CORES_DELAY_SECONDS / (1.0 + self._options.cores)
         link = self._options.bytes_per_s
         delay += _LINK_DELAY_SECONDS / (1.0 + link / _LINK_HALF_BYTES_PER_S)
+        if self.is_impaired():
+            delay += _IMPAIRED_DELAY_SECONDS
         await asyncio.sleep(delay + random.uniform(0, _JITTER_SECONDS))
 
     async def _take(self, observed: lease.ObservedLease | None) -> None:
@@ -454,6 +461,13 @@
     async def release(self) -> None:
         """Releases the lease at a planned stop."""
         self._is_stopping = True
+        await self._give_up("it was released")
+
+    async def step_down(self) -> None:
+        """Releases the lease so that an instance in better shape takes it."""
+        await self._give_up("this instance reaches no endpoint")
+
+    async def _give_up(self, reason: str) -> None:
         if not self._is_held or self.observed is None:
             return
         try:
@@ -469,7 +483,9 @@
             logs.event(
                 _LOG, "lease_not_released", logging.WARNING, reason=e.reason
             )
-        self._lose("it was released")
+        # Another instance may have taken it meanwhile.
+        if self._is_held:
+            self._lose(reason)
 
     def _lose_to_rollback(self) -> None:
         """Handles that a restored store lost the lease; it may be retaken."""
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -102,6 +102,9 @@
         gateway.paths.dial = links.connect
         pool = gateway._platform.engines._pool
         seconds = pool._connect_seconds
+        # Open connections lead past the links.
+        pool.close()
+        gateway._requests.close()
         pool.open = lambda address: links.connect(address, seconds)
 
     async def kill(self, gateway):
--- a/tests/gateway/test_unreachable_endpoints.py
+++ b/tests/gateway/test_unreachable_endpoints.py
@@ -111,7 +111,7 @@
     system.links[cut].cut(links.State.WHOLE)
     before = len(system.links[cut].opened)
     rounds = 0
-    while cut.paths.dump()["lost"]:
+    while cut.paths.is_cut_off:
         rounds += 1
         await ask_round(system, cut, f"healing{rounds}")
     assert len(system.links[cut].opened) > before
@@ -192,3 +192,27 @@
     await system.until(lambda: not cut._quarantine._broken_attempts)
     assert not cut._quarantine
     assert not system.gateway._quarantine
+
+
+@harness.run
+async def test_lease_goes_to_an_instance_that_reaches_engines(system):
+    gateways = await make_fleet(system, 3)
+    system.links[gateways[0]].cut(links.State.RESET)
+    system.links[gateways[1]].cut(links.State.RESET)
+    asked = asyncio.create_task(keep_asking(system, gateways))
+    await system.until(lambda: gateways[2].leadership.is_valid)
+    assert not gateways[0].leadership.is_held
+    # Only a holder that reaches engines can have a model loaded.
+    await system.until(
+        lambda: any("m3" in e.models for e in system.engines.values()), 20
+    )
+    asked.cancel()
+
+
+async def keep_asking(system, gateways):
+    for n in range(400):
+        for gateway in gateways:
+            await system.ask(
+                "/gen/a", f"m{n}", "POST", at=gateway, **fields("m3")
+            )
+        await asyncio.sleep(0.02)
