Reproduce crashes of engines that announce that they are brittle

Server-Brittle = N in an answer says that the engine crashes if it turns more than N requests a second away for lack of room. Nothing reads it. The stand-in now announces it and crashes so; the tests fail on the code that stands: two of two engines crash under bursts from three instances, and one that has room for half of its slots.

--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -105,6 +105,11 @@
         report_lag: Age of the state that reports show, in seconds.
         limit: Requests per second that its answers announce as its limit,
             None to announce no limit.
+        brittle: Requests that it may turn away for lack of room in a second,
+            as its answers announce; with one more it crashes. None if it is
+            not brittle.
+        room: Requests that it takes at once, running or waiting; None for any
+            number.
         read_pause: Pause between two reads of a request's body, in seconds.
         calls: When each request, order and request for a report was
             received, in monotonic seconds.
@@ -120,6 +125,8 @@
     applied_orders: int = 0
     report_lag: float = 0.0
     limit: float | None = None
+    brittle: int | None = None
+    room: int | None = None
     read_pause: float = 0.0
     calls: list[float] = dataclasses.field(default_factory=list)
     _reports: list[tuple[float, dict[str, Any]]] = dataclasses.field(
@@ -130,6 +137,8 @@
     connections: int = 0
     left: int = 0
     is_ended: bool = False
+    _taken: int = 0
+    _turned_away: list[float] = dataclasses.field(default_factory=list)
     _server: asyncio.Server | None = None
     _open_connections: set[Connection] = dataclasses.field(default_factory=set)
 
@@ -178,16 +187,35 @@
         if request.target == "/wayslip/order":
             await self._take_order(request, connection)
             return
+        if self.room is not None and self._taken >= self.room:
+            await self._turn_away(request, connection)
+            return
         self.received.append(request)
+        self._taken += 1
         try:
             await self.script(self, request, connection)
         except ConnectionError:
             self.left += 1
             raise
+        finally:
+            self._taken -= 1
+
+    async def _turn_away(
+        self, request: ReceivedRequest, connection: Connection
+    ) -> None:
+        """Refuses a request for lack of room; a brittle engine may crash."""
+        now = time.monotonic()
+        self._turned_away = [t for t in self._turned_away if now - t < 1.0]
+        self._turned_away.append(now)
+        if self.brittle is not None and len(self._turned_away) > self.brittle:
+            self.crash()
+            return
+        await connection.answer(request, b"", 503, Wayslip_Not_Executed="1")
 
     def make_headers(self) -> dict[str, str]:
-        """Returns the headers of all its answers, which announce its limit."""
-        return {} if self.limit is None else {"Server-Limit": str(self.limit)}
+        """Returns the headers of all its answers, which announce its limits."""
+        named = {"Server-Limit": self.limit, "Server-Brittle": self.brittle}
+        return {k: str(v) for k, v in named.items() if v is not None}
 
     def _delayed_report(self) -> dict[str, Any]:
         """Returns the report as it was `report_lag` seconds ago."""
--- /dev/null
+++ b/tests/gateway/test_brittle_engines.py
@@ -0,0 +1,80 @@
+"""Engines that crash when they turn more than some requests away in a second.
+
+Guards against instances that ignore what such engines announce: each sends
+while its own count of requests seems to fit.
+"""
+
+import asyncio
+
+from tests.gateway import harness
+
+SLOTS = 8
+
+
+async def work(engine, request, connection):
+    await asyncio.sleep(0.05)
+    await connection.answer(request, engine.name.encode())
+
+
+async def add_brittle(system, count, allowed=1):
+    """Adds engines of the plain service; returns them."""
+    engines = []
+    for n in range(count):
+        engine = await system.add(f"e{n}", "plain", script=work)
+        engine.brittle = allowed
+        engines.append(engine)
+    return engines
+
+
+async def join(system, count):
+    gateways = [system.gateway]
+    for n in range(2, count + 1):
+        gateways.append(await system.join(f"g{n}"))
+    return gateways
+
+
+async def learn(system, gateways):
+    """Sends requests until all instances know what the engines announce."""
+    for n in range(4):
+        for gateway in gateways:
+            await system.ask("/get/a", f"l{n}", at=gateway)
+
+
+async def flood(system, gateways, rounds, size, path="/get/a"):
+    """Sends bursts to all instances; returns the answers."""
+    answers = []
+    for number in range(rounds):
+        answers += await asyncio.gather(
+            *(
+                system.ask(path, f"f{number}-{n}", at=gateway)
+                for n in range(size)
+                for gateway in gateways
+            )
+        )
+    return answers
+
+
+@harness.run
+async def test_bursts_crash_no_brittle_engine(system):
+    engines = await add_brittle(system, 2)
+    gateways = await join(system, 3)
+    await learn(system, gateways)
+    for engine in engines:
+        # Fewer may wait from now on.
+        engine.room = SLOTS
+    answers = await flood(system, gateways, 8, 12)
+    assert not any(e.is_ended for e in engines)
+    served = sum(a.status == 200 for a in answers)
+    assert served >= len(answers) / 4
+    refused = [a for a in answers if a.status == 503]
+    assert all(float(a.headers["retry-after"]) > 0 for a in refused)
+
+
+@harness.run
+async def test_engine_with_less_room_than_slots_does_not_crash(system):
+    engines = await add_brittle(system, 1)
+    gateways = await join(system, 3)
+    await learn(system, gateways)
+    engines[0].room = SLOTS // 2
+    await flood(system, gateways, 8, 6)
+    assert not engines[0].is_ended
