Keep brittle engines from having to turn requests away

An engine that announces Server-Brittle = N falls over once it turns more than N requests a second away for lack of room. Nothing read it; each instance sent while its own count seemed to fit, so all filled the last places at once.

The lease holder now counts every request to such an endpoint, from the grant of a place to its return (decisions/places). How many places there are is learned: those in use without a refusal, one more at a time while all are in use, up to the slots; a refusal lowers the number with the same message that returns the place. Reports make up for lost messages. Without a holder each instance keeps to its share. Who gets no place waits or is told when one is expected. A successor of an engine that fell counts as brittle until it has answered.

--- /dev/null
+++ b/src/wayslip/decisions/places.py
@@ -0,0 +1,216 @@
+"""Places at brittle endpoints, which crash if they refuse too many requests.
+
+Load pattern: an endpoint announces that it crashes once it turns more than a
+few requests away in a second, and lets fewer wait than before. Each of many
+instances knows the requests of the others as of some time ago, so all may fill
+the last slot at once.
+
+The lease holder therefore counts every request that is sent to such an
+endpoint, from the grant of a place to its return. How many places there are is
+learned: those that were in use without a refusal, and one more at a time while
+all are in use, up to the endpoint's slots. A refusal lowers the number at once,
+before the next place is granted, so that a second one does not follow.
+
+Times are steady seconds.
+"""
+
+import collections
+import dataclasses
+
+from wayslip.decisions import fleet
+from wayslip.decisions import permits
+
+# A report shows a request that was sent this long before it arrived.
+_REPORT_SECONDS = 0.5
+# Places regained a second after a refusal; a wrong guess costs one more.
+_REGAIN_PER_SECOND = 0.5
+# Bounds of the wait that a refused instance is told.
+_MIN_WAIT_SECONDS = 0.1
+_MAX_WAIT_SECONDS = 5.0
+# Time over which returns and refusals are counted for that wait.
+_RATE_SECONDS = 1.0
+# Places of an endpoint at which nothing is known to be in flight.
+_FIRST_PLACES = 2
+# Interval at which places are added while all are in use: one at a time, since
+# the place added last may be refused.
+_GROWTH_SECONDS = 0.1
+# No place is added for this long after a refusal, longer than the second in
+# which refusals count.
+_FROZEN_SECONDS = 1.5
+# A holder knows what the others have sent once all have reported.
+_FIRST_REPORTS_SECONDS = 0.4
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Depth:
+    """How many requests an endpoint takes, as a refusal showed.
+
+    Attributes:
+        places: Requests that it had when it refused another one.
+        at: When that was.
+    """
+
+    places: int
+    at: float
+
+    def find(self, slots: int, now: float) -> int:
+        """Returns the places that there may be now."""
+        regained = int(max(now - self.at, 0.0) * _REGAIN_PER_SECOND)
+        return max(min(self.places + regained, slots), 1)
+
+
+class _Ledger:
+    """The places of one endpoint."""
+
+    def __init__(self, reported: dict[str, int]) -> None:
+        """Initializes the ledger.
+
+        Args:
+            reported: What instances reported to have in flight there.
+        """
+        # When each place was granted, by instance.
+        self.granted: dict[str, collections.deque[float]] = {}
+        self.reported = reported
+        self.returned: collections.deque[float] = collections.deque()
+        self.refused: collections.deque[float] = collections.deque()
+        self.limit = max(self.count(), _FIRST_PLACES)
+        self._grows_at = 0.0
+
+    def note_return(self, count: int, is_refused: bool, now: float) -> None:
+        """Learns from a request that left the endpoint.
+
+        Args:
+            count: Requests in flight before.
+            is_refused: Whether the endpoint refused it for lack of room.
+            now: Steady seconds.
+        """
+        if is_refused:
+            self.limit = max(min(self.limit, count) - 1, 1)
+            self._grows_at = now + _FROZEN_SECONDS
+        elif count >= self.limit and now >= self._grows_at:
+            self.limit += 1
+            self._grows_at = now + _GROWTH_SECONDS
+
+    def count(self) -> int:
+        """Returns the requests in flight, as far as is known."""
+        return sum(
+            max(len(self.granted.get(name, ())), self.reported.get(name, 0))
+            for name in {*self.granted, *self.reported}
+        )
+
+    def estimate_wait(self, now: float) -> float:
+        """Returns the seconds until a place is free that nobody waits for."""
+        for times in (self.returned, self.refused):
+            while times and now - times[0] > _RATE_SECONDS:
+                times.popleft()
+        rate = max(len(self.returned), 1) / _RATE_SECONDS
+        wait = (len(self.refused) + 1) / rate
+        return min(max(wait, _MIN_WAIT_SECONDS), _MAX_WAIT_SECONDS)
+
+
+class Places:
+    """The lease holder's count of places. It does no I/O."""
+
+    def __init__(self) -> None:
+        self._ledgers: dict[fleet.Incarnation, _Ledger] = {}
+        # What instances reported, by endpoint; kept for all endpoints, since
+        # any may announce that it is brittle.
+        self._usages: dict[str, dict[str, int]] = {}
+        self._began = 0.0
+
+    def begin(self, now: float) -> None:
+        """Begins a term, in which nothing is known of earlier grants."""
+        self._ledgers.clear()
+        self._usages.clear()
+        self._began = now
+
+    def take(
+        self, start: fleet.Incarnation, instance: str, places: int, now: float
+    ) -> permits.Verdict:
+        """Grants a place, or says when one may be free.
+
+        Args:
+            start: The endpoint's incarnation.
+            instance: The instance that asks.
+            places: How many places the endpoint has.
+            now: Steady seconds.
+        """
+        left = self._began + _FIRST_REPORTS_SECONDS - now
+        if left > 0:
+            return permits.Verdict(False, left)
+        ledger = self._find(start)
+        if ledger.count() >= min(places, ledger.limit):
+            wait = ledger.estimate_wait(now)
+            ledger.refused.append(now)
+            return permits.Verdict(False, wait)
+        ledger.granted.setdefault(instance, collections.deque()).append(now)
+        return permits.GRANTED
+
+    def give_back(
+        self,
+        start: fleet.Incarnation,
+        instance: str,
+        is_refused: bool,
+        now: float,
+    ) -> None:
+        """Records that a request left the endpoint, or was not sent.
+
+        Args:
+            start: The endpoint's incarnation.
+            instance: The instance that held the place.
+            is_refused: Whether the endpoint refused it for lack of room.
+            now: Steady seconds.
+        """
+        ledger = self._find(start)
+        ledger.note_return(ledger.count(), is_refused, now)
+        ledger.returned.append(now)
+        granted = ledger.granted.get(instance)
+        if granted:
+            granted.popleft()
+        reported = ledger.reported.get(instance, 0)
+        ledger.reported[instance] = max(reported - 1, 0)
+
+    def reconcile(
+        self, instance: str, usages: dict[str, int], now: float
+    ) -> None:
+        """Applies an instance's report: requests in flight by endpoint.
+
+        Places that it should show and does not were given back by a message
+        that was lost.
+        """
+        for start, ledger in self._ledgers.items():
+            count = usages.get(start.endpoint, 0)
+            ledger.reported[instance] = count
+            granted = ledger.granted.get(instance, collections.deque())
+            while len(granted) > count and now - granted[0] > _REPORT_SECONDS:
+                granted.popleft()
+        self._usages[instance] = usages
+
+    def forget(self, endpoint: str) -> None:
+        """Removes an endpoint that is gone."""
+        for start in [s for s in self._ledgers if s.endpoint == endpoint]:
+            del self._ledgers[start]
+
+    def _find(self, start: fleet.Incarnation) -> _Ledger:
+        ledger = self._ledgers.get(start)
+        if ledger is None:
+            ledger = _Ledger(
+                {
+                    name: usages.get(start.endpoint, 0)
+                    for name, usages in self._usages.items()
+                }
+            )
+            self._ledgers[start] = ledger
+        return ledger
+
+
+def find_share(places: int, instances: int, draw: float) -> int:
+    """Returns an instance's places while there is no lease holder.
+
+    Args:
+        places: How many places the endpoint has.
+        instances: Number of instances.
+        draw: A number from [0, 1), constant for an instance and endpoint.
+    """
+    share = places / max(instances, 1)
+    return int(share) if share >= 1 else int(draw < share)
--- a/src/wayslip/gateway/daemon.py
+++ b/src/wayslip/gateway/daemon.py
@@ -41,6 +41,7 @@
 from wayslip.gateway.sharing import members as members_module
 from wayslip.gateway.sharing import peer_broadcast
 from wayslip.gateway.sharing import permit_broker as permit_broker_module
+from wayslip.gateway.sharing import place_broker as place_broker_module
 from wayslip.gateway.sharing import placement as placement_module
 from wayslip.gateway.sharing import quarantine as quarantine_module
 from wayslip.gateway.sharing import quota_accounts as quota_accounts_module
@@ -166,6 +167,15 @@
             lambda: self._placement.has_recent_state,
             lambda: self._placement.instances,
         )
+        self._place_broker = place_broker_module.PlaceBroker(
+            options.name,
+            self.view,
+            self._hub,
+            self.leadership,
+            self._peer_broadcast,
+            self._permit_broker,
+            self.metrics,
+        )
         self._order_sender.may_call = self._permit_broker.may_call
         self._fair_shares = fair_shares_module.FairShares(
             options.name,
@@ -216,6 +226,7 @@
             self._quarantine,
             self._report_leaving,
             self._permit_broker,
+            self._place_broker,
             self._fair_shares,
             self.paths,
         )
@@ -417,6 +428,7 @@
         self._endpoints.watcher.staleness.wake()
         self._planner.begin()
         self._permit_broker.begin_term()
+        self._place_broker.begin_term()
         self._quarantine.begin_term()
         self._share_accounts.begin()
         # Announces at once where to report. The previous holder must receive
@@ -437,6 +449,8 @@
     def _handle_message(
         self, message: facts.Message, source: hub_module.Address
     ) -> None:
+        if isinstance(message, facts.Report):
+            self._place_broker.note_report(message)
         if isinstance(message, facts.State):
             self._placement.apply_state(message)
             self._apply_store_progress(message)
@@ -462,6 +476,12 @@
             self._permit_broker.answer(message, source)
         elif isinstance(message, facts.PermitResponse):
             self._permit_broker.apply_response(message)
+        elif isinstance(message, facts.Brittle):
+            self._place_broker.apply_update(message, source[0])
+        elif isinstance(message, facts.PlaceRequest):
+            self._place_broker.answer(message, source)
+        elif isinstance(message, facts.PlaceReturn):
+            self._place_broker.apply_return(message)
         elif isinstance(message, facts.ShareReport):
             if self.leadership.is_held:
                 self._share_accounts.record_report(message)
--- a/src/wayslip/gateway/dialect.py
+++ b/src/wayslip/gateway/dialect.py
@@ -87,6 +87,8 @@
             doesn't ask.
         limit: Requests per second that it accepts from all instances together,
             None if it names no limit.
+        brittle: Requests that the endpoint may turn away for lack of room in a
+            second; with more it crashes. None if it is not brittle.
     """
 
     is_genuine: bool
@@ -97,6 +99,7 @@
     load: fleet.Load | None = None
     backoff: float | None = None
     limit: float | None = None
+    brittle: int | None = None
 
 
 class Dialect(Protocol):
--- a/src/wayslip/gateway/serving/attempts.py
+++ b/src/wayslip/gateway/serving/attempts.py
@@ -15,6 +15,7 @@
 from wayslip.gateway.serving import jobs
 from wayslip.gateway.sharing import endpoint_paths
 from wayslip.gateway.sharing import permit_broker as permit_broker_module
+from wayslip.gateway.sharing import place_broker as place_broker_module
 from wayslip.gateway.sharing import quarantine as quarantine_module
 from wayslip.gateway.sharing import view as view_module
 from wayslip.http1 import client
@@ -39,6 +40,7 @@
         quarantine: quarantine_module.Quarantine,
         report_leaving: Callable[[fleet.Endpoint], None],
         permit_broker: permit_broker_module.PermitBroker,
+        place_broker: place_broker_module.PlaceBroker,
         paths: endpoint_paths.EndpointPaths,
     ) -> None:
         """Initializes without open connections.
@@ -52,8 +54,10 @@
             report_leaving: Called with an endpoint whose answer says that it
                 takes no new work.
             permit_broker: Records the rate limits that answers name.
+            place_broker: Records which endpoints are brittle.
             paths: Opens connections to endpoints.
         """
+        self._place_broker = place_broker
         self._paths = paths
         self._permit_broker = permit_broker
         self._report_leaving = report_leaving
@@ -75,6 +79,7 @@
     ) -> retry.Failure | None:
         """Sends a request to an endpoint; returns None once it is answered."""
         job.endpoint = choice.name
+        job.lacked_room = False
         tracked = self._view.tracked[choice.name]
         active = self._view.begin(choice.name, job.traits, job.rank)
         depth = self._find_depth(job)
@@ -188,6 +193,10 @@
             self._permit_broker.note_answer(
                 active.tracked.endpoint, answer.limit, sent_at
             )
+        if answer.brittle is not None or answer.is_genuine:
+            self._place_broker.note_answer(
+                active.tracked.endpoint, answer.brittle, sent_at
+            )
         if answer.is_refusal:
             await self._read_body(connection)
             logs.event(
@@ -235,6 +244,10 @@
         elif answer.is_misdirected:
             self._view.note_failed_attempt(active)
         elif not answer.is_leaving and answer.backoff is None:
+            job.lacked_room = True
+            self._place_broker.note_refusal(
+                active.tracked.endpoint, answer.load
+            )
             self.on_full(job, active.tracked.endpoint.name)
 
     def _return_to_pool(
--- a/src/wayslip/gateway/serving/endpoint_chooser.py
+++ b/src/wayslip/gateway/serving/endpoint_chooser.py
@@ -9,6 +9,7 @@
 from wayslip import clock
 from wayslip import logs
 from wayslip import metrics as metrics_module
+from wayslip.decisions import fleet
 from wayslip.decisions import load_timing
 from wayslip.decisions import retry
 from wayslip.decisions import selection
@@ -22,12 +23,15 @@
 from wayslip.gateway.serving import profiles as profiles_module
 from wayslip.gateway.serving import waiting_room
 from wayslip.gateway.sharing import permit_broker as permit_broker_module
+from wayslip.gateway.sharing import place_broker as place_broker_module
 from wayslip.gateway.sharing import placement as placement_module
 from wayslip.gateway.sharing import view as view_module
 
 _LOG = logging.getLogger(__name__)
 # Retry-After if no endpoint of a plain service is known.
 _UNKNOWN_RETRY_AFTER_SECONDS = 1.0
+# Pause before an instance asks again for a place at an endpoint without room.
+_PLACE_RETRY_SECONDS = 0.1
 # Clients retry after at most this share of the time that they have left,
 # whatever Retry-After says (from the operators' documentation).
 _MAX_RETRY_AFTER_SHARE = 1 / 3
@@ -42,6 +46,7 @@
         view: view_module.EndpointView,
         placement: placement_module.Placement,
         permit_broker: permit_broker_module.PermitBroker,
+        place_broker: place_broker_module.PlaceBroker,
         responder: jobs.Responder,
         metrics: metrics_module.Metrics,
         has_idle: Callable[[str], bool],
@@ -56,6 +61,7 @@
             view: What this instance knows of the endpoints.
             placement: Requests loads of models.
             permit_broker: Grants permits at endpoints with a rate limit.
+            place_broker: Grants places at brittle endpoints.
             responder: Answers requests and logs outcomes.
             metrics: Records the age of the known load.
             has_idle: Returns whether an endpoint has an idle connection.
@@ -72,6 +78,7 @@
         self._view = view
         self._placement = placement
         self._permit_broker = permit_broker
+        self._place_broker = place_broker
         self._responder = responder
         self._metrics = metrics
         self._has_idle = has_idle
@@ -251,9 +258,38 @@
             return False
         if verdict.wait:
             await asyncio.sleep(verdict.wait)
+        if not await self._take_place(job, endpoint):
+            return False
         tracked = self._view.tracked.get(choice.name)
         return tracked is not None and not tracked.endpoint.is_leaving
 
+    async def _take_place(
+        self, job: jobs.Job, endpoint: fleet.Endpoint
+    ) -> bool:
+        """Takes a place at a brittle endpoint; returns whether there was one.
+
+        A place at another endpoint, which was not used, is given back.
+        """
+        self.give_back_place(job)
+        if self._view.notices.find_brittle(endpoint) is None:
+            return True
+        verdict = await self._place_broker.take(endpoint, job.traits.request_id)
+        if verdict.is_granted:
+            job.place = endpoint.incarnation
+            return True
+        job.room_wait = verdict.wait
+        # Others may be given the next place, so that it is asked for again
+        # long before this request's turn.
+        pause = min(verdict.wait, _PLACE_RETRY_SECONDS)
+        self._view.notices.note_exhausted(endpoint, pause)
+        return False
+
+    def give_back_place(self, job: jobs.Job) -> None:
+        """Gives the place of a request back, if it holds one."""
+        place, job.place = job.place, None
+        if place is not None:
+            self._place_broker.give_back(place, job.lacked_room)
+
     def _choose(self, job: jobs.Job) -> selection.Choice | None:
         """Returns the endpoint that is best for a request, with a log line."""
         choice = self._pick(job)
@@ -379,6 +415,7 @@
         backoff_seconds = self._endpoint_backoff.find_retry_after(job)
         if backoff_seconds is not None:
             reason = "endpoints_rest"
+            backoff_seconds = max(backoff_seconds, job.room_wait)
             wait = (
                 backoff_seconds if wait is None else min(wait, backoff_seconds)
             )
--- a/src/wayslip/gateway/serving/jobs.py
+++ b/src/wayslip/gateway/serving/jobs.py
@@ -8,6 +8,7 @@
 from wayslip import logs
 from wayslip import metrics as metrics_module
 from wayslip.decisions import contents
+from wayslip.decisions import fleet
 from wayslip.decisions import load_timing
 from wayslip.decisions import manifest as manifest_module
 from wayslip.decisions import organisations
@@ -50,6 +51,9 @@
         is_probe: Whether it is sent although its content is blocked.
         share_units: Units counted as used in the share of its organisation.
         timing: How long loads of its service take.
+        place: The brittle endpoint at which it holds a place.
+        lacked_room: Whether its last attempt was refused for lack of room.
+        room_wait: Seconds until a brittle endpoint is expected to have room.
     """
 
     exchange: server.Exchange
@@ -78,6 +82,9 @@
     is_probe: bool = False
     share_units: float = 0.0
     timing: load_timing.Timing = load_timing.DEFAULT
+    place: fleet.Incarnation | None = None
+    lacked_room: bool = False
+    room_wait: float = 0.0
 
     @functools.cached_property
     def content(self) -> bytes:
--- a/src/wayslip/gateway/serving/requests.py
+++ b/src/wayslip/gateway/serving/requests.py
@@ -28,6 +28,7 @@
 from wayslip.gateway.sharing import fair_shares as fair_shares_module
 from wayslip.gateway.sharing import limits as limits_module
 from wayslip.gateway.sharing import permit_broker as permit_broker_module
+from wayslip.gateway.sharing import place_broker as place_broker_module
 from wayslip.gateway.sharing import placement as placement_module
 from wayslip.gateway.sharing import quarantine as quarantine_module
 from wayslip.gateway.sharing import view as view_module
@@ -56,6 +57,7 @@
         quarantine: quarantine_module.Quarantine,
         report_leaving: Callable[[fleet.Endpoint], None],
         permit_broker: permit_broker_module.PermitBroker,
+        place_broker: place_broker_module.PlaceBroker,
         fair_shares: fair_shares_module.FairShares,
         paths: endpoint_paths.EndpointPaths,
     ) -> None:
@@ -75,6 +77,7 @@
             report_leaving: Called with an endpoint whose answer says that it
                 takes no new work.
             permit_broker: Grants permits at endpoints with a rate limit.
+            place_broker: Grants places at brittle endpoints.
             fair_shares: Keeps organisations to their shares of a service.
             paths: Opens connections to endpoints.
         """
@@ -98,6 +101,7 @@
             quarantine,
             report_leaving,
             permit_broker,
+            place_broker,
             paths,
         )
         self._endpoint_chooser = endpoint_chooser.EndpointChooser(
@@ -105,6 +109,7 @@
             view,
             placement,
             permit_broker,
+            place_broker,
             self._responder,
             metrics,
             self._attempts.pool.has_idle,
@@ -163,6 +168,7 @@
             self._responder.record_job_outcome(job, "client_left", 0)
             raise
         finally:
+            self._endpoint_chooser.give_back_place(job)
             if job.caller is not None and not job.is_sent:
                 self._limiter.refund(job.caller, job.units)
                 self._share_gate.refund(job)
@@ -328,7 +334,10 @@
             if not self._check_key(job) or not self._check_content(job):
                 return
             job.met_full_queue = False
-            failure = await self._attempts.make(job, choice)
+            try:
+                failure = await self._attempts.make(job, choice)
+            finally:
+                self._endpoint_chooser.give_back_place(job)
             if failure is None:
                 return
             if not job.met_full_queue:
--- a/src/wayslip/gateway/sharing/datagrams.py
+++ b/src/wayslip/gateway/sharing/datagrams.py
@@ -42,6 +42,9 @@
     17: facts.SpeedState,
     18: facts.ShareReport,
     19: facts.ShareState,
+    20: facts.Brittle,
+    21: facts.PlaceRequest,
+    22: facts.PlaceReturn,
 }
 _NUMBERS = {kind: number for number, kind in _KINDS.items()}
 # Fields that hold a single value of a message type.
--- a/src/wayslip/gateway/sharing/endpoint_notices.py
+++ b/src/wayslip/gateway/sharing/endpoint_notices.py
@@ -7,24 +7,30 @@
 """
 
 import dataclasses
+import math
+from typing import Any
 
 from wayslip import clock
 from wayslip.decisions import fleet
+from wayslip.decisions import places
 
 # Incarnations whose notices are kept; the oldest are dropped.
 _MAX_STARTS = 2000
+# How long an endpoint that has not answered yet counts as brittle after another
+# one of its service said so. One that crashed is back after some seconds.
+_SERVICE_SECONDS = 10.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Limit:
-    """A rate limit that an endpoint names.
+class _Statement:
+    """A number that an endpoint states; a lower one is stricter.
 
     Attributes:
-        rate: Requests per second.
-        received_at: When it was last named, steady seconds.
+        value: The number.
+        received_at: When it was last stated, steady seconds.
     """
 
-    rate: float
+    value: float
     received_at: float
 
 
@@ -36,7 +42,14 @@
         self._backoffs: dict[fleet.Incarnation, float] = {}
         # Until when all permits of a limited endpoint are taken.
         self._exhausted: dict[fleet.Incarnation, float] = {}
-        self._limits: dict[fleet.Incarnation, _Limit] = {}
+        self._limits: dict[fleet.Incarnation, _Statement] = {}
+        # Refusals a second that brittle endpoints bear, the same by service
+        # with the time it was last stated, endpoints that are not brittle, and
+        # how many requests they have room for.
+        self._brittle: dict[fleet.Incarnation, _Statement] = {}
+        self._brittle_services: dict[str, tuple[int, float]] = {}
+        self._sound: dict[fleet.Incarnation, None] = {}
+        self._depths: dict[fleet.Incarnation, places.Depth] = {}
 
     def note_leaving(self, start: fleet.Incarnation) -> bool:
         """Records that an endpoint takes no new work any more.
@@ -105,22 +118,9 @@
         Returns:
             Whether the known limit changed.
         """
-        known = self._limits.get(start)
-        if known is None and rate is None:
-            return False
-        if known is not None and sent_at < known.received_at:
-            allows_more = rate is None or rate >= known.rate
-            if allows_more:
-                return False
-        is_new = known is None or known.rate != rate
-        if is_new:
+        is_new = _note(self._limits, start, rate, sent_at)
+        if is_new and rate is not None:
             self._exhausted.pop(start, None)
-        if rate is None:
-            del self._limits[start]
-            return True
-        self._limits[start] = _Limit(rate, clock.now())
-        if len(self._limits) > _MAX_STARTS:
-            del self._limits[next(iter(self._limits))]
         return is_new
 
     def find_limit(self, start: fleet.Incarnation) -> float | None:
@@ -130,7 +130,102 @@
             Requests per second from all instances together, None for no limit.
         """
         known = self._limits.get(start)
-        return None if known is None else known.rate
+        return None if known is None else known.value
+
+    # Brittle endpoints
+
+    def note_brittle(
+        self, endpoint: fleet.Endpoint, allowed: int | None, sent_at: float
+    ) -> bool:
+        """Records that an answer names its endpoint brittle, or does not.
+
+        Args:
+            endpoint: The endpoint.
+            allowed: Refusals a second that it bears, None if not brittle.
+            sent_at: When the answer's request was sent, steady seconds.
+
+        Returns:
+            Whether that is news.
+        """
+        start = endpoint.incarnation
+        is_new = _note(self._brittle, start, allowed, sent_at)
+        if allowed is not None:
+            self._brittle_services[endpoint.service] = (allowed, clock.now())
+            return is_new
+        if start not in self._brittle:
+            self._depths.pop(start, None)
+            self._sound[start] = None
+            _evict_oldest(self._sound)
+        return is_new
+
+    def find_brittle(self, endpoint: fleet.Endpoint) -> int | None:
+        """Returns the refusals a second that a brittle endpoint bears.
+
+        An endpoint that has not answered yet counts as brittle if another one
+        of its service lately was: it may be the successor of one that crashed.
+
+        Returns:
+            None for an endpoint that is not brittle.
+        """
+        known = self._brittle.get(endpoint.incarnation)
+        if known is not None:
+            return int(known.value)
+        if endpoint.incarnation in self._sound:
+            return None
+        allowed, at = self._brittle_services.get(
+            endpoint.service, (None, -math.inf)
+        )
+        return allowed if clock.now() - at < _SERVICE_SECONDS else None
+
+    def note_depth(self, start: fleet.Incarnation, count: int) -> bool:
+        """Records how many requests a brittle endpoint has room for."""
+        known = self._depths.get(start)
+        now = clock.now()
+        if known is not None and known.find(count + 1, now) <= count:
+            return False
+        self._depths.pop(start, None)
+        self._depths[start] = places.Depth(count, now)
+        _evict_oldest(self._depths)
+        return True
+
+    def find_places(self, endpoint: fleet.Endpoint) -> int:
+        """Returns how many requests a brittle endpoint may have at once."""
+        known = self._depths.get(endpoint.incarnation)
+        if known is None:
+            return max(endpoint.slots, 1)
+        return known.find(endpoint.slots, clock.now())
+
+
+def _note(
+    known: dict[fleet.Incarnation, _Statement],
+    start: fleet.Incarnation,
+    value: float | None,
+    sent_at: float,
+) -> bool:
+    """Records a statement; returns whether it differs from what was known.
+
+    Answers may arrive out of order. An answer to a request that was sent before
+    the last statement arrived may be older than that, so that it may name a
+    stricter number but not a higher one, or none.
+    """
+    last = known.get(start)
+    if last is None and value is None:
+        return False
+    if last is not None and sent_at < last.received_at:
+        allows_more = value is None or value >= last.value
+        if allows_more:
+            return False
+    if value is None:
+        del known[start]
+        return True
+    known[start] = _Statement(value, clock.now())
+    _evict_oldest(known)
+    return last is None or last.value != value
+
+
+def _evict_oldest(entries: dict[fleet.Incarnation, Any]) -> None:
+    if len(entries) > _MAX_STARTS:
+        del entries[next(iter(entries))]
 
 
 def _find_left(
--- a/src/wayslip/gateway/sharing/facts.py
+++ b/src/wayslip/gateway/sharing/facts.py
@@ -463,6 +463,54 @@
     wait: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Brittle:
+    """An endpoint announced whether it is brittle, or refused a request.
+
+    Attributes:
+        allowed: Refusals for lack of room that it bears a second, None if it
+            is not brittle.
+        places: Requests that it has room for after a refusal, 0 without one.
+    """
+
+    endpoint: str
+    born: int
+    allowed: int | None
+    places: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlaceRequest:
+    """Asks the lease holder for a place; see `decisions.places`.
+
+    It is answered by a `PermitResponse`.
+
+    Attributes:
+        number: Identifies the request among those of the sender.
+        places: How many places the endpoint has, as the sender knows it.
+    """
+
+    number: int
+    instance: str
+    endpoint: str
+    born: int
+    places: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlaceReturn:
+    """Tells the lease holder that a request has left an endpoint.
+
+    Attributes:
+        is_refused: Whether the endpoint refused it for lack of room.
+    """
+
+    instance: str
+    endpoint: str
+    born: int
+    is_refused: bool = False
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class SpeedSample:
     """How long work takes at an endpoint; see `decisions.speed`.
@@ -566,6 +614,9 @@
     | Limited
     | PermitRequest
     | PermitResponse
+    | Brittle
+    | PlaceRequest
+    | PlaceReturn
     | SpeedReport
     | SpeedState
     | ShareReport
--- a/src/wayslip/gateway/sharing/permit_broker.py
+++ b/src/wayslip/gateway/sharing/permit_broker.py
@@ -102,7 +102,7 @@
         self._leadership = leadership
         self._peer_broadcast = peer_broadcast
         self._has_holder_contact = has_holder_contact
-        self._count_instances = count_instances
+        self.count_instances = count_instances
         self._granted = _Buckets(permits.BURST)
         self._calls = _Buckets(1.0)
         # This instance's share of limits, without contact to a lease holder.
@@ -191,29 +191,34 @@
     ) -> tuple[permits.Verdict, str]:
         if self._leadership.is_held:
             return self._granted.take(start, limit, max_wait), "own"
-        if self._has_holder_contact():
-            verdict = await self._request_permit(start, limit, max_wait)
-            if verdict is not None:
-                # The local share accumulates only without a lease holder.
-                self._local.discard(start)
-                return verdict, "holder"
+        verdict = await self.ask_holder(
+            lambda number: facts.PermitRequest(
+                number, start.endpoint, start.born, limit, max_wait
+            )
+        )
+        if verdict is not None:
+            # The local share accumulates only without a lease holder.
+            self._local.discard(start)
+            return verdict, "holder"
         return self._take_from_share(start, limit, max_wait), "part"
 
-    async def _request_permit(
-        self, start: fleet.Incarnation, limit: float, max_wait: float
+    async def ask_holder(
+        self, make_request: Callable[[int], facts.Message]
     ) -> permits.Verdict | None:
-        """Asks the lease holder; returns None if it doesn't answer."""
+        """Asks the lease holder; returns None if it doesn't answer.
+
+        Args:
+            make_request: Returns the message with a number; a
+                `PermitResponse` answers it.
+        """
         holder = self._leadership.holder_address
-        if holder is None:
+        if holder is None or not self._has_holder_contact():
             return None
         self._last_number += 1
         number = self._last_number
         answer = asyncio.get_running_loop().create_future()
         self._pending[number] = answer
-        request = facts.PermitRequest(
-            number, start.endpoint, start.born, limit, max_wait
-        )
-        self._hub.send(request, addresses.split_address(holder))
+        self._hub.send(make_request(number), addresses.split_address(holder))
         try:
             async with asyncio.timeout(_RESPONSE_TIMEOUT_SECONDS):
                 return await answer
@@ -226,8 +231,9 @@
         self, start: fleet.Incarnation, limit: float, max_wait: float
     ) -> permits.Verdict:
         """Takes a permit from this instance's share of a limit."""
-        draw = _draw(self._name, start)
-        share = permits.find_share(limit, self._count_instances(), draw)
+        share = permits.find_share(
+            limit, self.count_instances(), draw(self._name, start)
+        )
         if share is None:
             return permits.Verdict(False, _EXCLUDED_RETRY_SECONDS)
         return self._local.take(start, share, max_wait)
@@ -281,7 +287,7 @@
         return may_call
 
 
-def _draw(name: str, start: fleet.Incarnation) -> float:
+def draw(name: str, start: fleet.Incarnation) -> float:
     """Returns a number from [0, 1), the same for an instance and endpoint."""
     text = f"{name}/{start.endpoint}/{start.born}".encode()
     digest = hashlib.blake2b(text, digest_size=_DRAW_BYTES).digest()
--- /dev/null
+++ b/src/wayslip/gateway/sharing/place_broker.py
@@ -0,0 +1,266 @@
+"""Requests, grants and returns places at brittle endpoints.
+
+See `decisions.places`. Before an instance sends a request to an endpoint that
+announces to be brittle, it asks the lease holder for a place, and returns it
+once the request has left the endpoint. Without a holder it keeps to its share.
+"""
+
+import logging
+
+from wayslip import addresses
+from wayslip import clock
+from wayslip import logs
+from wayslip import metrics as metrics_module
+from wayslip.decisions import fleet
+from wayslip.decisions import permits
+from wayslip.decisions import places as places_module
+from wayslip.gateway.sharing import facts
+from wayslip.gateway.sharing import hub as hub_module
+from wayslip.gateway.sharing import leadership as leadership_module
+from wayslip.gateway.sharing import peer_broadcast as peer_broadcast_module
+from wayslip.gateway.sharing import permit_broker as permit_broker_module
+from wayslip.gateway.sharing import view as view_module
+
+_LOG = logging.getLogger(__name__)
+# Without a lease holder, the pause before an instance considers an endpoint
+# again whose places it has used up.
+_SHARE_RETRY_SECONDS = 0.5
+
+
+class PlaceBroker:
+    """Places at brittle endpoints. Used on the event loop only."""
+
+    def __init__(
+        self,
+        name: str,
+        view: view_module.EndpointView,
+        hub: hub_module.Hub,
+        leadership: leadership_module.Leadership,
+        peer_broadcast: peer_broadcast_module.PeerBroadcast,
+        permit_broker: permit_broker_module.PermitBroker,
+        metrics: metrics_module.Metrics,
+    ) -> None:
+        """Initializes without brittle endpoints.
+
+        Args:
+            name: Name of this instance.
+            view: What this instance knows of the endpoints.
+            hub: Sends datagrams.
+            leadership: Knows the lease holder.
+            peer_broadcast: Announces to the other instances.
+            permit_broker: Asks the lease holder.
+            metrics: Where verdicts are counted.
+        """
+        self._name = name
+        self._view = view
+        self._hub = hub
+        self._leadership = leadership
+        self._peer_broadcast = peer_broadcast
+        self._permit_broker = permit_broker
+        self._metrics = metrics
+        self._granting = places_module.Places()
+        # Places that this instance holds, by endpoint.
+        self._held: dict[fleet.Incarnation, int] = {}
+
+    # What endpoints announce
+
+    def note_answer(
+        self, endpoint: fleet.Endpoint, allowed: int | None, sent_at: float
+    ) -> None:
+        """Records whether an answer announces that its endpoint is brittle.
+
+        Args:
+            endpoint: The endpoint that answered.
+            allowed: Refusals a second that it bears, None if it is not
+                brittle.
+            sent_at: When the answer's request was sent, steady seconds.
+        """
+        if not self._view.notices.note_brittle(endpoint, allowed, sent_at):
+            return
+        self._announce(endpoint.incarnation, allowed)
+
+    def note_refusal(
+        self, endpoint: fleet.Endpoint, load: fleet.Load | None
+    ) -> None:
+        """Records that a brittle endpoint refused a request for lack of room.
+
+        Args:
+            endpoint: The endpoint.
+            load: What it stated with the refusal.
+        """
+        allowed = self._view.notices.find_brittle(endpoint)
+        if allowed is None:
+            return
+        places = self._find_places(endpoint) - 1
+        if load is not None:
+            places = min(places, load.running + load.waiting)
+        start = endpoint.incarnation
+        self._view.notices.note_depth(start, max(places, 1))
+        self._announce(start, allowed, max(places, 1))
+
+    def _announce(
+        self, start: fleet.Incarnation, allowed: int | None, places: int = 0
+    ) -> None:
+        self._log(start, allowed, places, self._name)
+        self._peer_broadcast.broadcast(
+            facts.Brittle(start.endpoint, start.born, allowed, places)
+        )
+
+    def apply_update(self, update: facts.Brittle, source: str) -> None:
+        """Records what another instance heard of an endpoint."""
+        tracked = self._view.tracked.get(update.endpoint)
+        start = fleet.Incarnation(update.endpoint, update.born)
+        if tracked is None or tracked.endpoint.incarnation != start:
+            return
+        now = clock.now()
+        notices = self._view.notices
+        is_new = notices.note_brittle(tracked.endpoint, update.allowed, now)
+        if update.places:
+            is_new = notices.note_depth(start, update.places) or is_new
+        if not is_new:
+            return
+        self._log(start, update.allowed, update.places, source)
+        self._peer_broadcast.forward_as_holder(update)
+
+    def _log(
+        self,
+        start: fleet.Incarnation,
+        allowed: int | None,
+        places: int,
+        source: str,
+    ) -> None:
+        logs.event(
+            _LOG,
+            "endpoint_brittle",
+            endpoint=start.endpoint,
+            born=start.born,
+            allowed="none" if allowed is None else allowed,
+            places=places or "",
+            source=source,
+        )
+
+    def _find_places(self, endpoint: fleet.Endpoint) -> int:
+        return self._view.notices.find_places(endpoint)
+
+    # Places of this instance
+
+    async def take(
+        self, endpoint: fleet.Endpoint, request_id: str
+    ) -> permits.Verdict:
+        """Takes a place for one request, if the endpoint is brittle.
+
+        Args:
+            endpoint: The endpoint to send the request to.
+            request_id: Id of the request, for the log.
+
+        Returns:
+            A verdict. A granted place has to be given back.
+        """
+        if self._view.notices.find_brittle(endpoint) is None:
+            return permits.GRANTED
+        places = self._find_places(endpoint)
+        start = endpoint.incarnation
+        verdict, source = await self._decide(start, places)
+        if verdict.is_granted:
+            self._held[start] = self._held.get(start, 0) + 1
+        outcome = "granted" if verdict.is_granted else "refused"
+        self._metrics.count("places", outcome=outcome)
+        logs.event(
+            _LOG,
+            "room_asked_for",
+            request=request_id,
+            endpoint=endpoint.name,
+            places=places,
+            held=self._held.get(start, 0),
+            granted=verdict.is_granted,
+            wait=f"{verdict.wait:.2f}",
+            source=source,
+        )
+        return verdict
+
+    async def _decide(
+        self, start: fleet.Incarnation, places: int
+    ) -> tuple[permits.Verdict, str]:
+        if self._leadership.is_held:
+            now = clock.now()
+            return self._granting.take(start, self._name, places, now), "own"
+        verdict = await self._permit_broker.ask_holder(
+            lambda number: facts.PlaceRequest(
+                number, self._name, start.endpoint, start.born, places
+            )
+        )
+        if verdict is not None:
+            return verdict, "holder"
+        share = places_module.find_share(
+            places,
+            self._permit_broker.count_instances(),
+            permit_broker_module.draw(self._name, start),
+        )
+        if self._held.get(start, 0) < share:
+            return permits.GRANTED, "part"
+        return permits.Verdict(False, _SHARE_RETRY_SECONDS), "part"
+
+    def give_back(self, start: fleet.Incarnation, is_refused: bool) -> None:
+        """Gives a place back.
+
+        Args:
+            start: The endpoint's incarnation.
+            is_refused: Whether the endpoint refused the request for lack of
+                room.
+        """
+        held = self._held.get(start, 0) - 1
+        if held > 0:
+            self._held[start] = held
+        else:
+            self._held.pop(start, None)
+        if self._leadership.is_held:
+            self._granting.give_back(start, self._name, is_refused, clock.now())
+            return
+        holder = self._leadership.holder_address
+        if holder is None:
+            return
+        message = facts.PlaceReturn(
+            self._name, start.endpoint, start.born, is_refused
+        )
+        self._hub.send(message, addresses.split_address(holder))
+
+    # Granting
+
+    def begin_term(self) -> None:
+        """Starts to grant places as the new lease holder."""
+        self._granting.begin(clock.now())
+
+    def answer(
+        self, request: facts.PlaceRequest, source: hub_module.Address
+    ) -> None:
+        """Answers another instance, if this instance holds the lease."""
+        if not self._leadership.is_held:
+            return
+        start = fleet.Incarnation(request.endpoint, request.born)
+        places = request.places
+        tracked = self._view.tracked.get(request.endpoint)
+        if tracked is not None and tracked.endpoint.incarnation == start:
+            places = min(places, self._find_places(tracked.endpoint))
+        verdict = self._granting.take(
+            start, request.instance, places, clock.now()
+        )
+        response = facts.PermitResponse(
+            request.number, verdict.is_granted, verdict.wait
+        )
+        self._hub.send(response, source)
+
+    def apply_return(self, message: facts.PlaceReturn) -> None:
+        """Records that another instance gave a place back."""
+        start = fleet.Incarnation(message.endpoint, message.born)
+        self._granting.give_back(
+            start, message.instance, message.is_refused, clock.now()
+        )
+
+    def note_report(self, report: facts.Report) -> None:
+        """Applies what another instance reports to have in flight."""
+        usages = {u.endpoint: u.in_flight for u in report.usages}
+        self._granting.reconcile(report.instance, usages, clock.now())
+
+    def forget(self, endpoint: str) -> None:
+        """Removes an endpoint that is gone."""
+        self._granting.forget(endpoint)
--- a/src/wayslip/platform/dialect.py
+++ b/src/wayslip/platform/dialect.py
@@ -24,6 +24,7 @@
 _RETRY_AFTER = b"retry-after"
 _LEAVING = b"server-leaving"
 _RATE_LIMIT = b"server-limit"
+_BRITTLE = b"server-brittle"
 _CONTENT_TYPE = b"content-type"
 _CONTENT_ENCODING = b"content-encoding"
 _EVENT_STREAM = b"text/event-stream"
@@ -139,6 +140,7 @@
             load=_read_load(head.header(_LOAD)),
             backoff=_read_backoff_seconds(head),
             limit=_read_rate_limit(head),
+            brittle=_read_brittle(head),
         )
 
     def make_retry_after(self, seconds: float) -> messages.Headers:
@@ -190,6 +192,12 @@
     return _read_non_negative(head.header(_RATE_LIMIT))
 
 
+def _read_brittle(head: messages.Head) -> int | None:
+    """Returns the refusals a second that an endpoint bears, if it says so."""
+    number = _read_non_negative(head.header(_BRITTLE).strip())
+    return None if number is None else int(number)
+
+
 def _read_non_negative(text: bytes) -> float | None:
     """Returns a finite number of 0 or more, None for any other text."""
     try:
--- /dev/null
+++ b/tests/decisions/test_places.py
@@ -0,0 +1,100 @@
+"""Places at brittle endpoints, as the lease holder grants them."""
+
+from wayslip.decisions import fleet
+from wayslip.decisions import places
+
+START = fleet.Incarnation("e1", 1)
+SLOTS = 8
+
+
+def make(usages=None, now=10.0):
+    """Returns places whose holder has heard the given reports."""
+    granting = places.Places()
+    granting.begin(0.0)
+    for name, count in (usages or {}).items():
+        granting.reconcile(name, {"e1": count}, now)
+    return granting
+
+
+def take(granting, count, now=10.0, name="g1"):
+    """Asks for places; returns how many were granted."""
+    return sum(
+        granting.take(START, name, SLOTS, now).is_granted for _ in range(count)
+    )
+
+
+def test_first_places_are_those_in_use():
+    granting = make({"g1": 3, "g2": 2})
+    assert take(granting, 9) == 0
+    granting.give_back(START, "g2", False, 10.1)
+    assert take(granting, 9, 10.1) > 0
+
+
+def test_unused_endpoint_begins_with_few_places():
+    assert take(make(), 9) == 2
+
+
+def test_places_are_added_one_at_a_time_while_all_are_in_use():
+    granting = make()
+    assert take(granting, 9) == 2
+    now = 10.0
+    counts = []
+    for _ in range(9):
+        now += 0.2
+        granting.give_back(START, "g1", False, now)
+        counts.append(take(granting, 9, now))
+    # The returned place, and one more until all slots are in use.
+    assert counts == [2, 2, 2, 2, 2, 2, 1, 1, 1]
+
+
+def test_refusal_leaves_one_place_less_and_stops_growth():
+    granting = make()
+    take(granting, 2)
+    granting.give_back(START, "g1", False, 10.2)
+    assert take(granting, 9, 10.2) == 2
+    granting.give_back(START, "g1", True, 10.3)
+    assert take(granting, 9, 10.3) == 0
+    granting.give_back(START, "g1", False, 10.5)
+    assert take(granting, 9, 10.5) == 1
+    granting.give_back(START, "g1", False, 12.0)
+    assert take(granting, 9, 12.0) == 2
+
+
+def test_lost_return_is_made_up_for_by_reports():
+    granting = make()
+    assert take(granting, 2) == 2
+    granting.reconcile("g1", {"e1": 0}, 10.2)
+    assert take(granting, 1, 10.2) == 0
+    granting.reconcile("g1", {"e1": 0}, 10.7)
+    assert take(granting, 2, 10.7) == 2
+
+
+def test_new_holder_grants_nothing_before_reports_came():
+    granting = make()
+    granting.begin(20.0)
+    verdict = granting.take(START, "g1", SLOTS, 20.1)
+    assert not verdict.is_granted
+    assert 0.0 < verdict.wait < 1.0
+
+
+def test_wait_grows_with_those_refused_before():
+    granting = make()
+    take(granting, 2)
+    waits = [granting.take(START, "g1", SLOTS, 10.0).wait for _ in range(3)]
+    assert waits == sorted(waits)
+    assert waits[0] < waits[2]
+
+
+def test_depth_rises_slowly_after_a_refusal():
+    depth = places.Depth(4, 10.0)
+    assert depth.find(SLOTS, 10.0) == 4
+    assert depth.find(SLOTS, 14.0) == 6
+    assert depth.find(SLOTS, 100.0) == SLOTS
+    assert places.Depth(0, 10.0).find(SLOTS, 10.0) == 1
+
+
+def test_shares_without_a_holder_fit_together():
+    draws = [n / 10 for n in range(10)]
+    assert sum(places.find_share(6, 10, d) for d in draws) <= 6
+    assert sum(places.find_share(25, 10, d) for d in draws) <= 25
+    assert places.find_share(6, 0, 0.5) == 6
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -265,3 +265,13 @@
     for status in (200, 503):
         answer = DIALECT.read_answer(head(status, server_limit=text))
         assert answer.limit == limit
+
+
+@pytest.mark.parametrize(
+    ("text", "allowed"),
+    [("2", 2), ("0", 0), (" 1 ", 1), ("", None), ("-1", None), ("x", None)],
+)
+def test_brittle_endpoints_are_read_from_answers(text, allowed):
+    for status in (200, 503):
+        answer = DIALECT.read_answer(head(status, server_brittle=text))
+        assert answer.brittle == allowed
