--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -14,6 +14,8 @@
 LEASE_SECONDS = 1.0
 # A request whose body begins with this crashes the endpoint that runs it.
 POISON = b"deadly"
+# What a crash for lack of room counts as.
+FALL = b"lack of room"
 # The pool's memory and adapter slots in the manifest.
 _POOL = platform_site.manifest()["services"][1]["engine"]
 _SLOTS = int(_POOL["slots"])
@@ -72,10 +74,17 @@
         # Until when it refuses requests with Retry-After, monotonic seconds.
         self.backs_off_until = 0.0
         self.received_in_backoff = 0
+        self.falls = 0
         self.draining_since: float | None = None
         self.last_order = (0.0, "", 0)
         self.script = _run_stream if service == "models" else _run_plain
         self.read_pause = _READ_PAUSE_SECONDS
+        self.brittle_services: dict[str, tuple[int, int | None]] = {}
+
+    def fall_over(self) -> None:
+        """Has itself replaced because it turned too many requests away."""
+        self.falls += 1
+        self.on_crash(self, FALL)
 
     @property
     def factor(self) -> float:
@@ -124,6 +133,9 @@
             }
             await connection.answer(request, b"", 503, **backoff)
             return
+        self.brittle, self.room = self.brittle_services.get(
+            self.service, (None, None)
+        )
         await super()._respond(request, connection)
 
     async def _take_order(
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -11,6 +11,7 @@
 from soak import proxy
 from soak import world as world_module
 from standins import platform_client
+from standins import platform_site
 
 Fault = Callable[[world_module.World, random.Random], Awaitable[None]]
 FAULTS: dict[str, Fault] = {}
@@ -331,3 +332,37 @@
     await world.add_endpoint(endpoint.service)
     await asyncio.sleep(rng.uniform(1.0, 4.0))
     await world.end_endpoint(endpoint, removes_entry_at_once=True)
+
+
+# The platform's rule on brittle endpoints: they fall over at most this often in
+# one time in which they are brittle, and a share of their number. Gateways must
+# know of it within the first time; the room shrinks after that.
+_FALLS_ALLOWED = 2
+_FALLS_SHARE = 0.1
+_BRITTLE_ANNOUNCE_SECONDS = 3.0
+_BRITTLE_SECONDS = 5.0
+
+
+@register
+async def become_brittle(world: world_module.World, rng: random.Random) -> None:
+    """Lets the endpoints of a service fall over if they refuse too often."""
+    service = rng.choice(["plain", "models"])
+    if service in world.brittle_services:
+        return
+    allowed = rng.choice([1, 2, 3])
+    world.brittle_services[service] = (allowed, None)
+    await asyncio.sleep(_BRITTLE_ANNOUNCE_SECONDS)
+    gateway_starts = world.gateway_starts
+    before = world.poison_crashes[endpoints.FALL]
+    slots = int(platform_site.entry(service, "")["slots"])
+    world.brittle_services[service] = (allowed, slots)
+    await asyncio.sleep(_BRITTLE_SECONDS)
+    del world.brittle_services[service]
+    falls = world.poison_crashes[endpoints.FALL] - before
+    # A gateway that has just started sends before it has heard of it.
+    most = _FALLS_ALLOWED + int(_FALLS_SHARE * world.count_endpoints(service))
+    most += world.gateway_starts - gateway_starts
+    if falls > most:
+        world.oracle.report_violation(
+            f"LIMIT {falls} endpoints of {service} fell over, {most} allowed"
+        )
--- a/soak/world.py
+++ b/soak/world.py
@@ -123,6 +123,9 @@
         self.version = 1
         # Number of endpoints crashed by a request, by the request's body.
         self.poison_crashes: collections.Counter[bytes] = collections.Counter()
+        # Refusals a second that the endpoints of a service bear, and how many
+        # requests they take, None for any number.
+        self.brittle_services: dict[str, tuple[int, int | None]] = {}
         # Most memory that a gateway used, in bytes.
         self.max_memory = 0
         # Number of restarts of gateways, without their first starts.
@@ -234,6 +237,7 @@
         endpoint.attach_oracle(
             self.oracle, service, self._replace_crashed, self.conditions
         )
+        endpoint.brittle_services = self.brittle_services
         endpoint.report_lag = 0.1
         if service == "models":
             endpoint.models = {f"m{1 + self._endpoint_count % 3}": []}
@@ -241,6 +245,10 @@
         self.endpoints[endpoint.name] = endpoint
         return endpoint, own_address
 
+    def count_endpoints(self, service: str) -> int:
+        """Returns how many endpoints a service has."""
+        return sum(e.service == service for e in self.endpoints.values())
+
     def _put_entry(self, endpoint: endpoints.Endpoint, address: str) -> None:
         entry = platform_site.entry(
             endpoint.service, address, endpoint.models, seq=0
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -208,10 +208,14 @@
         self._turned_away = [t for t in self._turned_away if now - t < 1.0]
         self._turned_away.append(now)
         if self.brittle is not None and len(self._turned_away) > self.brittle:
-            self.crash()
+            self.fall_over()
             return
         await connection.answer(request, b"", 503, Wayslip_Not_Executed="1")
 
+    def fall_over(self) -> None:
+        """Crashes because it had to turn too many requests away."""
+        self.crash()
+
     def make_headers(self) -> dict[str, str]:
         """Returns the headers of all its answers, which announce its limits."""
         named = {"Server-Limit": self.limit, "Server-Brittle": self.brittle}
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -5,12 +5,12 @@
 import dataclasses
 import functools
 
+from soak import links as links_module
 from standins import platform_client
 from standins import platform_engine
 from standins import platform_site
 from standins import platform_store
 from standins import ports
-from tests.gateway import links as links_module
 from wayslip import clock
 from wayslip import metrics
 from wayslip.cli import gateway as cli
--- a/tests/gateway/test_unreachable_endpoints.py
+++ b/tests/gateway/test_unreachable_endpoints.py
@@ -8,8 +8,8 @@
 
 import pytest
 
+from soak import links
 from tests.gateway import harness
-from tests.gateway import links
 from wayslip.http1 import tunnels
 
 STATES = [links.State.RESET, links.State.KEPT, links.State.SILENT]
