Lose no requests on open connections from before a cut

A request on an open connection to an endpoint whose path is silent waited for 2 to 3 s and ended 502.

A request that is not acknowledged after 0.4 s has its path verified: others are asked, and if they reach the endpoint, one that may be repeated is sent through them, to the same endpoint. One that may not be repeated is sent on an open connection only if that was heard since paths began to fail. An error of a program in a race of connections is raised now; a KeyError of the test's links had been taken for an endpoint that was not reached, so that the test did not test what it says.

--- a/soak/links.py
+++ b/soak/links.py
@@ -20,17 +20,20 @@
         RESET: Open connections are reset, new ones are refused.
         KEPT: Open connections live on, new ones are refused.
         SILENT: Open connections carry nothing, new ones get no answer.
+        SEVERED: Open connections carry nothing, new ones are refused.
     """
 
     WHOLE = "whole"
     RESET = "reset"
     KEPT = "kept"
     SILENT = "silent"
+    SEVERED = "severed"
 
 
 _FAULTS = {
     State.RESET: proxy.LinkFault.RESET,
     State.SILENT: proxy.LinkFault.STALL,
+    State.SEVERED: proxy.LinkFault.STALL,
 }
 
 
@@ -45,6 +48,7 @@
     def __init__(self) -> None:
         self.state = State.WHOLE
         self.opened: list[tuple[str, int]] = []
+        self._lock = asyncio.Lock()
         self._proxies: dict[tuple[str, int], proxy.Proxy] = {}
         self._addresses: dict[tuple[str, int], tuple[str, int]] = {}
 
@@ -63,7 +67,7 @@
             NobodyListensError: The link refuses new connections.
             NotSentError: The link is silent.
         """
-        if self.state in (State.RESET, State.KEPT):
+        if self.state in (State.RESET, State.KEPT, State.SEVERED):
             raise errors.NobodyListensError("refused by a cut link", "heal it")
         if self.state is State.SILENT:
             await asyncio.sleep(timeout)
@@ -72,12 +76,14 @@
         return await client.connect(await self._find_proxy(address), timeout)
 
     async def _find_proxy(self, address: tuple[str, int]) -> tuple[str, int]:
-        if address not in self._proxies:
-            host, port = address
-            self._proxies[address] = proxy.Proxy(f"{host}:{port}")
-            listening = await self._proxies[address].start()
-            host, _, text = listening.rpartition(":")
-            self._addresses[address] = (host, int(text))
+        async with self._lock:
+            if address not in self._addresses:
+                host, port = address
+                link = proxy.Proxy(f"{host}:{port}")
+                listening = await link.start()
+                host, _, text = listening.rpartition(":")
+                self._proxies[address] = link
+                self._addresses[address] = (host, int(text))
         return self._addresses[address]
 
     def close(self) -> None:
--- a/src/wayslip/decisions/reachability.py
+++ b/src/wayslip/decisions/reachability.py
@@ -32,7 +32,8 @@
     Attributes:
         opened_at: When a connection was last opened.
         failed_at: When one could last not be opened.
-        silent_at: When one last got no answer at all.
+        failing_since: When that began, without one opened since.
+        silent_since: The same, for failures without any answer.
         reached_at: When another instance last connected to the endpoint.
         lost_at: Since when the path counts as lost, None if it doesn't.
         next_trial_at: When to try it again if it is lost.
@@ -40,7 +41,8 @@
 
     opened_at: float = -math.inf
     failed_at: float = -math.inf
-    silent_at: float = -math.inf
+    failing_since: float = -math.inf
+    silent_since: float = -math.inf
     reached_at: float = -math.inf
     lost_at: float | None = None
     next_trial_at: float = -math.inf
@@ -79,8 +81,10 @@
         """
         path = self._find(endpoint)
         path.failed_at = now
-        if is_silent:
-            path.silent_at = now
+        if path.failing_since <= path.opened_at:
+            path.failing_since = now
+        if is_silent and path.silent_since <= path.opened_at:
+            path.silent_since = now
         return self._judge(path, now)
 
     def note_reached_by_peer(self, endpoint: str, now: float) -> bool:
@@ -143,17 +147,22 @@
         ]
         return len(failed) >= _MIN_SHARED_FAILURES
 
-    def find_trusted_since(self, endpoint: str, now: float) -> float:
-        """Returns the time at which a path last turned silent.
+    def find_trusted_since(
+        self, endpoint: str, may_repeat: bool, now: float
+    ) -> float:
+        """Returns since when a connection must have been heard to be used.
 
-        An open connection on which nothing arrived since then may lead
-        nowhere.
+        An open connection may lead nowhere if nothing arrived on it since its
+        path turned silent, or since that happened to several others. Where new
+        connections are refused, open ones may live on or be reset when they are
+        used; a request that may not be repeated isn't risked on one.
         """
-        own = self._find(endpoint).silent_at
-        if not self.is_in_doubt(now) and not self.is_cut_off:
-            return own
+        lost = [p for p in self._paths.values() if p.lost_at is not None]
+        suspects = [self._find(endpoint)]
+        if len(lost) >= _MIN_SHARED_FAILURES or self.is_in_doubt(now):
+            suspects = list(self._paths.values())
         return max(
-            (p.silent_at for p in self._paths.values()), default=-math.inf
+            p.silent_since if may_repeat else p.failing_since for p in suspects
         )
 
     def forget(self, endpoint: str) -> None:
--- a/src/wayslip/gateway/serving/attempts.py
+++ b/src/wayslip/gateway/serving/attempts.py
@@ -1,5 +1,6 @@
 """Attempts: sends a request to an endpoint and forwards the answer."""
 
+import asyncio
 from collections.abc import Callable
 import logging
 
@@ -11,6 +12,7 @@
 from wayslip.decisions import retry
 from wayslip.decisions import selection
 from wayslip.decisions import slot_times
+from wayslip.gateway import background
 from wayslip.gateway import dialect as dialect_module
 from wayslip.gateway.serving import jobs
 from wayslip.gateway.sharing import endpoint_paths
@@ -23,6 +25,9 @@
 from wayslip.http1 import pool as pool_module
 
 _LOG = logging.getLogger(__name__)
+# After this time without an acknowledgement of a request, its path is verified.
+# A lost packet is retransmitted after a few hundred milliseconds.
+_ACKNOWLEDGE_SECONDS = 0.4
 # Answers up to this size are buffered before they are forwarded, so that a
 # request whose answer breaks off can be retried.
 _MAX_BUFFERED_BYTES = 256 * 1024
@@ -69,6 +74,7 @@
         self.pool = pool_module.Pool(endpoint_paths.CONNECT_TIMEOUT_SECONDS)
         paths.on_found = self.pool.add
         self.slot_times = slot_times.SlotTimes()
+        self._tasks = background.BackgroundTasks("path_not_verified")
         # Called when a request of this instance has left an endpoint.
         self.on_end: Callable[[], None] = lambda: None
         # Called when an endpoint refused a request for lack of room.
@@ -85,7 +91,10 @@
         depth = self._find_depth(job)
         found_slot = choice.in_flight < choice.slots
         connection = self.pool.take(
-            choice.name, self._paths.find_trusted_since(choice.name)
+            choice.name,
+            self._paths.find_trusted_since(
+                choice.name, job.progress.may_repeat
+            ),
         )
         is_reused = connection is not None
         idle = clock.now() - connection.idle_since if connection else 0.0
@@ -181,7 +190,13 @@
             self._dialect.format_request(job.exchange.request, parameters),
             self._dialect.match_answer(traits.request_id, is_reused),
         )
-        head = await connection.read_head()
+        watch = asyncio.get_running_loop().call_later(
+            _ACKNOWLEDGE_SECONDS, self._check_sent, job, active, connection
+        )
+        try:
+            head = await connection.read_head()
+        finally:
+            watch.cancel()
         answer = self._dialect.read_answer(head)
         if answer.is_genuine and not answer.is_misdirected:
             self._view.note_load(active, answer.load)
@@ -225,6 +240,44 @@
         self._quarantine.note_answer(job.content)
         return failure
 
+    def _check_sent(
+        self,
+        job: jobs.Job,
+        active: view_module.ActiveRequest,
+        connection: client.Connection,
+    ) -> None:
+        """Has a path verified on which a request was not acknowledged."""
+        if connection.peer or not connection.is_unacknowledged:
+            return
+        self._tasks.start(self._verify_path(job, active, connection))
+
+    async def _verify_path(
+        self,
+        job: jobs.Job,
+        active: view_module.ActiveRequest,
+        connection: client.Connection,
+    ) -> None:
+        """Ends a request that may be repeated if its path is lost."""
+        endpoint = active.tracked.endpoint
+        sent_at = connection.heard_at
+        is_lost = await self._paths.verify(endpoint)
+        may_end = (
+            is_lost
+            and job.progress.may_repeat
+            and connection.heard_at == sent_at
+            and not connection.is_pooled
+        )
+        logs.event(
+            _LOG,
+            "send_not_acknowledged",
+            request=job.traits.request_id,
+            endpoint=endpoint.name,
+            path_lost=is_lost,
+            ended=may_end,
+        )
+        if may_end:
+            connection.fail("its path is lost")
+
     def _note_refusal(
         self,
         job: jobs.Job,
--- a/src/wayslip/gateway/serving/requests.py
+++ b/src/wayslip/gateway/serving/requests.py
@@ -14,6 +14,7 @@
 from wayslip.decisions import load_timing
 from wayslip.decisions import manifest as manifest_module
 from wayslip.decisions import retry
+from wayslip.decisions import selection
 from wayslip.decisions import urgency
 from wayslip.gateway import dialect as dialect_module
 from wayslip.gateway import options as options_module
@@ -340,7 +341,7 @@
                 self._endpoint_chooser.give_back_place(job)
             if failure is None:
                 return
-            if not job.met_full_queue:
+            if not job.met_full_queue and not self._may_detour(choice, failure):
                 # A full endpoint may take the request when it has room again.
                 job.tried |= {choice.name}
             if failure is not retry.Failure.UNCLEAR:
@@ -349,6 +350,14 @@
                 return
             await self._wait_for_looks(job)
 
+    def _may_detour(
+        self, choice: selection.Choice, failure: retry.Failure
+    ) -> bool:
+        """Whether only the path to an endpoint was lost, not the endpoint."""
+        return failure is retry.Failure.UNCLEAR and self._paths.is_lost(
+            choice.name
+        )
+
     def _retry_or_answer(
         self, job: jobs.Job, endpoint: str, failure: retry.Failure
     ) -> bool:
--- a/src/wayslip/gateway/sharing/endpoint_paths.py
+++ b/src/wayslip/gateway/sharing/endpoint_paths.py
@@ -44,8 +44,7 @@
 _ENOUGH_VERDICTS = 3
 # For how long an instance is asked last after it could not open a tunnel.
 _PEER_PAUSE_SECONDS = 1.0
-# Interval of questions to others about an endpoint that the planner does not
-# reach.
+# Interval of questions to others about an endpoint that does not answer.
 _CHECK_PERIOD_SECONDS = 1.0
 # What others reached this long ago says that they do now.
 _MAX_WITNESS_AGE_SECONDS = 1.5
@@ -86,8 +85,7 @@
         # Until when an instance is asked last, by address.
         self._pauses: dict[str, float] = {}
         self._reached_by_peer_at = 0.0
-        # When others may be asked for an endpoint again that the planner does
-        # not reach, by name.
+        # When others may be asked again what they see of an endpoint, by name.
         self._next_checks: dict[str, float] = {}
         self._rng = random.Random()
         self._tasks = background.BackgroundTasks("path_trial_failed")
@@ -118,9 +116,16 @@
         """Whether others reach an endpoint, and this instance doesn't."""
         return self._reachability.is_lost(name)
 
-    def find_trusted_since(self, name: str) -> float:
-        """Returns since when a connection must have been heard to be used."""
-        return self._reachability.find_trusted_since(name, clock.now())
+    def find_trusted_since(self, name: str, may_repeat: bool) -> float:
+        """Returns since when a connection must have been heard to be used.
+
+        Args:
+            name: The endpoint's name.
+            may_repeat: Whether the request may be repeated.
+        """
+        return self._reachability.find_trusted_since(
+            name, may_repeat, clock.now()
+        )
 
     def note_opened(self, name: str) -> None:
         """Records that this instance connected to an endpoint."""
@@ -146,14 +151,27 @@
             is_silent: Whether it did not answer at all.
         """
         self.note_failed(endpoint.name, is_silent)
+        if self._is_check_due(endpoint.name):
+            self._tasks.start(self._ask_others(endpoint))
+
+    async def verify(self, endpoint: fleet.Endpoint) -> bool:
+        """Returns whether a path that seems silent is lost."""
+        self.note_failed(endpoint.name, True)
+        if not self.is_lost(endpoint.name) and self._is_check_due(
+            endpoint.name
+        ):
+            await self._ask_others(endpoint)
+        return self.is_lost(endpoint.name)
+
+    def _is_check_due(self, name: str) -> bool:
         now = clock.now()
-        if now < self._next_checks.get(endpoint.name, 0.0):
-            return
+        if now < self._next_checks.get(name, 0.0):
+            return False
         self._next_checks = {
             n: t for n, t in self._next_checks.items() if t > now
         }
-        self._next_checks[endpoint.name] = now + _CHECK_PERIOD_SECONDS
-        self._tasks.start(self._ask_others(endpoint))
+        self._next_checks[name] = now + _CHECK_PERIOD_SECONDS
+        return True
 
     async def _ask_others(self, endpoint: fleet.Endpoint) -> None:
         openers = [self._make_tunnel_opener(endpoint, p) for p in self._rank()]
@@ -338,7 +356,7 @@
             NobodyListensError: The connection was refused, also elsewhere.
             NotSentError: No opener succeeded.
         """
-        failures: list[BaseException | None] = []
+        failures: list[errors.WayslipError] = []
         running: set[asyncio.Task[client.Connection]] = set()
         waiting = list(openers)
         try:
@@ -355,7 +373,7 @@
                 if opened:
                     running |= set(opened[1:])
                     return opened[0].result()
-                failures += [t.exception() for t in done]
+                failures += [_find_failure(t) for t in done]
                 if _count_verdicts(failures) >= _ENOUGH_VERDICTS:
                     break
         finally:
@@ -365,28 +383,38 @@
 
     def _keep(self, name: str, task: asyncio.Task[client.Connection]) -> None:
         """Keeps a connection that was opened too late."""
-        if task.cancelled() or task.exception() is not None:
-            # The opener has recorded its failure.
+        if task.cancelled():
             return
-        self.on_found(name, task.result())
+        if task.exception() is None:
+            self.on_found(name, task.result())
+        elif not isinstance(task.exception(), errors.WayslipError):
+            _LOG.error("path_trial_failed", exc_info=task.exception())
+
 
+def _find_failure(
+    task: asyncio.Task[client.Connection],
+) -> errors.WayslipError:
+    """Returns why an opener failed; raises an error that is none of its own."""
+    error = task.exception()
+    assert error is not None
+    if not isinstance(error, errors.WayslipError):
+        raise error
+    return error
 
-def _count_verdicts(failures: Sequence[BaseException | None]) -> int:
+
+def _count_verdicts(failures: Sequence[errors.WayslipError]) -> int:
     """Returns how many failures tell something of the endpoint."""
     return sum(isinstance(e, errors.NotSentError) for e in failures)
 
 
 def _summarize(
-    endpoint: fleet.Endpoint, failures: Sequence[BaseException | None]
+    endpoint: fleet.Endpoint, failures: Sequence[errors.WayslipError]
 ) -> errors.NotSentError:
     """Returns the error of an endpoint that nobody reached.
 
     Nobody listens there only if all say so that could tell.
     """
-    reasons = "; ".join(
-        e.reason if isinstance(e, errors.WayslipError) else repr(e)
-        for e in failures
-    )
+    reasons = "; ".join(e.reason for e in failures)
     verdicts = [e for e in failures if isinstance(e, errors.NotSentError)]
     kind: type[errors.NotSentError] = errors.NotSentError
     if verdicts and all(
--- a/src/wayslip/http1/client.py
+++ b/src/wayslip/http1/client.py
@@ -8,7 +8,10 @@
 import asyncio
 import collections
 from collections.abc import Callable
+import fcntl
 import socket
+import sys
+import termios
 from typing import Any
 
 import httptools
@@ -30,6 +33,9 @@
 # The response fails if its head is still incomplete after this many bytes.
 _MAX_HEAD_BYTES = 64 * 1024
 
+# Buffer for the count of unacknowledged bytes, an int.
+_NO_BYTES = bytes(4)
+
 Matcher = Callable[[messages.Head], bool]
 
 
@@ -107,6 +113,20 @@
         assert self._transport is not None
         self._transport.write(data)
 
+    @property
+    def is_unacknowledged(self) -> bool:
+        """Whether the other end has not acknowledged all bytes sent."""
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return False
+        sock = transport.get_extra_info("socket")
+        data = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, _NO_BYTES)
+        return int.from_bytes(data, sys.byteorder) > 0
+
+    def fail(self, reason: str) -> None:
+        """Ends the request in progress, as if the connection were lost."""
+        self._fail(reason)
+
     async def read_head(self) -> messages.Head:
         """Returns the head of the response.
 
--- a/tests/decisions/test_reachability.py
+++ b/tests/decisions/test_reachability.py
@@ -93,23 +93,32 @@
     assert not paths.take_trial("e1", 0.0, 11.6)
 
 
-def test_silent_path_casts_doubt_on_open_connections():
+def test_silent_path_casts_doubt_on_its_open_connections():
     paths = reachability.Reachability()
     paths.note_failed("e1", True, 3.0)
-    assert paths.find_trusted_since("e1", 3.1) == 3.0
-    assert paths.find_trusted_since("e2", 3.1) == -math.inf
+    paths.note_failed("e1", True, 4.0)
+    assert paths.find_trusted_since("e1", True, 4.1) == 3.0
+    assert paths.find_trusted_since("e2", True, 4.1) == -math.inf
 
 
 def test_open_connections_to_all_are_doubted_once_two_paths_are_silent():
     paths = reachability.Reachability()
     paths.note_failed("e1", True, 3.0)
     paths.note_failed("e2", True, 3.2)
-    assert paths.find_trusted_since("e3", 3.3) == 3.2
+    assert paths.find_trusted_since("e3", True, 3.3) == 3.2
 
 
-def test_refusals_cast_no_doubt_on_open_connections():
+def test_refusals_cast_doubt_for_requests_that_may_not_be_repeated():
     paths = make_cut_off()
-    assert paths.find_trusted_since("e1", 10.0) == -math.inf
+    assert paths.find_trusted_since("e3", True, 10.0) == -math.inf
+    assert paths.find_trusted_since("e3", False, 10.0) == 10.0
+
+
+def test_opened_connection_ends_the_doubt():
+    paths = make_cut_off()
+    paths.note_opened("e1", 11.0)
+    paths.note_failed("e1", False, 12.0)
+    assert paths.find_trusted_since("e1", False, 12.0) == 12.0
 
 
 def test_forgotten_endpoint_does_not_count():
--- a/tests/gateway/test_unreachable_endpoints.py
+++ b/tests/gateway/test_unreachable_endpoints.py
@@ -5,11 +5,13 @@
 """
 
 import asyncio
+from unittest import mock
 
 import pytest
 
 from soak import links
 from tests.gateway import harness
+from wayslip.http1 import client
 from wayslip.http1 import tunnels
 
 STATES = [links.State.RESET, links.State.KEPT, links.State.SILENT]
@@ -137,12 +139,12 @@
     plain = [e for e in system.engines.values() if e.name.startswith("p")]
     for engine in plain:
         engine.script = wait_for_end
-    client = await system.connect(cut)
-    await client.send("/get/a", "leaving")
+    caller = await system.connect(cut)
+    await caller.send("/get/a", "leaving")
     await system.until(
         lambda: any(e.received[-1].id == "leaving" for e in plain)
     )
-    client.close()
+    caller.close()
     await system.until(lambda: any(e.left for e in plain))
 
 
@@ -216,3 +218,39 @@
                 "/gen/a", f"m{n}", "POST", at=gateway, **fields("m3")
             )
         await asyncio.sleep(0.02)
+
+
+@harness.run
+async def test_request_without_acknowledgement_is_sent_through_others(system):
+    engine = await system.add("p1", "plain")
+    cut = await system.join("g2")
+    await system.until(lambda: "p1" in cut.view.tracked)
+    system.install_links(cut)
+    await system.ask("/get/a", at=cut)
+    system.links[cut].cut(links.State.SILENT)
+    with mock.patch.object(
+        client.Connection,
+        "is_unacknowledged",
+        new_callable=mock.PropertyMock,
+        return_value=True,
+    ):
+        answer = await system.ask("/get/a", "again", at=cut)
+    assert answer.status == 200
+    assert engine.received[-1].id == "again"
+
+
+@harness.run
+async def test_requests_that_may_not_repeat_avoid_doubtful_connections(system):
+    gateways = await make_fleet(system, 2)
+    cut = gateways[1]
+    paths = PATHS[:4]
+    await ask_round(system, cut, "before", 3 * paths)
+    system.links[cut].cut(links.State.SEVERED)
+    # These may be repeated, and some need new connections, which are refused.
+    # They leave the connections to plain endpoints alone.
+    streams = [p for p in PATHS if p[0] == "/gen/a"]
+    while len(cut.paths.dump()["lost"]) < 2:
+        await ask_round(system, cut, "gen", 4 * streams)
+    for n in range(4):
+        answer = await system.ask("/once/a", f"once{n}", "POST", at=cut)
+        assert answer.status == 200
