Say that endpoints were not reached, and where to return at once

A request whose endpoints were not reached is now refused as not_reached; by an instance that is cut off with a Retry-After of 0.1 to 0.3 s, since any other one serves it. explain shows lost paths and tunnels of both instances. Both tests fail without the change (no_endpoint, 1.0 s) and pass.

--- a/src/wayslip/gateway/serving/endpoint_chooser.py
+++ b/src/wayslip/gateway/serving/endpoint_chooser.py
@@ -32,6 +32,9 @@
 _UNKNOWN_RETRY_AFTER_SECONDS = 1.0
 # Pause before an instance asks again for a place at an endpoint without room.
 _PLACE_RETRY_SECONDS = 0.1
+# Range of Retry-After while this instance reaches no endpoint. Clients return
+# to any instance, so that it only has to spread them.
+_CUT_OFF_RETRY_SECONDS = (0.1, 0.3)
 # Clients retry after at most this share of the time that they have left,
 # whatever Retry-After says (from the operators' documentation).
 _MAX_RETRY_AFTER_SHARE = 1 / 3
@@ -53,6 +56,7 @@
         profiles: profiles_module.Profiles,
         slot_times: slot_times_module.SlotTimes,
         may_queue: Callable[[jobs.Job, selection.Choice], bool],
+        is_cut_off: Callable[[], bool],
     ) -> None:
         """Initializes the chooser.
 
@@ -69,7 +73,9 @@
             slot_times: How long requests take a slot.
             may_queue: Whether a request may be sent to an endpoint or wait for
                 it; if not, it has been answered. Asked once, before any wait.
+            is_cut_off: Whether this instance reaches no endpoint.
         """
+        self._is_cut_off = is_cut_off
         self._may_queue = may_queue
         self._profiles = profiles
         self._slot_times = slot_times
@@ -410,8 +416,16 @@
         if job.relayed or job.progress.may_have_run:
             self._responder.answer_verdict(job, retry.Verdict.UNKNOWN)
             return
+        if job.unreachable_count and self._is_cut_off():
+            # Another instance can serve the client at once.
+            self._responder.refuse_job(
+                job, "not_reached", self._rng.uniform(*_CUT_OFF_RETRY_SECONDS)
+            )
+            return
         wait = self._estimate_ready_seconds(job)
         reason = "not_loaded" if job.traits.model else "no_endpoint"
+        if job.unreachable_count:
+            reason = "not_reached"
         backoff_seconds = self._endpoint_backoff.find_retry_after(job)
         if backoff_seconds is not None:
             reason = "endpoints_rest"
--- a/src/wayslip/gateway/serving/requests.py
+++ b/src/wayslip/gateway/serving/requests.py
@@ -117,6 +117,7 @@
             self._profiles,
             self._attempts.slot_times,
             self._share_gate.may_queue,
+            lambda: paths.is_cut_off,
         )
         self._attempts.on_end = self._endpoint_chooser.notify
         self._attempts.on_full = self._endpoint_chooser.note_full
--- a/src/wayslip/story.py
+++ b/src/wayslip/story.py
@@ -25,7 +25,14 @@
         "endpoint_leaving",
         "endpoint_rests",
         "endpoint_says_leaving",
+        "endpoint_brittle",
+        "path_found",
+        "path_lost",
+        "path_tried",
         "report_failed",
+        "tunnel_asked_for",
+        "tunnel_not_opened",
+        "tunnel_opened",
     )
 )
 _CONTEXT_OF_CONTENT = frozenset(
@@ -50,7 +57,13 @@
     )
 )
 _CONTEXT_OF_ALL = frozenset(
-    ("lease_taken", "lease_lost", "lease_doubtful", "lease_not_reached")
+    (
+        "lease_doubtful",
+        "lease_handed_over",
+        "lease_lost",
+        "lease_not_reached",
+        "lease_taken",
+    )
 )
 
 MEANINGS = {
@@ -60,6 +73,10 @@
         "all endpoints that could serve it were backing off; it was not run"
     ),
     "no_endpoint": "no endpoint of its service is listed; it was not run",
+    "not_reached": (
+        "no endpoint that could serve it was reached, neither directly nor"
+        " through other instances; it was not run"
+    ),
     "not_taken": "the endpoint refused it; it was not run",
     "too_long_a_wait": "its wait would exceed its time limit; it was not run",
     "timed_out_waiting": "it timed out before it was sent; it was not run",
--- a/tests/gateway/test_unreachable_endpoints.py
+++ b/tests/gateway/test_unreachable_endpoints.py
@@ -254,3 +254,36 @@
     for n in range(4):
         answer = await system.ask("/once/a", f"once{n}", "POST", at=cut)
         assert answer.status == 200
+
+
+@harness.run
+async def test_refusal_names_endpoints_that_were_not_reached(system):
+    gateways = await make_fleet(system, 2, has_links=False)
+    for engine in system.engines.values():
+        engine.crash()
+    for path, model in PATHS[:4]:
+        answer = await system.ask(
+            path, "r1", "POST", at=gateways[1], **fields(model)
+        )
+        assert answer.status == 503
+    text = gateways[1].metrics.render().decode()
+    assert 'reason="not_reached"' in text
+    assert 'reason="not_loaded"' not in text
+
+
+@harness.run
+async def test_client_of_an_instance_that_is_cut_off_may_return_at_once(
+    system,
+):
+    gateways = await make_fleet(system, 2)
+    cut = gateways[1]
+    system.links[cut].cut(links.State.RESET)
+    await count_served(system, cut, SETTLING_ROUNDS, "cut")
+    assert cut.paths.is_cut_off
+    gateways[0]._tunnels.is_draining = True
+    while True:
+        answer = await system.ask("/once/a", "r1", "POST", at=cut)
+        if answer.status != 200:
+            break
+    assert answer.status == 503
+    assert float(answer.headers["retry-after"]) <= 0.3
