Use shares of places where the holder of the release before grants none

With instances of two releases, a holder of the one before drops questions for places, and the other instances would have refused all requests to a brittle service as long as it held the lease. After a second without an answer they use their shares. test_holder_of_the_release_before_does_not_block_an_engine hangs without it.

--- a/src/wayslip/gateway/sharing/place_broker.py
+++ b/src/wayslip/gateway/sharing/place_broker.py
@@ -6,6 +6,7 @@
 """
 
 import logging
+import math
 
 from wayslip import addresses
 from wayslip import clock
@@ -24,6 +25,8 @@
 _LOG = logging.getLogger(__name__)
 # Without an answer of the lease holder, the wait that a request is told.
 _SHARE_RETRY_SECONDS = 0.5
+# A holder that is heard and answers no question for this long grants no places.
+_MAX_UNANSWERED_SECONDS = 1.0
 
 
 class PlaceBroker:
@@ -60,6 +63,8 @@
         self._granting = places_module.Places()
         # Places that this instance holds, by endpoint.
         self._held: dict[fleet.Incarnation, int] = {}
+        # Since when the lease holder answered no question, infinite if it did.
+        self._unanswered_since = math.inf
 
     # What endpoints announce
 
@@ -198,8 +203,10 @@
             )
         )
         if answer is not None:
+            self._unanswered_since = math.inf
             return answer, "holder"
-        if has_contact:
+        self._unanswered_since = min(self._unanswered_since, clock.now())
+        if has_contact and not self._grants_nothing:
             # Its answer is late. A place of the own share might be one that it
             # has granted to another instance.
             return permits.Verdict(False, _SHARE_RETRY_SECONDS), "late"
@@ -212,6 +219,12 @@
             return permits.GRANTED, "part"
         return permits.Verdict(False, _SHARE_RETRY_SECONDS), "part"
 
+    @property
+    def _grants_nothing(self) -> bool:
+        """Whether the holder answers no questions, as a release before."""
+        silence = clock.now() - self._unanswered_since
+        return silence > _MAX_UNANSWERED_SECONDS
+
     def give_back(self, start: fleet.Incarnation, is_refused: bool) -> None:
         """Gives a place back.
 
--- a/tests/gateway/test_brittle_engines.py
+++ b/tests/gateway/test_brittle_engines.py
@@ -122,3 +122,15 @@
     )
     answers = await flood(system, gateways, 1, 20)
     assert {a.status for a in answers} == {200}
+
+
+@harness.run
+async def test_holder_of_the_release_before_does_not_block_an_engine(system):
+    await add_brittle(system, 1)
+    gateways = await join(system, 2)
+    await learn(system, gateways)
+    with mock.patch.object(gateways[0]._place_broker, "answer"):
+        answers = []
+        while not answers or answers[-1].status != 200:
+            answers.append(await system.ask("/get/a", at=gateways[1]))
+    assert len(answers) > 1
