--- a/src/wayslip/gateway/sharing/endpoint_paths.py
+++ b/src/wayslip/gateway/sharing/endpoint_paths.py
@@ -8,7 +8,6 @@
 in the background.
 """
 
-import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Sequence
@@ -24,6 +23,7 @@
 from wayslip.decisions import fleet
 from wayslip.decisions import reachability
 from wayslip.gateway import background
+from wayslip.gateway.sharing import connection_race
 from wayslip.http1 import client
 from wayslip.http1 import tunnels
 
@@ -31,17 +31,11 @@
 # Connecting inside a region takes 2 ms, and a lost packet is retransmitted
 # after a few hundred. After this time an endpoint counts as unreachable.
 CONNECT_TIMEOUT_SECONDS = 0.4
-# Another instance is asked once an attempt has had no answer for this long,
-# many round trips.
-_HEDGE_SECONDS = 0.06
 # Limit for a tunnel; another instance is asked meanwhile.
 _TUNNEL_TIMEOUT_SECONDS = 0.5
 # Instances that are asked for a tunnel before an endpoint counts as
 # unreachable. Half of them may be cut off too.
 _MAX_PEERS = 4
-# Instances that could not connect to an endpoint, this one included, after
-# which it counts as unreachable.
-_ENOUGH_VERDICTS = 3
 # For how long an instance is asked last after it could not open a tunnel.
 _PEER_PAUSE_SECONDS = 1.0
 # Interval of questions to others about an endpoint that does not answer.
@@ -50,7 +44,6 @@
 _MAX_WITNESS_AGE_SECONDS = 1.5
 
 Dial = Callable[[tuple[str, int], float], Awaitable[client.Connection]]
-Opener = Callable[[], Awaitable[client.Connection]]
 
 
 class EndpointPaths:
@@ -294,7 +287,7 @@
 
     def _make_tunnel_opener(
         self, endpoint: fleet.Endpoint, peer: str
-    ) -> Opener:
+    ) -> connection_race.Opener:
         async def open_tunnel() -> client.Connection:
             try:
                 connection = await tunnels.connect(
@@ -345,83 +338,12 @@
         )
 
     async def _race(
-        self, endpoint: fleet.Endpoint, openers: Sequence[Opener]
+        self,
+        endpoint: fleet.Endpoint,
+        openers: Sequence[connection_race.Opener],
     ) -> client.Connection:
-        """Returns the first connection that is opened.
-
-        The next opener starts when the one before fails, or has not succeeded
-        for a while. Those that succeed too late are kept or closed.
-
-        Raises:
-            NobodyListensError: The connection was refused, also elsewhere.
-            NotSentError: No opener succeeded.
-        """
-        failures: list[errors.WayslipError] = []
-        running: set[asyncio.Task[client.Connection]] = set()
-        waiting = list(openers)
-        try:
-            while waiting or running:
-                if waiting:
-                    opener = waiting.pop(0)
-                    running.add(asyncio.ensure_future(opener()))
-                done, running = await asyncio.wait(
-                    running,
-                    timeout=_HEDGE_SECONDS if waiting else None,
-                    return_when=asyncio.FIRST_COMPLETED,
-                )
-                opened = [t for t in done if t.exception() is None]
-                if opened:
-                    running |= set(opened[1:])
-                    return opened[0].result()
-                failures += [_find_failure(t) for t in done]
-                if _count_verdicts(failures) >= _ENOUGH_VERDICTS:
-                    break
-        finally:
-            for task in running:
-                task.add_done_callback(lambda t: self._keep(endpoint.name, t))
-        raise _summarize(endpoint, failures)
-
-    def _keep(self, name: str, task: asyncio.Task[client.Connection]) -> None:
-        """Keeps a connection that was opened too late."""
-        if task.cancelled():
-            return
-        if task.exception() is None:
-            self.on_found(name, task.result())
-        elif not isinstance(task.exception(), errors.WayslipError):
-            _LOG.error("path_trial_failed", exc_info=task.exception())
-
-
-def _find_failure(
-    task: asyncio.Task[client.Connection],
-) -> errors.WayslipError:
-    """Returns why an opener failed; raises an error that is none of its own."""
-    error = task.exception()
-    assert error is not None
-    if not isinstance(error, errors.WayslipError):
-        raise error
-    return error
-
-
-def _count_verdicts(failures: Sequence[errors.WayslipError]) -> int:
-    """Returns how many failures tell something of the endpoint."""
-    return sum(isinstance(e, errors.NotSentError) for e in failures)
-
-
-def _summarize(
-    endpoint: fleet.Endpoint, failures: Sequence[errors.WayslipError]
-) -> errors.NotSentError:
-    """Returns the error of an endpoint that nobody reached.
-
-    Nobody listens there only if all say so that could tell.
-    """
-    reasons = "; ".join(e.reason for e in failures)
-    verdicts = [e for e in failures if isinstance(e, errors.NotSentError)]
-    kind: type[errors.NotSentError] = errors.NotSentError
-    if verdicts and all(
-        isinstance(e, errors.NobodyListensError) for e in verdicts
-    ):
-        kind = errors.NobodyListensError
-    return kind(
-        f"{endpoint.name} was not reached: {reasons}",
-        "check that the endpoint runs and can be reached",
-    )
+        return await connection_race.race(
+            endpoint.name,
+            openers,
+            lambda connection: self.on_found(endpoint.name, connection),
+        )
--- a/src/wayslip/gateway/sharing/permit_broker.py
+++ b/src/wayslip/gateway/sharing/permit_broker.py
@@ -175,7 +175,7 @@
         )
         logs.event(
             _LOG,
-            "place_asked_for",
+            "permit_asked_for",
             request=request_id,
             endpoint=endpoint.name,
             limit=limit,
