--- a/src/wayslip/gateway/sharing/members.py
+++ b/src/wayslip/gateway/sharing/members.py
@@ -38,8 +38,6 @@
 _MISS_SECONDS = 25.0
 # An instance that sent no report for this long no longer counts.
 _SILENCE_SECONDS = 2.0
-# Time after which the other instances have reported to a new holder.
-_FIRST_REPORTS_SECONDS = 1.0
 
 
 @dataclasses.dataclass
@@ -262,15 +260,6 @@
                 )
         return totals
 
-    @property
-    def has_awaited_reports(self) -> bool:
-        """Whether the current term has lasted until others can have reported.
-
-        They learn of the holder from its first state, or from the store if
-        they know no other instance, and report at once.
-        """
-        return clock.now() - self._term_began >= _FIRST_REPORTS_SECONDS
-
     def adopt_peers(self, peers: tuple[tuple[str, str], ...]) -> None:
         """Adopts the list of instances that the holder announced."""
         self._announced_peers = tuple(fanout.Peer(*one) for one in peers)
--- a/src/wayslip/gateway/sharing/peer_broadcast.py
+++ b/src/wayslip/gateway/sharing/peer_broadcast.py
@@ -47,10 +47,9 @@
         """Whether no other instance is known to receive or send anything.
 
         A holder that only the stored lease names may have ended since. The
-        holder itself is isolated until the others have had time to report; one
-        that nobody reports to then is the only instance.
+        holder itself is not isolated: the others report to it.
         """
-        if self._leadership.is_held and self._members.has_awaited_reports:
+        if self._leadership.is_held:
             return False
         return all(p.address == self._address for p in self._members.peers())
 
