--- a/src/wayslip/gateway/serving/attempts.py
+++ b/src/wayslip/gateway/serving/attempts.py
@@ -97,8 +97,8 @@
             ),
         )
         is_reused = connection is not None
-        idle = clock.now() - connection.idle_since if connection else 0.0
         began = clock.now()
+        idle = began - connection.idle_since if connection else None
         try:
             if connection is None:
                 connection = await self._paths.open(tracked.endpoint)
@@ -110,36 +110,10 @@
                 self.slot_times.learn(job.service.name, seconds)
             return failure
         except errors.NotSentError as e:
-            if not self._paths.is_cut_off:
-                self._view.note_failed_attempt(active)
-            logs.event(
-                _LOG,
-                "attempt_not_sent",
-                request=job.traits.request_id,
-                endpoint=choice.name,
-                seconds=f"{clock.now() - began:.3f}",
-                reason=e.reason,
-            )
-            self._metrics.count("failed_attempts", kind="not_sent")
+            self._note_not_sent(job, active, clock.now() - began, e)
             return retry.Failure.NOT_SENT
         except errors.EndpointError as e:
-            self._view.note_failed_attempt(active)
-            logs.event(
-                _LOG,
-                "attempt_unclear",
-                request=job.traits.request_id,
-                endpoint=choice.name,
-                content=job.content.hex(),
-                reused=is_reused,
-                idle=f"{idle:.3f}",
-                seconds=f"{clock.now() - began:.3f}",
-                reason=e.reason,
-            )
-            self._metrics.count("failed_attempts", kind="unclear")
-            job.broken_attempts += 1
-            self._quarantine.note_broken_attempt(
-                tracked.endpoint, job.content, depth, self._paths.probe
-            )
+            self._note_unclear(job, active, depth, e, reused_after=idle)
             return retry.Failure.UNCLEAR
         finally:
             self._view.end(active)
@@ -147,6 +121,63 @@
             if connection is not None and not connection.is_pooled:
                 connection.close()
 
+    def _note_not_sent(
+        self,
+        job: jobs.Job,
+        active: view_module.ActiveRequest,
+        seconds: float,
+        error: errors.NotSentError,
+    ) -> None:
+        """Records that no connection to an endpoint could be opened."""
+        if not self._paths.is_cut_off:
+            # Otherwise it is this instance's fault, as far as is known.
+            self._view.note_failed_attempt(active)
+        logs.event(
+            _LOG,
+            "attempt_not_sent",
+            request=job.traits.request_id,
+            endpoint=job.endpoint,
+            seconds=f"{seconds:.3f}",
+            reason=error.reason,
+        )
+        self._metrics.count("failed_attempts", kind="not_sent")
+
+    def _note_unclear(
+        self,
+        job: jobs.Job,
+        active: view_module.ActiveRequest,
+        depth: int,
+        error: errors.EndpointError,
+        reused_after: float | None,
+    ) -> None:
+        """Records that an attempt broke off after it was sent.
+
+        Args:
+            job: The request.
+            active: The attempt.
+            depth: The request's suspicion depth when it was sent.
+            error: Why it broke off.
+            reused_after: For how long its connection had been idle, seconds;
+                None for a new connection.
+        """
+        self._view.note_failed_attempt(active)
+        logs.event(
+            _LOG,
+            "attempt_unclear",
+            request=job.traits.request_id,
+            endpoint=job.endpoint,
+            content=job.content.hex(),
+            reused=reused_after is not None,
+            idle=f"{reused_after or 0.0:.3f}",
+            seconds=f"{clock.now() - active.began:.3f}",
+            reason=error.reason,
+        )
+        self._metrics.count("failed_attempts", kind="unclear")
+        job.broken_attempts += 1
+        self._quarantine.note_broken_attempt(
+            active.tracked.endpoint, job.content, depth, self._paths.probe
+        )
+
     def _log_tunnel(self, job: jobs.Job, connection: client.Connection) -> None:
         logs.event(
             _LOG,
