Take no requests later than 2.5 s after a signal to stop

An instance went on taking requests for 3.0 s; what is sent within 3 s may be cut, what is sent later may not. The balancer takes an instance out 2 s after the signal.

--- a/src/wayslip/gateway/daemon.py
+++ b/src/wayslip/gateway/daemon.py
@@ -54,9 +54,11 @@
 from wayslip.http1 import server
 
 _LOG = logging.getLogger(__name__)
-# The balancer probes every second and removes an instance after two failures;
-# until then new connections still arrive.
-_BALANCER_SECONDS = 3.0
+# The balancer probes every second and removes an instance after two failures,
+# 2 s after the signal at the latest; until then new connections still arrive. A
+# request that is taken later than 3 s after the signal may not be broken off at
+# the end of the grace time, so none is taken from well before that on.
+_BALANCER_SECONDS = 2.5
 # Part of the grace time reserved for aborting unfinished requests.
 _ABORT_SECONDS = 0.4
 _STOP_POLL_SECONDS = 0.1
