Log how answers end, and the software versions that serve streams

The incident's hypotheses could not be told apart: no line said how an answer was framed or ended. 'ended' now says marked or unmarked, what a request resumes and its last event; 'chosen' and 'endpoint_found' the endpoint's software version; a counter counts answers by their end. Entries and lists carry the version.

--- a/src/wayslip/decisions/fleet.py
+++ b/src/wayslip/decisions/fleet.py
@@ -36,6 +36,7 @@
         beat: Count of the heartbeat that wrote the entry; it increases within
             an incarnation, and an entry with a lower one is older.
         born: Start time of the incarnation; 0 if unknown.
+        version: Version of its software; empty if unknown.
     """
 
     name: str
@@ -49,6 +50,7 @@
     on_disk: frozenset[str] = frozenset()
     beat: int = 0
     born: int = 0
+    version: str = ""
 
     @property
     def incarnation(self) -> Incarnation:
--- a/src/wayslip/gateway/dialect.py
+++ b/src/wayslip/gateway/dialect.py
@@ -35,6 +35,8 @@
         output_tokens: Maximum number of generated tokens.
         parts: The prompt's parts in order.
         last_event_id: Id of the last stream event that the client received.
+        resumes: Id of the request that brought the first event of the stream
+            that the client takes up, empty for none.
         key: Digest of the API key, None without one; see
             `organisations.hash_key`.
     """
@@ -49,6 +51,7 @@
     output_tokens: int = 0
     parts: tuple[PromptPart, ...] = ()
     last_event_id: str = ""
+    resumes: str = ""
     key: bytes | None = None
 
 
--- a/src/wayslip/gateway/serving/attempts.py
+++ b/src/wayslip/gateway/serving/attempts.py
@@ -367,6 +367,7 @@
                 self._view.note_answer(active, False)
                 return None
         body = b"".join(parts)
+        self._note_end(job, connection)
         is_failure = head.status >= 500
         self._view.note_answer(active, is_failure)
         if is_failure and job.route.may_repeat:
@@ -390,9 +391,15 @@
         await job.exchange.send(b"".join(parts))
         while part := await connection.read():
             await job.exchange.send(part)
+        self._note_end(job, connection)
         self._responder.record_job_outcome(job, "answered", head.status)
         job.exchange.finish()
 
+    def _note_end(self, job: jobs.Job, connection: client.Connection) -> None:
+        """Records how the end of an endpoint's answer was told."""
+        job.ending = connection.ending
+        self._metrics.count("answers_ended", ending=str(job.ending))
+
     async def _forward_stream(
         self,
         job: jobs.Job,
@@ -413,6 +420,7 @@
                 continue
             self._start_stream(job, head)
             await job.exchange.send(whole)
+        self._note_end(job, connection)
         self._view.note_answer(active, False, is_stream=True)
         self._start_stream(job, head)
         await job.exchange.send(job.splitter.remainder)
--- a/src/wayslip/gateway/serving/endpoint_chooser.py
+++ b/src/wayslip/gateway/serving/endpoint_chooser.py
@@ -311,6 +311,7 @@
                 model=job.traits.model,
                 adapter=job.traits.adapter,
                 endpoint=choice.name,
+                version=self._view.tracked[choice.name].endpoint.version,
                 candidates=choice.candidates,
                 unseen=f"{choice.unseen:.3f}",
                 wait=f"{choice.wait:.3f}",
--- a/src/wayslip/gateway/serving/jobs.py
+++ b/src/wayslip/gateway/serving/jobs.py
@@ -54,6 +54,7 @@
         place: The brittle endpoint at which it holds a place.
         lacked_room: Whether its last attempt was refused for lack of room.
         room_wait: Seconds until a brittle endpoint is expected to have room.
+        ending: How the end of the forwarded answer was told.
     """
 
     exchange: server.Exchange
@@ -85,6 +86,7 @@
     place: fleet.Incarnation | None = None
     lacked_room: bool = False
     room_wait: float = 0.0
+    ending: messages.BodyEnd | None = None
 
     @functools.cached_property
     def content(self) -> bytes:
@@ -214,6 +216,9 @@
             content=content,
             unreachable=str(job.unreachable_count),
             tried=str(len(job.tried)),
+            ending=job.ending or "",
+            resumes=job.traits.resumes,
+            last_event=job.splitter.last_id,
         )
 
     def record_outcome(
--- a/src/wayslip/gateway/sharing/datagrams.py
+++ b/src/wayslip/gateway/sharing/datagrams.py
@@ -79,8 +79,15 @@
 
 
 def _list_fields(part: Any) -> list[Any]:
-    """Returns the fields; dataclasses.astuple copies deeply, which is slow."""
-    return [getattr(part, f.name) for f in dataclasses.fields(part)]
+    """Returns the fields; dataclasses.astuple copies deeply, which is slow.
+
+    Empty texts at the end are left out: they are defaults, and releases before
+    that don't know the fields get what they expect.
+    """
+    values = [getattr(part, f.name) for f in dataclasses.fields(part)]
+    while values and values[-1] == "":
+        values.pop()
+    return values
 
 
 def _make_part(part: type, values: list[Any]) -> Any:
--- a/src/wayslip/gateway/sharing/facts.py
+++ b/src/wayslip/gateway/sharing/facts.py
@@ -99,6 +99,7 @@
         on_disk: Models whose weights are on its disk.
         beat: Heartbeat count of the heartbeat that wrote the entry.
         born: Start time of the endpoint; see `fleet.Endpoint`.
+        version: Version of its software; empty if unknown.
     """
 
     endpoint: str
@@ -112,6 +113,7 @@
     on_disk: tuple[str, ...] = ()
     beat: int = 0
     born: int = 0
+    version: str = ""
 
     @classmethod
     def of(cls, endpoint: fleet.Endpoint) -> "Listed":
@@ -131,6 +133,7 @@
             tuple(sorted(endpoint.on_disk)),
             endpoint.beat,
             endpoint.born,
+            endpoint.version,
         )
 
     def restore(self) -> fleet.Endpoint:
@@ -153,6 +156,7 @@
             on_disk=frozenset(self.on_disk),
             beat=self.beat,
             born=self.born,
+            version=self.version,
         )
 
 
--- a/src/wayslip/gateway/sharing/view.py
+++ b/src/wayslip/gateway/sharing/view.py
@@ -198,6 +198,7 @@
             service=endpoint.service,
             address=endpoint.address,
             born=endpoint.born,
+            version=endpoint.version,
             models=",".join(sorted(endpoint.models)),
         )
 
--- a/src/wayslip/http1/client.py
+++ b/src/wayslip/http1/client.py
@@ -58,12 +58,14 @@
         peer: The instance that it leads through, "IP:PORT"; empty if direct.
         opened_at: When it was opened, steady seconds.
         heard_at: When the other end was last heard.
+        ending: How the end of the last response was told, None before.
     """
 
     def __init__(self, peer: str = "") -> None:
         self.peer = peer
         self.opened_at = 0.0
         self.heard_at = 0.0
+        self.ending: messages.BodyEnd | None = None
         self._transport: asyncio.Transport | None = None
         self._parser: Any = httptools.HttpResponseParser(self)
         self._waiter: asyncio.Future[None] | None = None
@@ -106,6 +108,7 @@
         """
         self.is_pooled = False
         self._head = None
+        self.ending = None
         self._matcher = matcher
         self._is_complete = False
         self._chunks.clear()
@@ -230,6 +233,7 @@
         is_end = head is not None and not head.is_framed and not self.peer
         if not self._is_complete and is_end:
             self._is_complete = True
+            self.ending = messages.BodyEnd.UNMARKED
             self._is_dirty = True
         self._fail("the connection was closed")
         return False
@@ -280,6 +284,7 @@
         if self._is_skipping or self._is_complete or self._head is None:
             return
         self._is_complete = True
+        self.ending = messages.BodyEnd.MARKED
         if not self._head.keep_alive:
             self._is_dirty = True
         self._notify()
--- a/src/wayslip/http1/messages.py
+++ b/src/wayslip/http1/messages.py
@@ -1,6 +1,7 @@
 """HTTP requests and response heads, and their format on the wire."""
 
 import dataclasses
+import enum
 import http
 
 Headers = tuple[tuple[bytes, bytes], ...]
@@ -24,6 +25,19 @@
 _REASONS = {s.value: s.phrase.encode("ascii") for s in http.HTTPStatus}
 
 
+class BodyEnd(enum.StrEnum):
+    """How the end of a body was told. A body that broke off has none.
+
+    Attributes:
+        MARKED: By its length or its last chunk.
+        UNMARKED: By an orderly close of the connection only, which also the
+            end of the sending process causes.
+    """
+
+    MARKED = "marked"
+    UNMARKED = "unmarked"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Request:
     """A whole request.
--- a/src/wayslip/platform/decoding.py
+++ b/src/wayslip/platform/decoding.py
@@ -174,6 +174,7 @@
             on_disk=on_disk,
             beat=fields.read_int(raw, "seq", 0),
             born=fields.read_int(raw, "born", 0, default=0),
+            version=_read_version(raw),
         )
     except fields.FieldError as e:
         raise errors.ObjectFieldError(
@@ -217,6 +218,12 @@
     return state
 
 
+def _read_version(raw: Mapping[str, Any]) -> str:
+    """Returns the version of an endpoint's software, empty if not stated."""
+    value = raw.get("version")
+    return "" if value is None else fields.check_text(value, "version")
+
+
 def _read_names(raw: Mapping[str, Any], name: str) -> frozenset[str]:
     return frozenset(fields.read_list(raw, name, fields.check_text))
 
--- a/src/wayslip/platform/dialect.py
+++ b/src/wayslip/platform/dialect.py
@@ -14,6 +14,7 @@
 _TOKENS = b"wayslip-token-count"
 _PROMPT_PREFIX = b"wayslip-prompt-prefix"
 _LAST_EVENT_ID = b"last-event-id"
+_RESUMES = b"resumes"
 _PRIORITY = b"wayslip-request-priority"
 _TARGET_ENDPOINT = b"wayslip-target-instance"
 _CALLER_KEY = b"wayslip-key"
@@ -84,6 +85,7 @@
             output_tokens=_read_int(output) or 0,
             parts=_read_parts(sent.get(_PROMPT_PREFIX, b"")),
             last_event_id=sent.get(_LAST_EVENT_ID, b"").decode("latin-1"),
+            resumes=sent.get(_RESUMES, b"").decode("latin-1"),
             key=_read_key(request.headers),
         )
 
