--- a/standins/platform_client.py
+++ b/standins/platform_client.py
@@ -5,6 +5,8 @@
 
 from standins import platform_site
 
+_READ_BYTES = 64 * 1024
+
 
 @dataclasses.dataclass(frozen=True)
 class Answer:
@@ -80,6 +82,8 @@
         try:
             if "transfer-encoding" in headers:
                 body, is_whole = await self._read_chunks()
+            elif "content-length" not in headers:
+                body, is_whole = await self._read_until_close()
             else:
                 length = int(headers.get("content-length", 0))
                 body = await self.reader.readexactly(length)
@@ -87,6 +91,16 @@
             is_whole = False
         return Answer(int(first.split(" ")[1]), headers, body, is_whole)
 
+    async def _read_until_close(self) -> tuple[bytes, bool]:
+        """Reads a body that ends with its connection, unless that is reset."""
+        body = b""
+        try:
+            while data := await self.reader.read(_READ_BYTES):
+                body += data
+        except ConnectionError:
+            return body, False
+        return body, True
+
     async def _read_chunks(self) -> tuple[bytes, bool]:
         body = b""
         try:
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -9,10 +9,14 @@
 from collections.abc import Callable
 import dataclasses
 import json
+import socket
+import struct
 import time
 from typing import Any
 
 SEAL = "3e1b.07.5a2"
+# `struct linger` with a time of 0, with which a close resets the connection.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # Bytes that an endpoint reads at once if it reads slowly.
 _READ_BYTES = 32 * 1024
 
@@ -54,9 +58,15 @@
         await self.writer.drain()
 
     def reset(self) -> None:
-        """Resets the connection."""
+        """Resets the connection; without lingering, `abort` would close it."""
+        sock = self.writer.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
         self.writer.transport.abort()
 
+    def close(self) -> None:
+        """Closes the connection in order, after all that was written."""
+        self.writer.close()
+
     async def answer(
         self,
         request: ReceivedRequest,
@@ -160,6 +170,13 @@
         for connection in list(self._open_connections):
             connection.reset()
 
+    def exit(self) -> None:
+        """Ends as a process does: connections close in order, none are new."""
+        self.is_ended = True
+        self.stop()
+        for connection in list(self._open_connections):
+            connection.close()
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -123,7 +123,7 @@
     def is_up(self):
         return self.gateway._endpoints.watcher.is_synced
 
-    async def add(self, name, service, models=(), script=None):
+    async def add(self, name, service, models=(), script=None, **fields):
         engine = platform_engine.PlatformEngine(name)
         engine.models = {m: [] for m in models}
         if script is not None:
@@ -131,7 +131,9 @@
         address = await engine.start()
         self.engines[name] = engine
         self.store.put(
-            "servers", name, platform_site.entry(service, address, models)
+            "servers",
+            name,
+            platform_site.entry(service, address, models, **fields),
         )
         await self.until(lambda: name in self.gateway.view.tracked)
         return engine
--- /dev/null
+++ b/tests/gateway/test_stream_versions.py
@@ -0,0 +1,161 @@
+"""Streams over engines of several software versions in one service.
+
+Guards against streams that hold events of two versions, and against streams
+that are not taken up although engines of their version serve.
+"""
+
+import asyncio
+
+from tests.gateway import harness
+from tests.gateway import test_requests
+from tests.gateway import test_unreachable_endpoints as unreachable
+
+WHOLE = b"".join(test_requests.EVENTS)
+ROUNDS = 6
+
+
+async def break_off(engine, request, line):
+    if "last-event-id" in request.headers:
+        line.reset()
+        return
+    await test_requests.break_off_inside_event(engine, request, line)
+
+
+async def add_engines(system, script, *versions, hall="hall-1"):
+    """Adds an engine of each version; returns them."""
+    engines = []
+    for number, version in enumerate(versions, len(system.engines)):
+        name = f"e{number}"
+        engines.append(
+            await system.add(
+                name, "models", ["m1"], script, version=version, zone=hall
+            )
+        )
+    return engines
+
+
+async def add_gateways(system, count):
+    gateways = [system.gateway]
+    for number in range(2, count + 1):
+        gateways.append(await system.join(f"g{number}"))
+    for gateway in gateways:
+        await system.until(
+            lambda g=gateway: len(g.view.tracked) == len(system.engines)
+        )
+    return gateways
+
+
+async def ask(system, request_id, at=None, **headers):
+    return await system.ask(
+        "/gen/a",
+        request_id,
+        "POST",
+        at,
+        body=b"x",
+        **unreachable.fields("m1"),
+        **headers,
+    )
+
+
+def resume(system, request_id, began, after, at):
+    return ask(system, request_id, at, Resumes=began, Last_Event_Id=str(after))
+
+
+def list_resumed(engines):
+    """Returns the ids of streams that engines went on with."""
+    return [
+        r.id
+        for e in engines
+        for r in e.received
+        if "last-event-id" in r.headers
+    ]
+
+
+async def begin_streams(system, gateway, count):
+    """Has streams begin and break off after two events; returns their ids."""
+    ids = [f"b{n}" for n in range(count)]
+    for request_id in ids:
+        answer = await ask(system, request_id, gateway)
+        assert (answer.status, answer.is_whole) == (200, False)
+        assert answer.body == b"".join(test_requests.EVENTS[:2])
+    return ids
+
+
+async def break_near(system, *versions):
+    """Has a stream begin at v1; returns the answer and the other engines."""
+    await add_engines(system, break_off, "v1")
+    others = await add_engines(
+        system, test_requests.stream_whole, *versions, hall="hall-2"
+    )
+    return await ask(system, "b0"), others
+
+
+@harness.run
+async def test_answer_holds_no_events_of_two_versions(system):
+    answer, others = await break_near(system, "v2", "v2")
+    assert (answer.status, answer.is_whole) == (200, False)
+    assert answer.body == b"".join(test_requests.EVENTS[:2])
+    assert not list_resumed(others)
+
+
+@harness.run
+async def test_answer_goes_on_at_another_engine_of_its_version(system):
+    answer, others = await break_near(system, "v2", "v1", "v2")
+    assert (answer.body, answer.is_whole) == (WHOLE, True)
+    assert list_resumed(others) == list_resumed([others[1]]) == ["b0"]
+
+
+async def check_resumed(system, gateways, began_at, kill=False):
+    """Checks that streams of v1 go on at v1 from each of the gateways."""
+    old = await add_engines(system, break_off, "v1", "v1")
+    for gateway in gateways:
+        await system.until(lambda g=gateway: len(g.view.tracked) == 2)
+    ids = await begin_streams(system, began_at, ROUNDS)
+    new = await add_engines(system, test_requests.stream_whole, "v2", "v2")
+    for engine in old:
+        engine.script = test_requests.stream_whole
+    for gateway in gateways:
+        await system.until(lambda g=gateway: len(g.view.tracked) == 4)
+    if kill:
+        await system.kill(began_at)
+        gateways = [g for g in gateways if g is not began_at]
+    for number, began in enumerate(ids):
+        at = gateways[number % len(gateways)]
+        answer = await resume(system, f"r{number}", began, 2, at)
+        assert (answer.status, answer.is_whole) == (200, True)
+        assert answer.body == b"".join(test_requests.EVENTS[2:])
+    assert not list_resumed(new)
+    assert len(list_resumed(old)) == len(ids)
+
+
+@harness.run
+async def test_client_takes_a_stream_up_at_the_version_that_began_it(system):
+    gateways = await add_gateways(system, 3)
+    await check_resumed(system, gateways, gateways[1])
+
+
+@harness.run
+async def test_stream_goes_on_after_its_instance_was_killed(system):
+    gateways = await add_gateways(system, 4)
+    await check_resumed(system, gateways, gateways[2], kill=True)
+
+
+@harness.run
+async def test_stream_of_unknown_version_is_refused_and_not_run(system):
+    engines = await add_engines(system, test_requests.stream_whole, "v1", "v2")
+    answer = await resume(system, "r1", "nobody-knows", 2, None)
+    assert answer.status == 503
+    assert float(answer.headers["retry-after"]) > 0
+    assert not list_resumed(engines)
+    # New streams are served.
+    assert (await ask(system, "s1")).body == WHOLE
+
+
+@harness.run
+async def test_new_stream_that_fails_before_its_first_event_may_move(system):
+    await add_engines(system, test_requests.reset, "v1")
+    await add_engines(system, test_requests.stream_whole, "v2")
+    for number in range(ROUNDS):
+        answer = await ask(system, f"s{number}")
+        assert (answer.body, answer.is_whole) == (WHOLE, True)
+        await asyncio.sleep(0)
