Take a stream that ends inside an event for broken off

Callers saw half an event and then the end of a whole answer. Cause: once the body had ended, the rest behind the last event was forwarded and the answer completed, whatever it held. Now a rest that holds more than comments and empty lines breaks the attempt off, framed or not: it goes on at another endpoint or is cut at the client. Event ends are found whatever ends the lines, also where a line end is split between two reads; \r\n\r\n and \n\n were known before, \r\r and mixtures were not.

--- a/src/wayslip/gateway/serving/attempts.py
+++ b/src/wayslip/gateway/serving/attempts.py
@@ -420,6 +420,10 @@
                 continue
             self._start_stream(job, head)
             await job.exchange.send(whole)
+        if job.splitter.is_inside_event:
+            raise errors.EndpointUnclearError(
+                "the stream ended inside an event", "see the endpoint's log"
+            )
         self._note_end(job, connection)
         self._view.note_answer(active, False, is_stream=True)
         self._start_stream(job, head)
--- a/src/wayslip/gateway/serving/events.py
+++ b/src/wayslip/gateway/serving/events.py
@@ -1,6 +1,11 @@
 """Splits a stream of server-sent events at event boundaries."""
 
-_SEPARATORS = (b"\n\n", b"\r\n\r\n")
+import re
+
+# An empty line ends an event. Each of the three line ends is matched whole, so
+# that the two bytes of one are not taken for two.
+_EVENT_END = re.compile(rb"(?>\r\n|\r|\n){2}")
+_COMMENT = b":"
 
 
 class EventSplitter:
@@ -31,6 +36,14 @@
         """Bytes after the last whole event."""
         return self._remainder
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether a part of an event was fed, and not its end."""
+        return any(
+            line and not line.startswith(_COMMENT)
+            for line in self._remainder.splitlines()
+        )
+
     def _note_ids(self, whole: bytes) -> None:
         for line in reversed(whole.splitlines()):
             if line.startswith(b"id:"):
@@ -39,5 +52,4 @@
 
 
 def _find_end(data: bytes) -> int:
-    ends = [data.rfind(s) + len(s) for s in _SEPARATORS if s in data]
-    return max(ends, default=0)
+    return max((m.end() for m in _EVENT_END.finditer(data)), default=0)
