Keep closes and resets of endpoints apart through tunnels

Cause: asyncio's abort and the kernel close connections in order. Now the end of a tunnel is reset (SO_LINGER 0) unless the endpoint closed in order and all that it sent has gone out; a header of the answer to CONNECT says so, and closes of a tunnel without it, of the release before, end no answer.

--- a/src/wayslip/http1/client.py
+++ b/src/wayslip/http1/client.py
@@ -59,12 +59,17 @@
         opened_at: When it was opened, steady seconds.
         heard_at: When the other end was last heard.
         ending: How the end of the last response was told, None before.
+        keeps_closes: Whether an orderly close is one by the endpoint; a tunnel
+            of an earlier release turns resets into closes.
+        is_lost: Whether it ended, but for a close by this instance.
     """
 
-    def __init__(self, peer: str = "") -> None:
+    def __init__(self, peer: str = "", keeps_closes: bool = True) -> None:
         self.peer = peer
+        self.keeps_closes = keeps_closes
         self.opened_at = 0.0
         self.heard_at = 0.0
+        self.is_lost = False
         self.ending: messages.BodyEnd | None = None
         self._transport: asyncio.Transport | None = None
         self._parser: Any = httptools.HttpResponseParser(self)
@@ -225,21 +230,20 @@
             self._transport.pause_reading()
 
     def eof_received(self) -> bool:
-        """Ends a response without a length; any other is truncated.
-
-        Through another instance, a reset may arrive as an orderly close.
-        """
+        """Ends a response without a length; any other is truncated."""
         head = self._head
-        is_end = head is not None and not head.is_framed and not self.peer
+        is_end = head is not None and not head.is_framed and self.keeps_closes
         if not self._is_complete and is_end:
             self._is_complete = True
             self.ending = messages.BodyEnd.UNMARKED
             self._is_dirty = True
+        self.is_lost = True
         self._fail("the connection was closed")
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Marks the connection as failed."""
+        self.is_lost = self.is_lost or exc is not None
         self._fail(f"the connection was lost ({type(exc).__name__})")
 
     # Callbacks of the parser
--- a/src/wayslip/http1/tunnels.py
+++ b/src/wayslip/http1/tunnels.py
@@ -2,8 +2,10 @@
 
 An instance sends `CONNECT ENDPOINT HTTP/1.1` to another one, which connects to
 that endpoint, answers 200 and then forwards bytes both ways. It reads none of
-them, so the endpoint's answers stay as they are. Any other status says that no
-byte was forwarded:
+them, so the endpoint's answers stay as they are. An orderly close by the
+endpoint is forwarded as one; a reset, and the end of the other instance, reset
+the tunnel. A header of the answer says so, since earlier releases don't keep
+the two apart. Any other status says that no byte was forwarded:
 
 * 403, 503: the other instance doesn't serve this tunnel, see `Status`.
 * 502: no process listens at the endpoint's address.
@@ -13,11 +15,10 @@
 import asyncio
 from collections.abc import Callable
 import enum
-import socket
-import struct
 
 from wayslip import errors
 from wayslip.http1 import client
+from wayslip.http1 import closing
 
 # Bytes that wait for a slow reader before reading from the other side pauses.
 _BUFFER_BYTES = 64 * 1024
@@ -25,8 +26,9 @@
 # Time limit for the head of a request for a tunnel.
 _HEAD_SECONDS = 1.0
 _END_OF_HEAD = b"\r\n\r\n"
-# `struct linger` with a time of 0, with which a close resets the connection.
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+_END_OF_LINE = b"\r\n"
+# Says that a close of the tunnel is a close by the endpoint.
+_KEEPS_CLOSES = b"\r\ncloses: kept\r\n"
 
 
 class Status(enum.IntEnum):
@@ -51,18 +53,25 @@
 
 
 class _Handshake(asyncio.Protocol):
-    """Reads the answer to a request for a tunnel."""
+    """Reads the answer to a request for a tunnel.
+
+    Attributes:
+        status: Its status, 0 if there is none.
+        keeps_closes: Whether a close of the tunnel is a close by the endpoint.
+    """
 
     def __init__(self) -> None:
         self.status: asyncio.Future[int] = (
             asyncio.get_running_loop().create_future()
         )
+        self.keeps_closes = False
         self._head = b""
 
     def data_received(self, data: bytes) -> None:
         """Reads the status once the head is complete."""
         self._head += data
         if self._head.endswith(_END_OF_HEAD) and not self.status.done():
+            self.keeps_closes = _KEEPS_CLOSES in self._head
             code = self._head.split(b" ", 2)[1:2]
             is_number = code and code[0].isdigit()
             self.status.set_result(int(code[0]) if is_number else 0)
@@ -109,7 +118,9 @@
         if transport is not None and status != Status.OPENED:
             transport.abort()
     _check_status(status, peer, endpoint)
-    connection = client.Connection(f"{peer[0]}:{peer[1]}")
+    connection = client.Connection(
+        f"{peer[0]}:{peer[1]}", handshake.keeps_closes
+    )
     transport.set_protocol(connection)
     connection.connection_made(transport)
     return connection
@@ -219,6 +230,12 @@
         return self._observe(source, endpoint, status)
 
 
+def _format_status(status: Status) -> bytes:
+    """Returns the answer to a request for a tunnel."""
+    line = f"HTTP/1.1 {status.value} {status.name}".encode("ascii")
+    return line + _KEEPS_CLOSES + _END_OF_LINE
+
+
 class _End(asyncio.Protocol):
     """One end of a tunnel; what it receives goes out at the other one."""
 
@@ -251,24 +268,23 @@
 
     def abort(self) -> None:
         """Resets the connection, so that no answer looks complete."""
-        if self.transport is None or self.transport.is_closing():
-            return
-        sock = self.transport.get_extra_info("socket")
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
-        self.transport.abort()
+        if self.transport is not None:
+            closing.reset(self.transport)
 
 
 class _FarEnd(_End):
     """The end at the endpoint."""
 
+    def __init__(self, tunnel: "_Tunnel") -> None:
+        super().__init__()
+        self._tunnel = tunnel
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Ends the tunnel; after an orderly close, what was read goes out."""
-        if self.other is None or self.other.transport is None:
-            return
         if exc is None:
-            self.other.transport.close()
+            self._tunnel.close()
         else:
-            self.other.abort()
+            self._tunnel.abort()
 
 
 class _Tunnel(_End):
@@ -280,10 +296,13 @@
         self._head = b""
         self._task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
+        self._guarded: closing.GuardedTransport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Waits for the request."""
         super().connection_made(transport)
+        assert self.transport is not None
+        self._guarded = closing.GuardedTransport(self.transport)
         self._server.add(self)
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(_HEAD_SECONDS, self.abort)
@@ -298,6 +317,17 @@
         if self.other is not None:
             self.other.abort()
 
+    def resume_writing(self) -> None:
+        """Has the other end read on, or closes the tunnel."""
+        super().resume_writing()
+        if self._guarded is not None:
+            self._guarded.note_sent()
+
+    def close(self) -> None:
+        """Closes the tunnel in order, after all that was read."""
+        if self._guarded is not None:
+            self._guarded.close()
+
     def data_received(self, data: bytes) -> None:
         """Reads the request, then forwards bytes."""
         if self.other is not None:
@@ -325,17 +355,16 @@
     async def _connect(self, endpoint: str) -> None:
         assert self.transport is not None
         source = self.transport.get_extra_info("peername")[0]
-        far_end = _FarEnd()
+        far_end = _FarEnd(self)
         status = Status.SILENT
         try:
             status = await self._server.connect(source, endpoint, far_end)
         finally:
             if status is not Status.OPENED:
                 far_end.abort()
-        line = f"HTTP/1.1 {status.value} {status.name}"
-        self.transport.write(line.encode("ascii") + _END_OF_HEAD)
+        self.transport.write(_format_status(status))
         if status is not Status.OPENED:
-            self.transport.close()
+            self.close()
             return
         far_end.other = self
         self.other = far_end
