Forward an end that nobody marked without a mark

What callers saw: an answer with neither a length nor chunks arrived with a last chunk or a computed length, so that it looked whole to them beyond doubt, whatever had ended it. Cause: the gateway framed every answer anew. A proxy must not raise the grade of an end: such an answer now goes out with its connection's end, and whatever breaks it off (an error, an abort, a signal, the end of this process) resets that connection. It costs the client a new connection after each such answer, and nothing elsewhere.

--- a/src/wayslip/gateway/serving/attempts.py
+++ b/src/wayslip/gateway/serving/attempts.py
@@ -14,6 +14,7 @@
 from wayslip.decisions import slot_times
 from wayslip.gateway import background
 from wayslip.gateway import dialect as dialect_module
+from wayslip.gateway.serving import forwarding
 from wayslip.gateway.serving import jobs
 from wayslip.gateway.sharing import endpoint_paths
 from wayslip.gateway.sharing import permit_broker as permit_broker_module
@@ -28,9 +29,6 @@
 # After this time without an acknowledgement of a request, its path is verified.
 # A lost packet is retransmitted after a few hundred milliseconds.
 _ACKNOWLEDGE_SECONDS = 0.4
-# Answers up to this size are buffered before they are forwarded, so that a
-# request whose answer breaks off can be retried.
-_MAX_BUFFERED_BYTES = 256 * 1024
 
 
 class Attempts:
@@ -69,10 +67,10 @@
         self._quarantine = quarantine
         self._dialect = dialect
         self._view = view
-        self._responder = responder
         self._metrics = metrics
         self.pool = pool_module.Pool(endpoint_paths.CONNECT_TIMEOUT_SECONDS)
         paths.on_found = self.pool.add
+        self._forwarder = forwarding.Forwarder(view, responder, metrics)
         self.slot_times = slot_times.SlotTimes()
         self._tasks = background.BackgroundTasks("path_not_verified")
         # Called when a request of this instance has left an endpoint.
@@ -118,8 +116,9 @@
         finally:
             self._view.end(active)
             self.on_end()
-            if connection is not None and not connection.is_pooled:
-                connection.close()
+            if connection is not None:
+                if not connection.is_pooled:
+                    connection.close()
 
     def _note_not_sent(
         self,
@@ -263,9 +262,12 @@
                 "see the endpoint's log",
             )
         if answer.is_stream and head.status < 300:
-            failure = await self._forward_stream(job, active, connection, head)
+            failure = None
+            await self._forwarder.forward_stream(job, active, connection, head)
         else:
-            failure = await self._forward(job, active, connection, head)
+            failure = await self._forwarder.forward(
+                job, active, connection, head
+            )
         if failure is None:
             self._return_to_pool(endpoint, connection, head)
         self._quarantine.note_answer(job.content)
@@ -345,98 +347,3 @@
         while part := await connection.read():
             parts.append(part)
         return b"".join(parts)
-
-    # Answers
-
-    async def _forward(
-        self,
-        job: jobs.Job,
-        active: view_module.ActiveRequest,
-        connection: client.Connection,
-        head: messages.Head,
-    ) -> retry.Failure | None:
-        """Forwards an answer, buffering it if it is small."""
-        headers = messages.find_end_to_end(head.headers)
-        parts: list[bytes] = []
-        size = 0
-        while part := await connection.read():
-            parts.append(part)
-            size += len(part)
-            if size > _MAX_BUFFERED_BYTES:
-                await self._forward_large(job, connection, head, parts)
-                self._view.note_answer(active, False)
-                return None
-        body = b"".join(parts)
-        self._note_end(job, connection)
-        is_failure = head.status >= 500
-        self._view.note_answer(active, is_failure)
-        if is_failure and job.route.may_repeat:
-            job.fallback = (head, body)
-            return retry.Failure.UNCLEAR
-        job.relayed = True
-        self._responder.record_job_outcome(job, "answered", head.status)
-        job.exchange.answer(head.status, headers, body)
-        return None
-
-    async def _forward_large(
-        self,
-        job: jobs.Job,
-        connection: client.Connection,
-        head: messages.Head,
-        parts: list[bytes],
-    ) -> None:
-        job.relayed = job.is_bound = True
-        headers = messages.find_end_to_end(head.headers)
-        job.exchange.start(head.status, headers, head.length)
-        await job.exchange.send(b"".join(parts))
-        while part := await connection.read():
-            await job.exchange.send(part)
-        self._note_end(job, connection)
-        self._responder.record_job_outcome(job, "answered", head.status)
-        job.exchange.finish()
-
-    def _note_end(self, job: jobs.Job, connection: client.Connection) -> None:
-        """Records how the end of an endpoint's answer was told."""
-        job.ending = connection.ending
-        self._metrics.count("answers_ended", ending=str(job.ending))
-
-    async def _forward_stream(
-        self,
-        job: jobs.Job,
-        active: view_module.ActiveRequest,
-        connection: client.Connection,
-        head: messages.Head,
-    ) -> retry.Failure | None:
-        """Forwards a stream event by event.
-
-        The head is sent with the first event, so that a stream that breaks off
-        earlier can still be retried or answered with an error.
-        """
-        job.splitter.drop_remainder()
-        while part := await connection.read():
-            self._view.note_bytes(active)
-            whole = job.splitter.feed(part)
-            if not whole:
-                continue
-            self._start_stream(job, head)
-            await job.exchange.send(whole)
-        if job.splitter.is_inside_event:
-            raise errors.EndpointUnclearError(
-                "the stream ended inside an event", "see the endpoint's log"
-            )
-        self._note_end(job, connection)
-        self._view.note_answer(active, False, is_stream=True)
-        self._start_stream(job, head)
-        await job.exchange.send(job.splitter.remainder)
-        self._responder.record_job_outcome(job, "answered", head.status)
-        job.exchange.finish()
-        return None
-
-    def _start_stream(self, job: jobs.Job, head: messages.Head) -> None:
-        if job.relayed:
-            return
-        job.relayed = True
-        job.first_after = clock.now() - job.began
-        self._metrics.latency("first_event").observe(job.first_after)
-        headers = messages.find_end_to_end(head.headers)
-        job.exchange.start(head.status, headers, None)
--- a/src/wayslip/gateway/serving/jobs.py
+++ b/src/wayslip/gateway/serving/jobs.py
@@ -24,6 +24,24 @@
 MIN_RETRY_AFTER_SECONDS = 0.1
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class BufferedAnswer:
+    """An endpoint's whole answer.
+
+    Attributes:
+        ending: How the end of its body was told.
+    """
+
+    head: messages.Head
+    body: bytes
+    ending: messages.BodyEnd
+
+    def send(self, exchange: server.Exchange) -> None:
+        """Answers a request with it."""
+        headers = messages.find_end_to_end(self.head.headers)
+        exchange.answer(self.head.status, headers, self.body, self.ending)
+
+
 @dataclasses.dataclass
 class Job:
     """A request from its arrival to its answer.
@@ -72,7 +90,7 @@
     is_bound: bool = False
     sent_after: float | None = None
     first_after: float | None = None
-    fallback: tuple[messages.Head, bytes] | None = None
+    fallback: BufferedAnswer | None = None
     caller: organisations.Organisation | None = None
     units: float = 0.0
     is_sent: bool = False
@@ -131,11 +149,9 @@
             job.exchange.abort()
             return
         if job.fallback is not None:
-            head, body = job.fallback
-            self.record_job_outcome(job, "endpoint_failed", head.status)
-            job.exchange.answer(
-                head.status, messages.find_end_to_end(head.headers), body
-            )
+            status = job.fallback.head.status
+            self.record_job_outcome(job, "endpoint_failed", status)
+            job.fallback.send(job.exchange)
             return
         if verdict is retry.Verdict.NOT_RUN:
             self.refuse_job(job, "not_taken", wait)
--- a/src/wayslip/http1/server.py
+++ b/src/wayslip/http1/server.py
@@ -2,7 +2,8 @@
 
 The application receives a request once its body is complete. It responds
 through an `Exchange`, which tracks whether anything was sent and never lets a
-truncated response look complete.
+truncated response look complete. A body whose end nobody marked is sent without
+a mark too: it ends with the connection, and is reset if it breaks off.
 """
 
 import asyncio
@@ -15,6 +16,7 @@
 import httptools
 
 from wayslip.decisions import manifest
+from wayslip.http1 import closing
 from wayslip.http1 import messages
 from wayslip.http1 import stalls
 
@@ -41,11 +43,33 @@
         self.is_started = False
         self.is_finished = False
         self._is_chunked = False
+        self._ending = messages.BodyEnd.MARKED
+
+    @property
+    def is_marked(self) -> bool:
+        """Whether the response says where its body ends."""
+        return self._ending is messages.BodyEnd.MARKED
 
     def answer(
-        self, status: int, headers: messages.Headers, body: bytes
+        self,
+        status: int,
+        headers: messages.Headers,
+        body: bytes,
+        ending: messages.BodyEnd = messages.BodyEnd.MARKED,
     ) -> None:
-        """Sends a whole response."""
+        """Sends a whole response.
+
+        Args:
+            status: The status code.
+            headers: End-to-end headers.
+            body: The whole body.
+            ending: How the body's end was told; see `start`.
+        """
+        if ending is messages.BodyEnd.UNMARKED:
+            self.start(status, headers, None, ending)
+            self._connection.write(body)
+            self._finish()
+            return
         framing = b"content-length: %d" % len(body)
         if status in (204, 304):
             framing = b""
@@ -59,7 +83,11 @@
         self._finish()
 
     def start(
-        self, status: int, headers: messages.Headers, length: int | None
+        self,
+        status: int,
+        headers: messages.Headers,
+        length: int | None,
+        ending: messages.BodyEnd = messages.BodyEnd.MARKED,
     ) -> None:
         """Sends the head of a response whose body follows in parts.
 
@@ -67,13 +95,18 @@
             status: The status code.
             headers: End-to-end headers.
             length: The body's length; None for chunked coding.
+            ending: How the body's end will be told to this instance. Without a
+                mark, the response gets none either.
         """
-        self._is_chunked = length is None
-        framing = (
-            b"transfer-encoding: chunked"
-            if length is None
-            else b"content-length: %d" % length
-        )
+        self._ending = ending
+        self._is_chunked = length is None and self.is_marked
+        framing = b""
+        if self._is_chunked:
+            framing = b"transfer-encoding: chunked"
+        elif length is not None:
+            framing = b"content-length: %d" % length
+        if not self.is_marked:
+            self._connection.guard()
         self.is_started = True
         self._connection.write(
             messages.format_head(
@@ -184,6 +217,8 @@
         self._can_write.set()
         self._timer: asyncio.TimerHandle | None = None
         self._is_closing = False
+        # Set while a body without a marked end is sent.
+        self._guarded: closing.GuardedTransport | None = None
         self._reset_message()
 
     # Callbacks of asyncio
@@ -226,6 +261,8 @@
         """Marks the write buffer as writable again."""
         self._can_write.set()
         self._server.stalled.discard(self)
+        if self._guarded is not None:
+            self._guarded.note_sent()
         self._serve_next()
 
     def data_received(self, data: bytes) -> None:
@@ -310,14 +347,25 @@
 
     def stays_open(self, request: messages.Request) -> bool:
         """Returns whether the connection stays open after a request."""
-        return request.keep_alive and not self._server.is_draining
+        return (
+            request.keep_alive
+            and not self._server.is_draining
+            and self._guarded is None
+        )
+
+    def guard(self) -> None:
+        """Has the connection reset if it ends before the response does."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._guarded = closing.GuardedTransport(self._transport)
 
     def finish_exchange(self, request: messages.Request) -> None:
         """Closes the connection, or starts its idle timer."""
         self._exchange = None
         if not self.stays_open(request):
             self._is_closing = True
-            if self._transport is not None:
+            if self._guarded is not None:
+                self._guarded.close()
+            elif self._transport is not None:
                 self._transport.close()
             return
         self._set_timer(
--- a/tests/gateway/test_unmarked_ends.py
+++ b/tests/gateway/test_unmarked_ends.py
@@ -14,6 +14,8 @@
 EVENTS = [f"id: {n}\ndata: piece-{n}\n\n".encode() for n in range(1, 6)]
 WHOLE = b"".join(EVENTS)
 UNFRAMED = {"Content_Length": "", "Content_Type": "text/event-stream"}
+# The other data hall, whose endpoints are chosen second.
+FAR = "hall-2"
 # Enough for bytes that were written to be forwarded.
 PAUSE_SECONDS = 0.05
 
@@ -100,7 +102,7 @@
     @harness.run
     async def check(system):
         first = await system.add("e1", "models", ["m1"], script)
-        await system.add("e2", "models", ["m1"], stream_whole)
+        await system.add("e2", "models", ["m1"], stream_whole, zone=FAR)
         for number in range(6):
             answer = await ask_stream(system, "/gen/a", number)
             assert (answer.body, answer.is_whole) == (WHOLE, True)
@@ -119,7 +121,7 @@
 @harness.run
 async def test_half_an_answer_of_an_ended_engine_is_asked_for_again(system):
     first = await system.add("e1", "plain", script=exit_halfway)
-    await system.add("e2", "plain", script=answer_whole)
+    await system.add("e2", "plain", script=answer_whole, zone=FAR)
     for number in range(6):
         answer = await system.ask("/get/a", f"r{number}")
         assert (answer.body, answer.is_whole) == (b"whole", True)
