Break answers off whose end was that of their endpoint

What callers saw (the operators' record, twice): a stream ends 3 ms after its engine crashed, with 200 and the engine's mark, as if it were whole. Cause: the kernel closes the connections of a process that ends in order, and a close was taken for the end of an answer with neither a length nor chunks. A process that ended listens no more, and all its connections are closed; one that ended an answer does neither. So after such a close a connection is opened, which takes the closed one's place in the pool: refused, or accepted while all others that were open have gone (it started again), the answer is broken off: taken up, repeated or reset. The end of an answer is held for that by a round trip, 0.25 s at most; events are not.

--- a/src/wayslip/gateway/serving/attempts.py
+++ b/src/wayslip/gateway/serving/attempts.py
@@ -14,6 +14,7 @@
 from wayslip.decisions import slot_times
 from wayslip.gateway import background
 from wayslip.gateway import dialect as dialect_module
+from wayslip.gateway.serving import end_checks
 from wayslip.gateway.serving import forwarding
 from wayslip.gateway.serving import jobs
 from wayslip.gateway.sharing import endpoint_paths
@@ -70,7 +71,10 @@
         self._metrics = metrics
         self.pool = pool_module.Pool(endpoint_paths.CONNECT_TIMEOUT_SECONDS)
         paths.on_found = self.pool.add
-        self._forwarder = forwarding.Forwarder(view, responder, metrics)
+        self._end_checks = end_checks.EndChecks(paths, self.pool)
+        self._forwarder = forwarding.Forwarder(
+            view, responder, metrics, self._end_checks
+        )
         self.slot_times = slot_times.SlotTimes()
         self._tasks = background.BackgroundTasks("path_not_verified")
         # Called when a request of this instance has left an endpoint.
@@ -100,6 +104,7 @@
         try:
             if connection is None:
                 connection = await self._paths.open(tracked.endpoint)
+            self._end_checks.note_used(choice.name, connection)
             if connection.peer:
                 self._log_tunnel(job, connection)
             failure = await self._exchange(job, active, connection, is_reused)
@@ -117,6 +122,7 @@
             self._view.end(active)
             self.on_end()
             if connection is not None:
+                self._end_checks.note_unused(choice.name, connection)
                 if not connection.is_pooled:
                     connection.close()
 
--- a/src/wayslip/gateway/serving/forwarding.py
+++ b/src/wayslip/gateway/serving/forwarding.py
@@ -9,6 +9,7 @@
 from wayslip import errors
 from wayslip import metrics as metrics_module
 from wayslip.decisions import retry
+from wayslip.gateway.serving import end_checks as end_checks_module
 from wayslip.gateway.serving import jobs
 from wayslip.gateway.sharing import view as view_module
 from wayslip.http1 import client
@@ -27,6 +28,7 @@
         view: view_module.EndpointView,
         responder: jobs.Responder,
         metrics: metrics_module.Metrics,
+        end_checks: end_checks_module.EndChecks,
     ) -> None:
         """Initializes the forwarder.
 
@@ -34,10 +36,12 @@
             view: Records how endpoints answer.
             responder: Logs outcomes.
             metrics: Records latencies and how answers end.
+            end_checks: Checks ends that were not marked.
         """
         self._view = view
         self._responder = responder
         self._metrics = metrics
+        self._end_checks = end_checks
 
     async def forward(
         self,
@@ -144,6 +148,10 @@
         """
         ending = connection.ending
         assert ending is not None
+        if ending is messages.BodyEnd.UNMARKED:
+            await self._end_checks.check(
+                active.tracked.endpoint, connection, job.traits.request_id
+            )
         job.ending = ending
         self._metrics.count("answers_ended", ending=ending)
         return ending
--- a/src/wayslip/gateway/sharing/endpoint_paths.py
+++ b/src/wayslip/gateway/sharing/endpoint_paths.py
@@ -220,6 +220,23 @@
             self._tasks.start(self._try_directly(endpoint))
         return await self._race(endpoint, openers)
 
+    async def reopen(
+        self, endpoint: fleet.Endpoint, is_through_peer: bool
+    ) -> None:
+        """Opens a connection in place of one that the endpoint closed.
+
+        Args:
+            endpoint: The endpoint.
+            is_through_peer: Whether the closed one led through another
+                instance.
+
+        Raises:
+            NobodyListensError: The endpoint's address refuses connections.
+            NotSentError: It did not answer.
+        """
+        opener = self.open if is_through_peer else self._open_directly
+        self.on_found(endpoint.name, await opener(endpoint))
+
     async def probe(self, endpoint: fleet.Endpoint) -> None:
         """Returns if an endpoint can be reached.
 
--- a/src/wayslip/http1/pool.py
+++ b/src/wayslip/http1/pool.py
@@ -40,6 +40,10 @@
             for c in self._idle.get(endpoint, ())
         )
 
+    def list_idle(self, endpoint: str) -> list[client.Connection]:
+        """Returns the idle connections of an endpoint, also closed ones."""
+        return list(self._idle.get(endpoint, ()))
+
     def take(
         self, endpoint: str, trusted_since: float = -math.inf
     ) -> client.Connection | None:
