--- a/src/wayslip/gateway/serving/end_checks.py
+++ b/src/wayslip/gateway/serving/end_checks.py
@@ -16,6 +16,10 @@
 # Limit for the check, for which the end of the answer is held back. A round
 # trip takes 2 ms; without an answer, other evidence decides.
 _MAX_SECONDS = 0.25
+# A process that ends closes its connections one after the other, its listening
+# socket among them. Within this time a connection that was still accepted is
+# reset; on a busy machine it takes a few milliseconds.
+_SETTLING_SECONDS = 0.02
 
 
 class EndChecks:
@@ -102,9 +106,14 @@
     ) -> bool | None:
         try:
             async with asyncio.timeout(_MAX_SECONDS):
-                await self._paths.reopen(endpoint, is_through_peer)
+                opened = await self._paths.reopen(endpoint, is_through_peer)
         except errors.NobodyListensError:
             return False
         except (errors.NotSentError, TimeoutError):
             return None
-        return True
+        try:
+            await asyncio.sleep(_SETTLING_SECONDS)
+            listens = not opened.is_lost
+        finally:
+            self._pool.add(endpoint.name, opened)
+        return listens
--- a/src/wayslip/gateway/sharing/endpoint_paths.py
+++ b/src/wayslip/gateway/sharing/endpoint_paths.py
@@ -222,8 +222,8 @@
 
     async def reopen(
         self, endpoint: fleet.Endpoint, is_through_peer: bool
-    ) -> None:
-        """Opens a connection in place of one that the endpoint closed.
+    ) -> client.Connection:
+        """Returns a new connection in place of one that the endpoint closed.
 
         Args:
             endpoint: The endpoint.
@@ -235,7 +235,7 @@
             NotSentError: It did not answer.
         """
         opener = self.open if is_through_peer else self._open_directly
-        self.on_found(endpoint.name, await opener(endpoint))
+        return await opener(endpoint)
 
     async def probe(self, endpoint: fleet.Endpoint) -> None:
         """Returns if an endpoint can be reached.
