Answer HEAD requests when the endpoint does

Callers of HEAD got 504 at the route's timeout although the endpoint had answered at once with a length: the parser waits for the body that the length announces. The answer to HEAD now ends with its head, whose length goes to the caller as it came, and the connection is not used again. Failed before: tests/gateway/test_requests.py::test_answer_to_head_ends_with_its_head.

--- a/src/wayslip/gateway/serving/jobs.py
+++ b/src/wayslip/gateway/serving/jobs.py
@@ -39,7 +39,9 @@
     def send(self, exchange: server.Exchange) -> None:
         """Answers a request with it."""
         headers = messages.find_end_to_end(self.head.headers)
-        exchange.answer(self.head.status, headers, self.body, self.ending)
+        exchange.answer(
+            self.head.status, headers, self.body, self.ending, self.head.length
+        )
 
 
 @dataclasses.dataclass
--- a/src/wayslip/http1/client.py
+++ b/src/wayslip/http1/client.py
@@ -33,6 +33,8 @@
 # The response fails if its head is still incomplete after this many bytes.
 _MAX_HEAD_BYTES = 64 * 1024
 
+# The method whose responses have a length and no body.
+_HEAD_METHOD = b"HEAD "
 # Buffer for the count of unacknowledged bytes, an int.
 _NO_BYTES = bytes(4)
 
@@ -80,6 +82,7 @@
         self._matcher: Matcher | None = None
         self._is_complete = True
         self._is_skipping = False
+        self._has_no_body = False
         self._failure: str | None = None
         self._is_dirty = False
         # Whether the pool holds it; if not, the request's sender closes it.
@@ -111,6 +114,7 @@
             matcher: Returns whether a head belongs to this request; responses
                 to earlier ones may still arrive.
         """
+        self._has_no_body = data.startswith(_HEAD_METHOD)
         self.is_pooled = False
         self._head = None
         self.ending = None
@@ -273,6 +277,11 @@
             self._is_skipping = True
             return
         self._head = head
+        if self._has_no_body:
+            self._is_complete = True
+            self.ending = messages.BodyEnd.MARKED
+            # The parser waits for the body that the length announces.
+            self._is_dirty = True
         self._notify()
 
     def on_body(self, body: bytes) -> None:
--- a/src/wayslip/http1/server.py
+++ b/src/wayslip/http1/server.py
@@ -56,6 +56,7 @@
         headers: messages.Headers,
         body: bytes,
         ending: messages.BodyEnd = messages.BodyEnd.MARKED,
+        length: int | None = None,
     ) -> None:
         """Sends a whole response.
 
@@ -64,13 +65,17 @@
             headers: End-to-end headers.
             body: The whole body.
             ending: How the body's end was told; see `start`.
+            length: Length that the head states, by default the body's; the
+                answer to a HEAD request has no body.
         """
         if ending is messages.BodyEnd.UNMARKED:
             self.start(status, headers, None, ending)
             self._connection.write(body)
             self._finish()
             return
-        framing = b"content-length: %d" % len(body)
+        framing = b"content-length: %d" % (
+            len(body) if length is None else length
+        )
         if status in (204, 304):
             framing = b""
         head = messages.format_head(
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -201,6 +201,21 @@
     assert (answer.body, answer.is_whole) == (b"to the end", True)
 
 
+@harness.run
+async def test_answer_to_head_ends_with_its_head(system):
+    async def head_only(engine, request, line):
+        await line.answer(request, b"", Content_Length="70")
+
+    await system.add("e1", "plain", script=head_only)
+    client = await system.connect()
+    for number in range(3):
+        await client.send("/get/a", f"r{number}", "HEAD")
+        async with asyncio.timeout(1.0):
+            head = await client.reader.readuntil(b"\r\n\r\n")
+        assert head.startswith(b"HTTP/1.1 200 ")
+        assert b"content-length: 70\r\n" in head
+
+
 @harness.run
 async def test_route_timeout_is_answered_with_504(system):
     engine = await system.add("e1", "plain", script=hang)
