Keep no half answer of an ended endpoint as a result, own interface

Its endpoint is now checked in the same way: one that refuses a connection, or resets it within 20 ms, has ended, and the call's outcome is unclear.

Failed before: tests/endpoints/test_exchange.py, end_process and end_process_late.

--- a/src/wayslip/decisions/body_ends.py
+++ b/src/wayslip/decisions/body_ends.py
@@ -8,6 +8,11 @@
 
 import dataclasses
 
+# A process that ends closes its connections one after the other, its listening
+# socket among them. Within this time a connection that was still accepted is
+# reset; on a busy machine it takes a few milliseconds.
+SETTLING_SECONDS = 0.02
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Evidence:
--- a/src/wayslip/endpoints/exchange.py
+++ b/src/wayslip/endpoints/exchange.py
@@ -17,6 +17,7 @@
 
 from wayslip import addresses
 from wayslip import errors
+from wayslip.decisions import body_ends
 
 _CONNECT_TIMEOUT_SECONDS = 1.0
 
@@ -52,7 +53,9 @@
         conn: connection.HTTPConnection,
         sock: socket.socket,
         response: urllib3.HTTPResponse,
+        address: tuple[str, int],
     ) -> None:
+        self._address = address
         self._conn = conn
         self._sock = sock
         self._response = response
@@ -69,12 +72,12 @@
         """Returns the whole body and ends the exchange.
 
         Raises:
-            EndpointUnclearError: The connection broke, or the body is longer
-                than the limit.
+            EndpointUnclearError: The connection broke, the endpoint ended, or
+                the body is longer than the limit.
         """
         try:
             data = self._response.read(limit + 1)
-            is_cut = len(data) <= limit and _is_incomplete(self._response)
+            is_cut = len(data) <= limit and self._is_incomplete()
         except (urllib3.exceptions.HTTPError, OSError) as e:
             raise errors.EndpointUnclearError(
                 f"the connection broke during the answer ({type(e).__name__})",
@@ -89,6 +92,14 @@
             )
         return data
 
+    def _is_incomplete(self) -> bool:
+        """Whether the body ended before it was whole."""
+        left = self._response.length_remaining
+        if left is not None or self._response.chunked:
+            return bool(left)
+        evidence = body_ends.Evidence(_find_listening(self._address), 0, 0)
+        return not body_ends.is_whole(evidence)
+
     def detach(self) -> tuple[socket.socket, bytes, Any]:
         """Hands the socket to a non-blocking reader.
 
@@ -109,9 +120,23 @@
         self._conn.close()
 
 
-def _is_incomplete(response: urllib3.HTTPResponse) -> bool:
-    left = response.length_remaining
-    return bool(left)
+def _find_listening(address: tuple[str, int]) -> bool | None:
+    """Returns whether an endpoint listens, None if that can't be told."""
+    try:
+        sock = socket.create_connection(address, _CONNECT_TIMEOUT_SECONDS)
+    except ConnectionRefusedError:
+        return False
+    except OSError:
+        return None
+    with sock:
+        sock.settimeout(body_ends.SETTLING_SECONDS)
+        try:
+            # An endpoint sends nothing before a request.
+            return bool(sock.recv(1))
+        except TimeoutError:
+            return True
+        except OSError:
+            return False
 
 
 def begin(call: Call) -> Exchange:
@@ -157,4 +182,4 @@
             f"{call.address} did not answer ({type(e).__name__})",
             "see the endpoint's log; the request may have run",
         ) from e
-    return Exchange(conn, sock, response)
+    return Exchange(conn, sock, response, (host, port))
--- a/src/wayslip/gateway/serving/end_checks.py
+++ b/src/wayslip/gateway/serving/end_checks.py
@@ -16,10 +16,6 @@
 # Limit for the check, for which the end of the answer is held back. A round
 # trip takes 2 ms; without an answer, other evidence decides.
 _MAX_SECONDS = 0.25
-# A process that ends closes its connections one after the other, its listening
-# socket among them. Within this time a connection that was still accepted is
-# reset; on a busy machine it takes a few milliseconds.
-_SETTLING_SECONDS = 0.02
 
 
 class EndChecks:
@@ -112,7 +108,7 @@
         except (errors.NotSentError, TimeoutError):
             return None
         try:
-            await asyncio.sleep(_SETTLING_SECONDS)
+            await asyncio.sleep(body_ends.SETTLING_SECONDS)
             listens = not opened.is_lost
         finally:
             self._pool.add(endpoint.name, opened)
