Let streams go on only at the software version that began them

What two versions of an endpoint's software write doesn't fit together. Nobody is asked where the service had one version for 30 s. Unknown is refused at once with a true 503. - A stream sent to two versions before its first event waits until no keeper can name the first one.

--- a/src/wayslip/gateway/daemon.py
+++ b/src/wayslip/gateway/daemon.py
@@ -49,6 +49,7 @@
 from wayslip.gateway.sharing import share_accounts as share_accounts_module
 from wayslip.gateway.sharing import speed_exchange as speed_exchange_module
 from wayslip.gateway.sharing import staleness
+from wayslip.gateway.sharing import stream_registry
 from wayslip.gateway.sharing import tunnel_service
 from wayslip.gateway.sharing import view as view_module
 from wayslip.http1 import server
@@ -216,6 +217,9 @@
             self._peer_broadcast.list_peers,
             self.metrics,
         )
+        self._stream_registry = stream_registry.StreamRegistry(
+            options.peers, self._hub, self._peer_broadcast, self.metrics
+        )
         self._requests = requests_module.Requests(
             options,
             platform.dialect,
@@ -231,6 +235,8 @@
             self._place_broker,
             self._fair_shares,
             self.paths,
+            self._stream_registry,
+            lambda: self._endpoints.watcher.is_current,
         )
         self._configuration_sync = configuration_sync.ConfigurationSync(
             options,
@@ -346,6 +352,7 @@
             self._fair_shares.run(lambda: self._placement.instances),
             self._share_accounts.run(),
             self._link_watch.run(),
+            self._requests.stream_versions.run(),
             lag.observe(self.metrics),
         ):
             self._start_task(work)
@@ -408,6 +415,7 @@
         self._tunnels.close()
         self.paths.close()
         self._quarantine.close()
+        self._stream_registry.close()
         self._hub.close()
         for task in self._tasks:
             task.cancel()
@@ -484,6 +492,14 @@
             self._place_broker.answer(message, source)
         elif isinstance(message, facts.PlaceReturn):
             self._place_broker.apply_return(message)
+        elif isinstance(message, facts.StreamOrigin):
+            self._stream_registry.keep(message, source)
+        elif isinstance(message, facts.StreamOriginKept):
+            self._stream_registry.apply_acknowledgement(message, source)
+        elif isinstance(message, facts.StreamQuestion):
+            self._stream_registry.answer(message)
+        elif isinstance(message, facts.StreamAnswer):
+            self._stream_registry.apply_answer(message)
         elif isinstance(message, facts.ShareReport):
             if self.leadership.is_held:
                 self._share_accounts.record_report(message)
@@ -537,6 +553,7 @@
             "tunnels": len(self._tunnels),
             "suspects": self._quarantine.dump(),
             "shares": self._fair_shares.dump(),
+            "streams": self._stream_registry.dump(),
             "engines": [
                 b.describe()
                 for b in self._order_sender.tracked_engines.values()
--- a/src/wayslip/gateway/dialect.py
+++ b/src/wayslip/gateway/dialect.py
@@ -37,6 +37,8 @@
         last_event_id: Id of the last stream event that the client received.
         resumes: Id of the request that brought the first event of the stream
             that the client takes up, empty for none.
+        version: Software version of the endpoints that may serve it, None for
+            any; not stated, but see `stream_versions`.
         key: Digest of the API key, None without one; see
             `organisations.hash_key`.
     """
@@ -52,6 +54,7 @@
     parts: tuple[PromptPart, ...] = ()
     last_event_id: str = ""
     resumes: str = ""
+    version: str | None = None
     key: bytes | None = None
 
 
--- a/src/wayslip/gateway/serving/attempts.py
+++ b/src/wayslip/gateway/serving/attempts.py
@@ -17,6 +17,7 @@
 from wayslip.gateway.serving import end_checks
 from wayslip.gateway.serving import forwarding
 from wayslip.gateway.serving import jobs
+from wayslip.gateway.serving import stream_versions as stream_versions_module
 from wayslip.gateway.sharing import endpoint_paths
 from wayslip.gateway.sharing import permit_broker as permit_broker_module
 from wayslip.gateway.sharing import place_broker as place_broker_module
@@ -46,6 +47,7 @@
         permit_broker: permit_broker_module.PermitBroker,
         place_broker: place_broker_module.PlaceBroker,
         paths: endpoint_paths.EndpointPaths,
+        stream_versions: stream_versions_module.StreamVersions,
     ) -> None:
         """Initializes without open connections.
 
@@ -60,6 +62,7 @@
             permit_broker: Records the rate limits that answers name.
             place_broker: Records which endpoints are brittle.
             paths: Opens connections to endpoints.
+            stream_versions: Records which software version began a stream.
         """
         self._place_broker = place_broker
         self._paths = paths
@@ -73,8 +76,9 @@
         paths.on_found = self.pool.add
         self._end_checks = end_checks.EndChecks(paths, self.pool)
         self._forwarder = forwarding.Forwarder(
-            view, responder, metrics, self._end_checks
+            view, responder, metrics, self._end_checks, stream_versions
         )
+        self._stream_versions = stream_versions
         self.slot_times = slot_times.SlotTimes()
         self._tasks = background.BackgroundTasks("path_not_verified")
         # Called when a request of this instance has left an endpoint.
@@ -221,6 +225,7 @@
         if job.sent_after is None:
             job.sent_after = clock.now() - job.began
         job.is_sent = True
+        self._stream_versions.note_sent(job, active.tracked.endpoint)
         sent_at = clock.now()
         connection.send(
             self._dialect.format_request(job.exchange.request, parameters),
--- a/src/wayslip/gateway/serving/endpoint_chooser.py
+++ b/src/wayslip/gateway/serving/endpoint_chooser.py
@@ -30,6 +30,9 @@
 _LOG = logging.getLogger(__name__)
 # Retry-After if no endpoint of a plain service is known.
 _UNKNOWN_RETRY_AFTER_SECONDS = 1.0
+# Retry-After if no endpoint of a stream's software version is left. One may
+# have been silent for a moment.
+_NO_VERSION_RETRY_AFTER_SECONDS = 1.0
 # Pause before an instance asks again for a place at an endpoint without room.
 _PLACE_RETRY_SECONDS = 0.1
 # Range of Retry-After while this instance reaches no endpoint. Clients return
@@ -365,9 +368,9 @@
 
     def _may_be_loaded(self, job: jobs.Job) -> bool:
         """Whether a load could help: no endpoint with the model backs off."""
-        return bool(
-            job.traits.model
-        ) and not self._endpoint_backoff.is_backing_off(job)
+        if not job.traits.model or self._endpoint_backoff.is_backing_off(job):
+            return False
+        return self._view.has_version(job.service.name, job.traits)
 
     async def _wait_for_model(self, job: jobs.Job) -> selection.Choice | None:
         """Requests a load and waits for it as long as the policy allows."""
@@ -425,6 +428,11 @@
                 job, "not_reached", self._rng.uniform(*_CUT_OFF_RETRY_SECONDS)
             )
             return
+        if not self._view.has_version(job.service.name, job.traits):
+            self._responder.refuse_job(
+                job, "no_version", _NO_VERSION_RETRY_AFTER_SECONDS
+            )
+            return
         wait = self._estimate_ready_seconds(job)
         reason = "not_loaded" if job.traits.model else "no_endpoint"
         if job.unreachable_count:
--- a/src/wayslip/gateway/serving/forwarding.py
+++ b/src/wayslip/gateway/serving/forwarding.py
@@ -11,6 +11,7 @@
 from wayslip.decisions import retry
 from wayslip.gateway.serving import end_checks as end_checks_module
 from wayslip.gateway.serving import jobs
+from wayslip.gateway.serving import stream_versions as stream_versions_module
 from wayslip.gateway.sharing import view as view_module
 from wayslip.http1 import client
 from wayslip.http1 import messages
@@ -29,6 +30,7 @@
         responder: jobs.Responder,
         metrics: metrics_module.Metrics,
         end_checks: end_checks_module.EndChecks,
+        stream_versions: stream_versions_module.StreamVersions,
     ) -> None:
         """Initializes the forwarder.
 
@@ -37,11 +39,13 @@
             responder: Logs outcomes.
             metrics: Records latencies and how answers end.
             end_checks: Checks ends that were not marked.
+            stream_versions: Binds streams to software versions.
         """
         self._view = view
         self._responder = responder
         self._metrics = metrics
         self._end_checks = end_checks
+        self._stream_versions = stream_versions
 
     async def forward(
         self,
@@ -114,6 +118,8 @@
             whole = job.splitter.feed(part)
             if not whole:
                 continue
+            if not job.relayed:
+                await self._stream_versions.begin(job, active.tracked.endpoint)
             self._start_stream(job, head)
             await job.exchange.send(whole)
         if job.splitter.is_inside_event:
--- a/src/wayslip/gateway/serving/requests.py
+++ b/src/wayslip/gateway/serving/requests.py
@@ -24,6 +24,7 @@
 from wayslip.gateway.serving import jobs
 from wayslip.gateway.serving import profiles
 from wayslip.gateway.serving import share_gate
+from wayslip.gateway.serving import stream_versions as stream_versions_module
 from wayslip.gateway.sharing import configuration
 from wayslip.gateway.sharing import endpoint_paths
 from wayslip.gateway.sharing import fair_shares as fair_shares_module
@@ -32,6 +33,7 @@
 from wayslip.gateway.sharing import place_broker as place_broker_module
 from wayslip.gateway.sharing import placement as placement_module
 from wayslip.gateway.sharing import quarantine as quarantine_module
+from wayslip.gateway.sharing import stream_registry
 from wayslip.gateway.sharing import view as view_module
 from wayslip.http1 import server
 
@@ -61,6 +63,8 @@
         place_broker: place_broker_module.PlaceBroker,
         fair_shares: fair_shares_module.FairShares,
         paths: endpoint_paths.EndpointPaths,
+        registry: stream_registry.StreamRegistry,
+        is_list_current: Callable[[], bool],
     ) -> None:
         """Initializes the handler.
 
@@ -81,6 +85,9 @@
             place_broker: Grants places at brittle endpoints.
             fair_shares: Keeps organisations to their shares of a service.
             paths: Opens connections to endpoints.
+            registry: Knows which software version began a stream.
+            is_list_current: Returns whether the list of endpoints is known to
+                be current.
         """
         self._paths = paths
         self._quarantine = quarantine
@@ -94,6 +101,9 @@
         self._metrics = metrics
         self._responder = jobs.Responder(dialect, metrics)
         self._share_gate = share_gate.ShareGate(fair_shares, self._responder)
+        self.stream_versions = stream_versions_module.StreamVersions(
+            view, registry, is_list_current, self._responder
+        )
         self._attempts = attempts.Attempts(
             dialect,
             view,
@@ -104,6 +114,7 @@
             permit_broker,
             place_broker,
             paths,
+            self.stream_versions,
         )
         self._endpoint_chooser = endpoint_chooser.EndpointChooser(
             options,
@@ -171,6 +182,7 @@
             raise
         finally:
             self._endpoint_chooser.give_back_place(job)
+            self.stream_versions.note_ended(job)
             if job.caller is not None and not job.is_sent:
                 self._limiter.refund(job.caller, job.units)
                 self._share_gate.refund(job)
@@ -315,6 +327,8 @@
         await self._wait_for_looks(job)
         if not self._check_content(job):
             return
+        if not await self.stream_versions.bind(job):
+            return
         self._budget(job.service.name).note_request(job.began)
         if job.service.pool is not None:
             work = self._view.reading.estimate(
--- /dev/null
+++ b/src/wayslip/gateway/serving/stream_versions.py
@@ -0,0 +1,122 @@
+"""Keeps streams at the software version of the endpoint that began them.
+
+A stream that may be taken up is recorded before its first event, and one that
+is taken up goes to endpoints of its version only. Without word of that version
+it is refused: another version, or a new beginning, would spoil what the client
+has.
+"""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+
+from wayslip import clock
+from wayslip import errors
+from wayslip.decisions import fleet
+from wayslip.decisions import manifest
+from wayslip.gateway.serving import jobs
+from wayslip.gateway.sharing import stream_registry
+from wayslip.gateway.sharing import view as view_module
+
+# Time until an instance that was silent may say who began a stream.
+_UNKNOWN_RETRY_SECONDS = 0.5
+# Interval of looks whether the list of endpoints is current.
+_LIST_PERIOD_SECONDS = 0.25
+
+
+class StreamVersions:
+    """Versions of this instance's streams. Used on the event loop only."""
+
+    def __init__(
+        self,
+        view: view_module.EndpointView,
+        registry: stream_registry.StreamRegistry,
+        is_list_current: Callable[[], bool],
+        responder: jobs.Responder,
+    ) -> None:
+        """Initializes without streams.
+
+        Args:
+            view: What this instance knows of the endpoints.
+            registry: Tells and asks other instances.
+            is_list_current: Returns whether the list of endpoints is known to
+                be current.
+            responder: Answers requests that are refused.
+        """
+        self._view = view
+        self._registry = registry
+        self._is_list_current = is_list_current
+        self._responder = responder
+
+    async def run(self) -> None:
+        """Observes whether the list is current, until cancelled."""
+        while True:
+            self._view.versions.note_list(self._is_list_current(), clock.now())
+            await asyncio.sleep(_LIST_PERIOD_SECONDS)
+
+    async def bind(self, job: jobs.Job) -> bool:
+        """Binds a stream that a client takes up to the version that began it.
+
+        Returns:
+            Whether it may be served; if not, it has been refused.
+        """
+        traits = job.traits
+        is_taken_up = traits.resumes or traits.last_event_id
+        if not is_taken_up or not _may_be_taken_up(job):
+            return True
+        version = await self._find_version(job)
+        if version is None:
+            self._responder.refuse_job(
+                job, "origin_unknown", _UNKNOWN_RETRY_SECONDS
+            )
+            return False
+        _bind_to(job, version)
+        return True
+
+    async def _find_version(self, job: jobs.Job) -> str | None:
+        only = self._view.versions.find_only(job.service.name, clock.now())
+        if only is not None or not job.traits.resumes:
+            return only
+        origin = await self._registry.find(job.traits.resumes)
+        return None if origin is None else origin.version
+
+    def note_sent(self, job: jobs.Job, endpoint: fleet.Endpoint) -> None:
+        """Records to which version a stream is about to be sent."""
+        if _may_be_taken_up(job):
+            self._registry.note_sent(_find_id(job), endpoint.version)
+
+    async def begin(self, job: jobs.Job, endpoint: fleet.Endpoint) -> None:
+        """Binds a stream to the version whose first event is to be forwarded.
+
+        Raises:
+            EndpointUnclearError: Another instance may name another version.
+        """
+        is_kept = not _may_be_taken_up(job) or await self._registry.confirm(
+            _find_id(job)
+        )
+        if not is_kept:
+            raise errors.EndpointUnclearError(
+                "instances that keep its version did not acknowledge it",
+                "the client may send it again",
+            )
+        _bind_to(job, endpoint.version)
+
+    def note_ended(self, job: jobs.Job) -> None:
+        """Records that this instance has answered a request."""
+        if _may_be_taken_up(job):
+            self._registry.note_ended(_find_id(job))
+
+
+def _may_be_taken_up(job: jobs.Job) -> bool:
+    """Whether clients may take up an answer that broke off."""
+    is_stream = job.route.kind is manifest.RequestKind.STREAM
+    return is_stream and job.route.may_repeat
+
+
+def _find_id(job: jobs.Job) -> str:
+    """Returns the id of the request that began a job's stream."""
+    return job.traits.resumes or job.traits.request_id
+
+
+def _bind_to(job: jobs.Job, version: str) -> None:
+    job.traits = dataclasses.replace(job.traits, version=version)
--- a/src/wayslip/gateway/sharing/datagrams.py
+++ b/src/wayslip/gateway/sharing/datagrams.py
@@ -45,6 +45,10 @@
     20: facts.Brittle,
     21: facts.PlaceRequest,
     22: facts.PlaceReturn,
+    23: facts.StreamOrigin,
+    24: facts.StreamOriginKept,
+    25: facts.StreamQuestion,
+    26: facts.StreamAnswer,
 }
 _NUMBERS = {kind: number for number, kind in _KINDS.items()}
 # Fields that hold a single value of a message type.
--- a/src/wayslip/gateway/sharing/facts.py
+++ b/src/wayslip/gateway/sharing/facts.py
@@ -604,6 +604,61 @@
     shares: tuple[ShareLevel, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamOrigin:
+    """Tells a keeper which software version a stream was sent to.
+
+    Attributes:
+        stream: Id of the request that begins the stream.
+        number: See `stream_origins.Origin`.
+    """
+
+    stream: str
+    version: str
+    number: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamOriginKept:
+    """Acknowledges a `StreamOrigin`."""
+
+    stream: str
+    number: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamQuestion:
+    """Asks which software version began a stream.
+
+    Attributes:
+        number: Number of the question, repeated by the answers.
+        address: Where to send the answer, "IP:PORT"; the question may have been
+            forwarded.
+    """
+
+    number: int
+    stream: str
+    address: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamAnswer:
+    """Answers a `StreamQuestion`.
+
+    Attributes:
+        number: Number of the question.
+        address: The answering instance, "IP:PORT".
+        is_known: Whether it knows the stream; the rest is empty otherwise.
+        origin_number: See `stream_origins.Origin`.
+    """
+
+    number: int
+    address: str
+    is_known: bool = False
+    version: str = ""
+    origin_number: int = 0
+
+
 Message = (
     Report
     | ItemRequest
@@ -627,4 +682,8 @@
     | SpeedState
     | ShareReport
     | ShareState
+    | StreamOrigin
+    | StreamOriginKept
+    | StreamQuestion
+    | StreamAnswer
 )
--- a/src/wayslip/gateway/sharing/view.py
+++ b/src/wayslip/gateway/sharing/view.py
@@ -17,6 +17,7 @@
 from wayslip.decisions import fleet
 from wayslip.decisions import reading
 from wayslip.decisions import selection
+from wayslip.decisions import version_history
 from wayslip.gateway import dialect
 from wayslip.gateway.sharing import endpoint_notices as endpoint_notices_module
 from wayslip.gateway.sharing import prefixes
@@ -94,6 +95,7 @@
         self._data_hall = data_hall
         self.tracked: dict[str, TrackedEndpoint] = {}
         self._by_service: dict[str, dict[str, TrackedEndpoint]] = {}
+        self.versions = version_history.VersionHistory()
         self.notices = endpoint_notices_module.EndpointNotices()
         self.prefixes = prefixes.PrefixTable()
         self.reading = reading.ReadingRates()
@@ -143,6 +145,7 @@
         self._by_service.setdefault(endpoint.service, {})[endpoint.name] = (
             tracked
         )
+        self._note_versions(endpoint.service)
 
     def note_leaving(self, start: fleet.Incarnation, source: str) -> bool:
         """Records that an endpoint announced that it takes no new work.
@@ -175,6 +178,7 @@
             return
         tracked.is_gone = True
         self._by_service.get(tracked.endpoint.service, {}).pop(name, None)
+        self._note_versions(tracked.endpoint.service)
         self.prefixes.forget(name)
         self.speeds.forget(tracked.endpoint)
         self._item_updates = {
@@ -182,6 +186,10 @@
         }
         self._log("endpoint_gone", tracked.endpoint)
 
+    def _note_versions(self, service: str) -> None:
+        versions = {t.endpoint.version for t in self.of_service(service)}
+        self.versions.note_listed(service, versions, clock.now())
+
     def replace_all(self, endpoints: Iterable[fleet.Endpoint]) -> None:
         """Replaces the list of endpoints."""
         listed = {e.name: e for e in endpoints}
@@ -289,10 +297,17 @@
         self, endpoint: fleet.Endpoint, traits: dialect.Traits
     ) -> bool:
         """Whether an endpoint isn't leaving and holds what a request needs."""
-        if endpoint.is_leaving:
+        if endpoint.is_leaving or not _has_version(endpoint, traits):
             return False
         return self.holds(endpoint, traits.model, traits.adapter)
 
+    def has_version(self, service: str, traits: dialect.Traits) -> bool:
+        """Whether an endpoint of the version that a request needs serves."""
+        return any(
+            not t.endpoint.is_leaving and _has_version(t.endpoint, traits)
+            for t in self.of_service(service)
+        )
+
     def note_backoff(self, active: ActiveRequest, seconds: float) -> None:
         """Records that an endpoint asked for a back-off.
 
@@ -498,6 +513,10 @@
         return {name: dataclasses.asdict(t) for name, t in self.tracked.items()}
 
 
+def _has_version(endpoint: fleet.Endpoint, traits: dialect.Traits) -> bool:
+    return traits.version is None or endpoint.version == traits.version
+
+
 def _is_unresponsive(tracked: TrackedEndpoint, now: float) -> bool:
     """Whether requests are in flight and no byte arrived for too long."""
     if not tracked.in_flight:
--- a/src/wayslip/story.py
+++ b/src/wayslip/story.py
@@ -77,6 +77,14 @@
         "no endpoint that could serve it was reached, neither directly nor"
         " through other instances; it was not run"
     ),
+    "no_version": (
+        "no endpoint has the software version that began its stream; it was not"
+        " run"
+    ),
+    "origin_unknown": (
+        "several software versions serve, and no instance that answered knows"
+        " which one began its stream; it was not run"
+    ),
     "not_taken": "the endpoint refused it; it was not run",
     "too_long_a_wait": "its wait would exceed its time limit; it was not run",
     "timed_out_waiting": "it timed out before it was sent; it was not run",
