--- a/src/wayslip/decisions/stream_origins.py
+++ b/src/wayslip/decisions/stream_origins.py
@@ -4,17 +4,15 @@
 stream goes on only at the version that began it. A client may take it up at any
 instance, also after the one that began it has ended. So a few others, its
 keepers, are told the version before the first event. They are chosen by
-rendezvous hashing (Thaler and Ravishankar, 1998), so that every instance finds
-them by the stream's id, and most of them stay the same when instances come and
-go.
+rendezvous hashing, so that every instance finds them by the stream's id, and
+most of them stay the same when instances come and go.
 """
 
 from collections.abc import Iterable
 import dataclasses
 
-import xxhash
-
 from wayslip.decisions import fanout
+from wayslip.decisions import ownership
 
 # Keepers of each stream. Two of them may be lost at once.
 KEEPERS = 3
@@ -95,16 +93,13 @@
 
     A data hall may be lost as a whole.
     """
-    drawn = sorted(
-        peers,
-        key=lambda p: xxhash.xxh3_64_intdigest(
-            f"{stream}/{p.address}".encode()
-        ),
-    )
+    by_address = {p.address: p for p in peers}
+    ranked = ownership.rank_owners(stream, by_address)
     seen: dict[str, int] = {}
     order: list[tuple[int, int, str]] = []
-    for position, peer in enumerate(drawn):
+    for position, address in enumerate(ranked):
+        peer = by_address[address]
         turn = seen.get(peer.data_hall, 0)
         seen[peer.data_hall] = turn + 1
-        order.append((turn, position, peer.address))
+        order.append((turn, position, address))
     return [address for _, _, address in sorted(order)]
