Soak: unmarked answers, ends of processes, several software versions, streams taken up

Conditions draw a share of answers with neither a length nor chunks (0, 0.3, 1) and one to three software versions. Endpoints that crash close their connections in order, as the kernel does, where the soak used to close their proxies only; proxies reset for real. Clients take broken streams up with Resumes at any gateway, three times at most. The oracle checks every event's number, stream and version over all tries, and that only whole streams look complete.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -99,6 +99,7 @@
         clients.check_runs(world, tally)
         print(
             f"seed {seed}: sent {tally.sent}, served {tally.served},"
+            f" streams taken up {tally.taken_up},"
             f" memory {world.max_memory / 1e6:.0f} MB"
         )
         return world.oracle.violations
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -5,7 +5,7 @@
 import random
 import time
 
-from soak import endpoints
+from soak import streams
 from soak import world as world_module
 from standins import platform_client
 from standins import platform_engine
@@ -18,6 +18,10 @@
 # A client opens a new connection after at most this many requests.
 _MAX_REQUESTS_PER_CONNECTION = 20
 _ANSWER_TIMEOUT_SECONDS = 8.0
+# Share of the requests of a client with a broken stream that take it up, and
+# how often it does.
+_TAKE_UP_SHARE = 0.7
+_MAX_TAKE_UPS = 3
 
 
 @dataclasses.dataclass
@@ -32,6 +36,7 @@
         newest_served: The newest configuration version whose route was
             served, by name of the gateway and start time of its process.
         served_at: When a request was last served, in monotonic seconds.
+        taken_up: Outcomes of requests that take a stream up, by status.
     """
 
     served: dict[str, int] = dataclasses.field(default_factory=dict)
@@ -41,6 +46,7 @@
         default_factory=dict
     )
     served_at: float = 0.0
+    taken_up: dict[int, int] = dataclasses.field(default_factory=dict)
 
 
 class Client:
@@ -56,6 +62,10 @@
         self._rng = random.Random(f"{seed}-{number}")
         self._headers = world.conditions.make_headers(number)
         self._sent = 0
+        # A stream that broke off, with its model, and how often it may still be
+        # taken up.
+        self._broken: tuple[streams.Stream, str] | None = None
+        self._tries_left = 0
 
     async def run(self) -> None:
         """Sends requests until it is cancelled."""
@@ -85,6 +95,8 @@
         """Sends a request; returns whether the connection is reusable."""
         self._sent += 1
         kind = self._rng.choice(["get", "once", "gen", "live", "version"])
+        if self._broken is not None and self._rng.random() < _TAKE_UP_SHARE:
+            kind = "gen"
         request = f"{kind}-{self._name}-{self._sent}"
         tally = self._tally
         tally.sent[kind] = tally.sent.get(kind, 0) + 1
@@ -94,6 +106,7 @@
         if self._rng.random() < 0.3:
             model += f"/a{self._rng.randint(1, 4)}"
         started = gateway.started
+        stream, model = self._choose_stream(kind, model)
         async with asyncio.timeout(_ANSWER_TIMEOUT_SECONDS):
             if kind in ("gen", "live"):
                 await client.send(
@@ -104,6 +117,7 @@
                     _DEADLINE_MS,
                     Wayslip_Model=model,
                     Wayslip_Token_Count="400,20",
+                    **stream.make_headers(),
                     **self._headers,
                 )
             elif kind == "once":
@@ -120,25 +134,60 @@
                     path, request, "GET", b"", _DEADLINE_MS, **self._headers
                 )
             answer = await client.read()
-        self._check(kind, request, answer)
+        self._check(kind, request, answer, stream)
+        if kind == "gen":
+            self._keep_broken(stream, model, answer)
         if kind == "version":
             self._check_version(gateway, started, version, answer)
         is_last = answer.headers.get("connection", "").lower() == "close"
         return answer.is_whole and not is_last
 
+    def _choose_stream(
+        self, kind: str, model: str
+    ) -> tuple[streams.Stream, str]:
+        """Returns the stream to ask for and its model.
+
+        One that broke off is taken up.
+        """
+        if kind != "gen" or self._broken is None:
+            return streams.Stream(self._oracle), model
+        return self._broken
+
+    def _keep_broken(
+        self,
+        stream: streams.Stream,
+        model: str,
+        answer: platform_client.Answer,
+    ) -> None:
+        """Keeps a stream that broke off, to take it up with a later request."""
+        if self._broken is not None:
+            taken_up = self._tally.taken_up
+            taken_up[answer.status] = taken_up.get(answer.status, 0) + 1
+            self._tries_left -= 1
+        else:
+            self._tries_left = _MAX_TAKE_UPS
+        is_over = stream.is_whole or not stream.id or not self._tries_left
+        self._broken = None if is_over else (stream, model)
+
     def _check(
-        self, kind: str, request: str, answer: platform_client.Answer
+        self,
+        kind: str,
+        request: str,
+        answer: platform_client.Answer,
+        stream: streams.Stream,
     ) -> None:
         if kind == "once" and answer.status in _NOT_RUN_STATUSES:
             self._tally.reported_not_run.add(request)
-        if not 200 <= answer.status < 300 or not answer.is_whole:
+        if not 200 <= answer.status < 300:
+            return
+        if kind in ("gen", "live"):
+            stream.take(request, answer)
+        if not answer.is_whole:
             return
         if answer.headers.get("wayslip-server-seal") != platform_engine.SEAL:
             self._oracle.report_violation(f"MIXED {request} without the seal")
         expected = f"whole {request}".encode()
-        if kind in ("gen", "live"):
-            expected = endpoints.format_stream(request)
-        if answer.body != expected:
+        if kind not in ("gen", "live") and answer.body != expected:
             self._oracle.report_violation(
                 f"MIXED {request} got {answer.body!r:.80}"
             )
--- a/soak/conditions.py
+++ b/soak/conditions.py
@@ -14,6 +14,8 @@
 # Range of an engine's permanent time factor, and of its momentary one.
 _OWN_FACTORS = (0.7, 1.5)
 _MOMENTARY_FACTORS = (1.0, 1.5)
+_VERSIONS = (("v1",), ("v1", "v2"), ("v1", "v2", "v3"))
+_UNFRAMED_SHARES = (0.0, 0.3, 1.0)
 # A slowdown is drawn anew after this time.
 _FACTOR_SECONDS = 0.05
 
@@ -28,12 +30,17 @@
         organisations: Names of the competing organisations; empty if no route
             requires a key. The first one sends far more than usual at times.
         is_uneven: Whether engines differ in speed and state it.
+        versions: Versions of the endpoints' software, side by side.
+        unframed_share: Share of the answers that have neither a length nor
+            chunks.
     """
 
     seed: int
     holds_requests: bool
     organisations: tuple[str, ...]
     is_uneven: bool
+    versions: tuple[str, ...]
+    unframed_share: float
 
     @property
     def target_ms(self) -> int:
@@ -63,6 +70,11 @@
         name = self.organisations[number % len(self.organisations)]
         return {"Wayslip_Key": find_key(name)}
 
+    def is_unframed(self, request_id: str) -> bool:
+        """Whether the answer to a request has neither a length nor chunks."""
+        draw = random.Random(f"{self.seed}-{request_id}-framing").random()
+        return draw < self.unframed_share
+
     def find_factor(self, endpoint: str, now: float) -> float:
         """Returns how long work takes at an engine now, 1 for the usual."""
         if not self.is_uneven:
@@ -82,6 +94,8 @@
         holds_requests=rng.random() < 0.5,
         organisations=_ORGANISATIONS if rng.random() < 0.5 else (),
         is_uneven=rng.random() < 0.5,
+        versions=rng.choice(_VERSIONS),
+        unframed_share=rng.choice(_UNFRAMED_SHARES),
     )
 
 
--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -24,7 +24,9 @@
 # Size of an answer for slow readers, far more than a gateway may hold.
 _LARGE_BYTES = 32_000_000
 _LARGE_WRITE_BYTES = 64 * 1024
-_EVENT_COUNT = 12
+EVENT_COUNT = 12
+# Bytes of an unframed answer or event that are written first.
+_FIRST_BYTES = 5
 _EVENT_INTERVAL_SECONDS = 0.03
 
 
@@ -71,6 +73,7 @@
         self.service = service
         self.on_crash = on_crash
         self.announces_leaving = False
+        self.version = ""
         # Until when it refuses requests with Retry-After, monotonic seconds.
         self.backs_off_until = 0.0
         self.received_in_backoff = 0
@@ -165,6 +168,10 @@
                 f"LIMIT {self.name} holds {self.models}"
             )
 
+    def is_unframed(self, request: platform_engine.ReceivedRequest) -> bool:
+        """Whether the answer has neither a length nor chunks."""
+        return self._conditions.is_unframed(request.id)
+
     def record_run(self, request: platform_engine.ReceivedRequest) -> None:
         """Counts an execution of a request."""
         runs = self.oracle.runs
@@ -191,9 +198,16 @@
         engine.on_crash(engine, request.body)
         return
     leaving = {"Server-Leaving": "1"} if engine.announces_leaving else {}
-    await connection.answer(
-        request, f"whole {request.id}".encode(), 200, **leaving
-    )
+    body = f"whole {request.id}".encode()
+    if not engine.is_unframed(request):
+        await connection.answer(request, body, 200, **leaving)
+        return
+    await connection.answer(request, b"", 200, Content_Length="", **leaving)
+    # The answer may be broken off between its parts.
+    await connection.write(body[:_FIRST_BYTES])
+    await asyncio.sleep(_EVENT_INTERVAL_SECONDS)
+    await connection.write(body[_FIRST_BYTES:])
+    connection.close()
 
 
 async def _run_stream(
@@ -232,29 +246,36 @@
     connection: platform_engine.Connection,
 ) -> None:
     after = int(request.headers.get("last-event-id", 0))
+    stream = request.headers.get("resumes", request.id)
+    is_unframed = engine.is_unframed(request)
     head = platform_engine.format_answer(
         request.id,
         b"",
         200,
         Content_Length="",
-        Transfer_Encoding="chunked",
+        Transfer_Encoding="" if is_unframed else "chunked",
         Content_Type="text/event-stream",
         **connection.headers,
     )
     await connection.write(head)
-    for number in range(after + 1, _EVENT_COUNT + 1):
+    for number in range(after + 1, EVENT_COUNT + 1):
         await asyncio.sleep(_EVENT_INTERVAL_SECONDS * engine.factor)
-        event = f"id: {number}\ndata: {request.id}\n\n".encode()
-        await connection.write(b"%x\r\n%s\r\n" % (len(event), event))
-    await connection.write(b"0\r\n\r\n")
-
-
-def format_stream(request_id: str) -> bytes:
-    """Returns all events of a complete stream."""
-    return b"".join(
-        f"id: {n}\ndata: {request_id}\n\n".encode()
-        for n in range(1, _EVENT_COUNT + 1)
-    )
+        event = format_event(number, stream, engine.version)
+        if not is_unframed:
+            await connection.write(b"%x\r\n%s\r\n" % (len(event), event))
+            continue
+        await connection.write(event[:_FIRST_BYTES])
+        await asyncio.sleep(_EVENT_INTERVAL_SECONDS * engine.factor / 2)
+        await connection.write(event[_FIRST_BYTES:])
+    if is_unframed:
+        connection.close()
+    else:
+        await connection.write(b"0\r\n\r\n")
+
+
+def format_event(number: int, stream: str, version: str) -> bytes:
+    """Returns one event, which names the version that wrote it."""
+    return f"id: {number}\ndata: {stream} {version}\n\n".encode()
 
 
 def format_upload(request_id: str, size: int) -> bytes:
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -4,9 +4,16 @@
 import contextlib
 import enum
 
+from wayslip.http1 import closing
+
 _CHUNK_BYTES = 65536
 
 
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Resets a connection; `abort` alone would close it in order."""
+    closing.reset(writer.transport)
+
+
 class LinkFault(enum.Enum):
     """What the proxy does to bytes and connections.
 
@@ -57,7 +64,7 @@
         self.fault = fault
         if fault is LinkFault.RESET:
             for writer in list(self._writers):
-                writer.transport.abort()
+                _reset(writer)
         if fault in (
             LinkFault.STALL,
             LinkFault.STALL_TO_SERVER,
@@ -72,27 +79,31 @@
         host, _, port = target.rpartition(":")
         self._target = (host, int(port))
         for writer in list(self._writers):
-            writer.transport.abort()
+            _reset(writer)
 
-    def close(self) -> None:
-        """Stops listening and resets all connections."""
+    def stop_listening(self) -> None:
+        """Refuses new connections; open ones stay."""
         if self._server is not None:
             self._server.close()
+
+    def close(self) -> None:
+        """Stops listening and resets all connections."""
+        self.stop_listening()
         for writer in list(self._writers):
-            writer.transport.abort()
+            _reset(writer)
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         if self.fault is LinkFault.RESET:
-            writer.transport.abort()
+            _reset(writer)
             return
         try:
             upstream_reader, upstream = await asyncio.open_connection(
                 *self._target
             )
         except OSError:
-            writer.transport.abort()
+            _reset(writer)
             return
         self._writers |= {writer, upstream}
         pumps = [
@@ -122,7 +133,7 @@
                 await writer.drain()
             writer.write_eof()
         except (OSError, RuntimeError):
-            writer.transport.abort()
+            _reset(writer)
         finally:
             with contextlib.suppress(OSError, RuntimeError):
                 if reader.at_eof() and not writer.is_closing():
--- a/soak/world.py
+++ b/soak/world.py
@@ -26,6 +26,8 @@
 
 GRACE_SECONDS = 4.0
 _HEARTBEAT_SECONDS = 0.3
+# How long the closes of an ended endpoint's connections take to be forwarded.
+_EXIT_SECONDS = 0.05
 # Memory that a gateway may use: a process without work takes 35 MB, and slow
 # readers may add a buffer on each side, but never a whole answer.
 _MAX_GATEWAY_BYTES = 64_000_000
@@ -237,6 +239,8 @@
         endpoint.attach_oracle(
             self.oracle, service, self._replace_crashed, self.conditions
         )
+        versions = self.conditions.versions
+        endpoint.version = versions[self._endpoint_count % len(versions)]
         endpoint.brittle_services = self.brittle_services
         endpoint.report_lag = 0.1
         if service == "models":
@@ -251,7 +255,11 @@
 
     def _put_entry(self, endpoint: endpoints.Endpoint, address: str) -> None:
         entry = platform_site.entry(
-            endpoint.service, address, endpoint.models, seq=0
+            endpoint.service,
+            address,
+            endpoint.models,
+            seq=0,
+            version=endpoint.version,
         )
         self.store.put("servers", endpoint.name, entry)
 
@@ -265,11 +273,16 @@
             removes_entry_at_once: Whether its entry is removed without a delay
                 of 1 s.
         """
+        if endpoint.name not in self.endpoints:
+            return
+        # The kernel closes the connections of a process in order.
+        self.proxies[endpoint.name].stop_listening()
+        endpoint.exit()
+        await asyncio.sleep(_EXIT_SECONDS)
         if endpoint.name not in self.endpoints:
             return
         self.proxies[endpoint.name].set_fault(proxy_module.LinkFault.RESET)
         self.proxies[endpoint.name].close()
-        endpoint.stop()
         del self.endpoints[endpoint.name]
         if not removes_entry_at_once:
             await asyncio.sleep(1.0)
--- a/src/wayslip/http1/closing.py
+++ b/src/wayslip/http1/closing.py
@@ -16,7 +16,7 @@
 _IN_ORDER = struct.pack("ii", 0, 0)
 
 
-def reset(transport: asyncio.Transport) -> None:
+def reset(transport: asyncio.WriteTransport) -> None:
     """Resets a connection; what was not sent yet is lost."""
     if transport.is_closing():
         return
@@ -53,6 +53,6 @@
             self.close()
 
 
-def _set_linger(transport: asyncio.Transport, value: bytes) -> None:
+def _set_linger(transport: asyncio.WriteTransport, value: bytes) -> None:
     sock = transport.get_extra_info("socket")
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
