Soak: engines that break streams off, and busy ones that end

Streams break off at a drawn event: reset, closed inside an event, or closed one byte before its end; the busiest engine ends beside.

--- a/soak/conditions.py
+++ b/soak/conditions.py
@@ -16,6 +16,7 @@
 _MOMENTARY_FACTORS = (1.0, 1.5)
 _VERSIONS = (("v1",), ("v1", "v2"), ("v1", "v2", "v3"))
 _UNFRAMED_SHARES = (0.0, 0.3, 1.0)
+_BROKEN_SHARES = (0.0, 0.1, 0.3)
 # A slowdown is drawn anew after this time.
 _FACTOR_SECONDS = 0.05
 
@@ -33,6 +34,8 @@
         versions: Versions of the endpoints' software, side by side.
         unframed_share: Share of the answers that have neither a length nor
             chunks.
+        broken_share: Share of the streams that engines break off, by a close
+            inside an event or a reset.
     """
 
     seed: int
@@ -41,6 +44,7 @@
     is_uneven: bool
     versions: tuple[str, ...]
     unframed_share: float
+    broken_share: float
 
     @property
     def target_ms(self) -> int:
@@ -75,6 +79,18 @@
         draw = random.Random(f"{self.seed}-{request_id}-framing").random()
         return draw < self.unframed_share
 
+    def find_break(self, request_id: str, last: int) -> int:
+        """Returns the event in which a stream breaks off, 0 for none.
+
+        Args:
+            request_id: Id of the request.
+            last: Number of the last event.
+        """
+        rng = random.Random(f"{self.seed}-{request_id}-break")
+        if rng.random() >= self.broken_share:
+            return 0
+        return rng.randint(1, last)
+
     def find_factor(self, endpoint: str, now: float) -> float:
         """Returns how long work takes at an engine now, 1 for the usual."""
         if not self.is_uneven:
@@ -96,6 +112,7 @@
         is_uneven=rng.random() < 0.5,
         versions=rng.choice(_VERSIONS),
         unframed_share=rng.choice(_UNFRAMED_SHARES),
+        broken_share=rng.choice(_BROKEN_SHARES),
     )
 
 
--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -68,7 +68,7 @@
             conditions: What the seed plays besides faults.
         """
         self._conditions = conditions
-        self._running = 0
+        self.running = 0
         self.oracle = oracle
         self.service = service
         self.on_crash = on_crash
@@ -98,8 +98,8 @@
         """Returns the headers of all answers, with its load if it states it."""
         headers = super().make_headers()
         if self._conditions.is_uneven and self.service == "models":
-            running = min(self._running, _SLOTS)
-            waiting = self._running - running
+            running = min(self.running, _SLOTS)
+            waiting = self.running - running
             headers["Wayslip-Server-Load"] = (
                 f"{running},{waiting},{_SLOTS},{round(self.factor * 100)}"
             )
@@ -111,11 +111,11 @@
         connection: platform_engine.Connection,
     ) -> None:
         """Streams an answer at the endpoint's speed."""
-        self._running += 1
+        self.running += 1
         try:
             await _write_stream(self, request, connection)
         finally:
-            self._running -= 1
+            self.running -= 1
 
     async def _respond(
         self,
@@ -172,6 +172,11 @@
         """Whether the answer has neither a length nor chunks."""
         return self._conditions.is_unframed(request.id)
 
+    def find_break(self, request: platform_engine.ReceivedRequest) -> int:
+        """Returns the event in which a stream breaks off here, 0 for none."""
+        key = f"{request.id}-{self.name}"
+        return self._conditions.find_break(key, EVENT_COUNT)
+
     def record_run(self, request: platform_engine.ReceivedRequest) -> None:
         """Counts an execution of a request."""
         runs = self.oracle.runs
@@ -248,6 +253,7 @@
     after = int(request.headers.get("last-event-id", 0))
     stream = request.headers.get("resumes", request.id)
     is_unframed = engine.is_unframed(request)
+    breaks_at = engine.find_break(request)
     head = platform_engine.format_answer(
         request.id,
         b"",
@@ -261,6 +267,9 @@
     for number in range(after + 1, EVENT_COUNT + 1):
         await asyncio.sleep(_EVENT_INTERVAL_SECONDS * engine.factor)
         event = format_event(number, stream, engine.version)
+        if number == breaks_at:
+            await _break_off(connection, event, is_unframed)
+            return
         if not is_unframed:
             await connection.write(b"%x\r\n%s\r\n" % (len(event), event))
             continue
@@ -273,6 +282,19 @@
         await connection.write(b"0\r\n\r\n")
 
 
+async def _break_off(
+    connection: platform_engine.Connection, event: bytes, is_unframed: bool
+) -> None:
+    """Breaks a stream off, in one of three ways that its events draw."""
+    way = len(event) % 3
+    if not is_unframed or way == 0:
+        connection.reset()
+        return
+    part = event[:_FIRST_BYTES] if way == 1 else event[:-1]
+    await connection.write(part)
+    connection.close()
+
+
 def format_event(number: int, stream: str, version: str) -> bytes:
     """Returns one event, which names the version that wrote it."""
     return f"id: {number}\ndata: {stream} {version}\n\n".encode()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -193,6 +193,20 @@
     await world.add_endpoint(endpoint.service)
 
 
+@register
+async def end_busy_engine(
+    world: world_module.World, rng: random.Random
+) -> None:
+    """Ends the engine with the most streams; starts another one later."""
+    engines = [e for e in world.endpoints.values() if e.service == "models"]
+    busiest = max(engines, key=lambda e: e.running, default=None)
+    if busiest is None or busiest.draining_since is not None:
+        return
+    await world.end_endpoint(busiest, removes_entry_at_once=False)
+    await asyncio.sleep(rng.uniform(0, 1.0))
+    await world.add_endpoint("models")
+
+
 @register
 async def replace_endpoint(
     world: world_module.World, rng: random.Random
