Send a refused request to those that have not refused it yet first

Callers got 503 though an endpoint was free: an endpoint that refuses for lack of room counts as full for half a learned slot time only; with slots of a few milliseconds the next choice came later than that, and the last attempt went to the same endpoint (traced in a run of test_refused_request_is_retried_at_another_endpoint beside load). Whether a request may return to a full endpoint is now a matter for when all others have refused it. Failed before: test_requests.py::test_request_does_not_return_to_who_refused_it_first.

--- a/src/wayslip/gateway/serving/endpoint_chooser.py
+++ b/src/wayslip/gateway/serving/endpoint_chooser.py
@@ -340,6 +340,8 @@
             job.tried if excluded is None else excluded,
             self._has_idle,
         )
+        others = [c for c in candidates if c.name not in job.refused_by]
+        candidates = others or candidates
         if self._profiles.may_hold(job.service.name):
             # Where speeds are known, each endpoint's queue cost is more exact.
             slot_seconds = (
--- a/src/wayslip/gateway/serving/jobs.py
+++ b/src/wayslip/gateway/serving/jobs.py
@@ -53,6 +53,8 @@
         deadline: When the answer is due, steady seconds.
         unreachable_count: Attempts whose endpoint could not be reached.
         tried: Endpoints that were tried.
+        refused_by: Endpoints that refused it for lack of room; they are tried
+            again only where no other one is left.
         endpoint: The endpoint of the last attempt, empty before the first.
         relayed: Whether any part of an answer was sent to the client.
         is_bound: Whether a part of an answer was sent that only the endpoint
@@ -87,6 +89,7 @@
     splitter: events.EventSplitter
     unreachable_count: int = 0
     tried: frozenset[str] = frozenset()
+    refused_by: frozenset[str] = frozenset()
     endpoint: str = ""
     relayed: bool = False
     is_bound: bool = False
--- a/src/wayslip/gateway/serving/requests.py
+++ b/src/wayslip/gateway/serving/requests.py
@@ -356,8 +356,10 @@
                 self._endpoint_chooser.give_back_place(job)
             if failure is None:
                 return
-            if not job.met_full_queue and not self._may_detour(choice, failure):
-                # A full endpoint may take the request when it has room again.
+            if job.met_full_queue:
+                # It may take the request when it has room again.
+                job.refused_by |= {choice.name}
+            elif not self._may_detour(choice, failure):
                 job.tried |= {choice.name}
             if failure is not retry.Failure.UNCLEAR:
                 job.is_sent = job.progress.may_have_run
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -1,8 +1,10 @@
 import asyncio
+from unittest import mock
 
 from standins import platform_engine
 from tests.gateway import harness
 from wayslip.decisions import backlog
+from wayslip.gateway.serving import full_queues
 
 EVENTS = [f"id: {n}\ndata: piece-{n}\n\n".encode() for n in range(1, 6)]
 STREAM = {"Content_Type": "text/event-stream"}
@@ -112,6 +114,24 @@
         assert answer.status == 200
 
 
+@harness.run
+async def test_request_does_not_return_to_who_refused_it_first(system):
+    refusing = await system.add("e1", "plain", script=refuse)
+    await system.add("e2", "plain", zone="hall-2")
+    await system.until(lambda: system.gateway._placement.instances == 1)
+    # The time for which the queue counts as full is over at once.
+    with (
+        mock.patch.object(full_queues.FullQueues, "note", return_value=True),
+        mock.patch.object(full_queues.FullQueues, "find_seconds", lambda *_: 0),
+    ):
+        for number in range(4):
+            answer = await system.ask(
+                "/once/a", f"r{number}", method="POST", body=b"x"
+            )
+            assert (answer.status, answer.body) == (200, b"e2")
+    assert refusing.received
+
+
 @harness.run
 async def test_request_refused_by_all_endpoints_gets_a_retry_time(system):
     await system.add("e1", "plain", script=refuse)
