Bind streams to their service, and load adapters where streams may go on

A route may lead to several services, each try drew one, and the version of the other service was taken for the one that began the stream; the origin names the service now, and a route that no longer leads there refuses the rest. An adapter that a stream waits for was loaded on any engine that holds its model: the request names the version now. Messages leave a last field out that has its default, so that the release before gets what it expects. Failed with the old choice put back: test_stream_goes_on_at_the_service_that_began_it, test_adapter_is_loaded_where_its_stream_may_go_on.

--- a/src/wayslip/decisions/stream_origins.py
+++ b/src/wayslip/decisions/stream_origins.py
@@ -28,14 +28,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Origin:
-    """The version that began a stream.
+    """The service and version that began a stream.
 
     Attributes:
+        service: The service; a route may have several.
         version: The version of the endpoint's software.
         number: Counts the versions that the stream was sent to before its
             first event; the highest one holds.
     """
 
+    service: str
     version: str
     number: int = 0
 
--- a/src/wayslip/gateway/planning/adapters.py
+++ b/src/wayslip/gateway/planning/adapters.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 from collections.abc import Coroutine
+import dataclasses
 from typing import Any
 
 from wayslip import clock
@@ -32,7 +33,31 @@
 # Adapters with a higher rate of requests than this are not evicted.
 _IN_USE_PER_S = 0.5
 
-LoadRequest = tuple[str, str, str]
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadRequest:
+    """An adapter that requests wait for.
+
+    Attributes:
+        version: Software version of the engines that may serve them, None for
+            any.
+    """
+
+    service: str
+    model: str
+    adapter: str
+    version: str | None = None
+
+    @property
+    def item(self) -> fleet.Item:
+        """The model and the adapter."""
+        return (self.model, self.adapter)
+
+    def is_served_by(self, endpoint: fleet.Endpoint) -> bool:
+        """Whether an engine may serve the requests."""
+        return self.version in (None, endpoint.version)
+
+
 Starter = Callable[[Coroutine[Any, Any, None]], Any]
 
 
@@ -46,8 +71,8 @@
         start: Starter,
         announce_changes: Callable[[], None],
         notify_waiting: Callable[
-            [LoadRequest, tracked_engines_module.TrackedEngine], None
-        ] = (lambda request, tracked_engine: None),
+            [fleet.Item, tracked_engines_module.TrackedEngine], None
+        ] = (lambda item, tracked_engine: None),
         notices: endpoint_notices_module.EndpointNotices | None = None,
     ) -> None:
         """Initializes without any task.
@@ -71,10 +96,9 @@
 
     def request_load(
         self,
-        service: str,
+        request: LoadRequest,
         pool: manifest.Pool,
         tracked_engines: list[tracked_engines_module.TrackedEngine],
-        item: tuple[str, str],
     ) -> bool:
         """Starts to load an adapter on an engine that holds its model.
 
@@ -82,18 +106,19 @@
             Whether the request needs no retry: the adapter is in place or
             loading, or its model is unknown.
         """
-        request = (service, *item)
-        spec = pool.models.get(item[0])
+        item = request.item
+        spec = pool.models.get(request.model)
         if spec is None or request in self._loading:
             return True
-        holders = [
-            b for b in tracked_engines if item in b.charged() - b.withdrawn
+        serving = [
+            b for b in tracked_engines if request.is_served_by(b.endpoint)
         ]
+        holders = [b for b in serving if item in b.charged() - b.withdrawn]
         if holders:
             if item in holders[0].usable():
-                self._notify_waiting(request, holders[0])
+                self._notify_waiting(item, holders[0])
             return True
-        tracked_engine = self._choose(pool, tracked_engines, item[0])
+        tracked_engine = self._choose(pool, serving, request.model)
         if tracked_engine is None:
             return False
         self._loading.add(request)
@@ -109,9 +134,9 @@
         """Loads adapters that no engine holds into free slots, one each."""
         now = clock.now()
         placed = set().union(*(b.charged() for b in tracked_engines)) | {
-            (model, adapter)
-            for name, model, adapter in self._loading
-            if name == service
+            request.item
+            for request in self._loading
+            if request.service == service
         }
         for tracked_engine in tracked_engines:
             may_claim = self._order_sender.claims.may_claim(
@@ -133,7 +158,7 @@
             ):
                 continue
             placed.add(item)
-            request = (service, *item)
+            request = LoadRequest(service, *item)
             self._loading.add(request)
             self._start(
                 self._carry_out(
@@ -207,7 +232,9 @@
         may_evict: bool = True,
     ) -> None:
         try:
-            await self._load(tracked_engine, pool, spec, request[2], may_evict)
+            await self._load(
+                tracked_engine, pool, spec, request.adapter, may_evict
+            )
         finally:
             self._loading.discard(request)
 
@@ -241,9 +268,7 @@
             tracked_engine.adapter_loaded_at[item] = clock.now()
         if item in tracked_engine.added:
             tracked_engine.added[item] = clock.now() + seconds
-        self._notify_waiting(
-            (tracked_engine.endpoint.service, *item), tracked_engine
-        )
+        self._notify_waiting(item, tracked_engine)
         self._announce_changes()
 
     async def _evict_one(
--- a/src/wayslip/gateway/planning/planner.py
+++ b/src/wayslip/gateway/planning/planner.py
@@ -6,6 +6,7 @@
 from wayslip import clock
 from wayslip import errors
 from wayslip import logs
+from wayslip.decisions import fleet
 from wayslip.decisions import load_timing
 from wayslip.decisions import loading
 from wayslip.decisions import manifest as manifest_module
@@ -185,10 +186,11 @@
         self.members.note_sender(item_request, source)
         if not item_request.adapter:
             return
-        request = (
+        request = adapters_module.LoadRequest(
             item_request.service,
             item_request.model,
             item_request.adapter,
+            item_request.version,
         )
         until = clock.now() + _LOAD_REQUEST_SECONDS
         self._load_requests[request] = until
@@ -197,7 +199,7 @@
 
     def _notify_waiting(
         self,
-        request: adapters_module.LoadRequest,
+        item: fleet.Item,
         tracked_engine: tracked_engines_module.TrackedEngine,
     ) -> None:
         """Notifies instances that wait for an adapter that an engine loads it.
@@ -205,8 +207,16 @@
         Announcements to all instances are coalesced, for 0.15 s in a fleet of
         195 instances. A request waits little longer than that.
         """
-        waiting = self._waiting.pop(request, {})
-        self._announcer.announce_to(tracked_engine, request[1:], list(waiting))
+        endpoint = tracked_engine.endpoint
+        served = [
+            r
+            for r in self._waiting
+            if r.service == endpoint.service
+            and r.item == item
+            and r.is_served_by(endpoint)
+        ]
+        waiting = {a for r in served for a in self._waiting.pop(r)}
+        self._announcer.announce_to(tracked_engine, item, list(waiting))
 
     def _process_holder_message(self, message: facts.Message) -> None:
         """Records what this instance needs if it becomes the next holder."""
@@ -319,11 +329,9 @@
             for tracked_engine in tracked_engines:
                 self._loads.note_overdue(tracked_engine)
             for request in [
-                w for w in self._load_requests if w[0] == service.name
+                r for r in self._load_requests if r.service == service.name
             ]:
-                if self._adapters.request_load(
-                    request[0], pool, tracked_engines, request[1:]
-                ):
+                if self._adapters.request_load(request, pool, tracked_engines):
                     del self._load_requests[request]
             timing = self._timings.find(manifest, service.name)
             while self._plan_one(service.name, pool, timing):
--- a/src/wayslip/gateway/serving/requests.py
+++ b/src/wayslip/gateway/serving/requests.py
@@ -102,7 +102,11 @@
         self._responder = jobs.Responder(dialect, metrics)
         self._share_gate = share_gate.ShareGate(fair_shares, self._responder)
         self.stream_versions = stream_versions_module.StreamVersions(
-            view, registry, is_list_current, self._responder
+            view,
+            registry,
+            is_list_current,
+            self._find_service,
+            self._responder,
         )
         self._attempts = attempts.Attempts(
             dialect,
@@ -233,6 +237,15 @@
             timing=self._timings.find(manifest, name),
         )
 
+    def _find_service(
+        self, route: manifest_module.Route, name: str
+    ) -> manifest_module.Service | None:
+        """Returns a service by name if a route may lead to it."""
+        manifest = self._holder.manifest
+        if manifest is None or all(s.service != name for s in route.splits):
+            return None
+        return manifest.services.get(name)
+
     def _check_key(self, job: jobs.Job) -> bool:
         """Authenticates a request by its key; answers it if that fails.
 
--- a/src/wayslip/gateway/serving/stream_versions.py
+++ b/src/wayslip/gateway/serving/stream_versions.py
@@ -14,12 +14,15 @@
 from wayslip import errors
 from wayslip.decisions import fleet
 from wayslip.decisions import manifest
+from wayslip.decisions import stream_origins
 from wayslip.gateway.serving import jobs
 from wayslip.gateway.sharing import stream_registry
 from wayslip.gateway.sharing import view as view_module
 
 # Time until an instance that was silent may say who began a stream.
 _UNKNOWN_RETRY_SECONDS = 0.5
+# Time until a route may lead again to the service that began a stream.
+_NO_SERVICE_RETRY_SECONDS = 1.0
 # Interval of looks whether the list of endpoints is current.
 _LIST_PERIOD_SECONDS = 0.25
 
@@ -32,6 +35,7 @@
         view: view_module.EndpointView,
         registry: stream_registry.StreamRegistry,
         is_list_current: Callable[[], bool],
+        find_service: Callable[[manifest.Route, str], manifest.Service | None],
         responder: jobs.Responder,
     ) -> None:
         """Initializes without streams.
@@ -41,11 +45,13 @@
             registry: Tells and asks other instances.
             is_list_current: Returns whether the list of endpoints is known to
                 be current.
+            find_service: Returns a service by name if a route may lead to it.
             responder: Answers requests that are refused.
         """
         self._view = view
         self._registry = registry
         self._is_list_current = is_list_current
+        self._find_service = find_service
         self._responder = responder
 
     async def run(self) -> None:
@@ -64,26 +70,38 @@
         is_taken_up = traits.resumes or traits.last_event_id
         if not is_taken_up or not _may_be_taken_up(job):
             return True
-        version = await self._find_version(job)
-        if version is None:
+        origin = await self._find_origin(job)
+        if origin is None:
             self._responder.refuse_job(
                 job, "origin_unknown", _UNKNOWN_RETRY_SECONDS
             )
             return False
-        _bind_to(job, version)
+        service = self._find_service(job.route, origin.service)
+        if service is None:
+            self._responder.refuse_job(
+                job, "no_version", _NO_SERVICE_RETRY_SECONDS
+            )
+            return False
+        job.service = service
+        _bind_to(job, origin.version)
         return True
 
-    async def _find_version(self, job: jobs.Job) -> str | None:
-        only = self._view.versions.find_only(job.service.name, clock.now())
-        if only is not None or not job.traits.resumes:
-            return only
-        origin = await self._registry.find(job.traits.resumes)
-        return None if origin is None else origin.version
+    async def _find_origin(self, job: jobs.Job) -> stream_origins.Origin | None:
+        service = job.service.name
+        if len(job.route.splits) == 1:
+            only = self._view.versions.find_only(service, clock.now())
+            if only is not None:
+                return stream_origins.Origin(service, only)
+        if not job.traits.resumes:
+            return None
+        return await self._registry.find(job.traits.resumes)
 
     def note_sent(self, job: jobs.Job, endpoint: fleet.Endpoint) -> None:
         """Records to which version a stream is about to be sent."""
         if _may_be_taken_up(job):
-            self._registry.note_sent(_find_id(job), endpoint.version)
+            self._registry.note_sent(
+                _find_id(job), job.service.name, endpoint.version
+            )
 
     async def begin(self, job: jobs.Job, endpoint: fleet.Endpoint) -> None:
         """Binds a stream to the version whose first event is to be forwarded.
--- a/src/wayslip/gateway/sharing/datagrams.py
+++ b/src/wayslip/gateway/sharing/datagrams.py
@@ -83,15 +83,18 @@
 
 
 def _list_fields(part: Any) -> list[Any]:
-    """Returns the fields; dataclasses.astuple copies deeply, which is slow.
+    """Returns the fields; dataclasses.astuple copies deeply, which is slow."""
+    values = [getattr(part, f.name) for f in dataclasses.fields(part)]
+    return _trim(part, values)
+
 
-    Empty texts at the end are left out: they are defaults, and releases before
-    that don't know the fields get what they expect.
+def _trim(message: Any, values: list[Any]) -> list[Any]:
+    """Leaves a last field out that has its default.
+
+    An earlier release, which does not know it, then gets what it expects.
     """
-    values = [getattr(part, f.name) for f in dataclasses.fields(part)]
-    while values and values[-1] == "":
-        values.pop()
-    return values
+    last = dataclasses.fields(message)[-1]
+    return values[:-1] if values[-1] == last.default else values
 
 
 def _make_part(part: type, values: list[Any]) -> Any:
@@ -110,7 +113,7 @@
         elif field.name in _SINGLE:
             value = _list_fields(value)
         fields.append(value)
-    return cbor2.dumps([_NUMBERS[type(message)], *fields])
+    return cbor2.dumps([_NUMBERS[type(message)], *_trim(message, fields)])
 
 
 def decode(data: bytes) -> facts.Message:
--- a/src/wayslip/gateway/sharing/facts.py
+++ b/src/wayslip/gateway/sharing/facts.py
@@ -195,13 +195,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ItemRequest:
-    """A request that waits for a model or adapter that no endpoint holds."""
+    """A request that waits for a model or adapter that no endpoint holds.
+
+    Attributes:
+        version: Software version of the endpoints that may serve it, None for
+            any.
+    """
 
     instance: str
     data_hall: str
     service: str
     model: str
     adapter: str
+    version: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -606,7 +612,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StreamOrigin:
-    """Tells a keeper which software version a stream was sent to.
+    """Tells a keeper to which service and version a stream was sent.
 
     Attributes:
         stream: Id of the request that begins the stream.
@@ -614,6 +620,7 @@
     """
 
     stream: str
+    service: str
     version: str
     number: int
 
@@ -655,6 +662,7 @@
     number: int
     address: str
     is_known: bool = False
+    service: str = ""
     version: str = ""
     origin_number: int = 0
 
--- a/src/wayslip/gateway/sharing/placement.py
+++ b/src/wayslip/gateway/sharing/placement.py
@@ -78,7 +78,8 @@
             collections.Counter()
         )
         self._changed = asyncio.Event()
-        self._requested_at: dict[tuple[str, str, str], float] = {}
+        # By service, model, adapter and software version.
+        self._requested_at: dict[tuple[str, str, str, str | None], float] = {}
         self._pending_loads: dict[tuple[str, str], float] = {}
         # When ordered items can serve; bounded by the number of items.
         self._ready_at: dict[tuple[str, str], float] = {}
@@ -148,7 +149,7 @@
         holder = self._leadership.holder_address
         if holder is None:
             return False
-        item = (service, traits.model, traits.adapter)
+        item = (service, traits.model, traits.adapter, traits.version)
         now = clock.now()
         if now - self._requested_at.get(item, 0.0) > _REQUEST_INTERVAL_SECONDS:
             self._requested_at[item] = now
--- a/src/wayslip/gateway/sharing/stream_registry.py
+++ b/src/wayslip/gateway/sharing/stream_registry.py
@@ -52,9 +52,11 @@
         self.is_told = False
         self.is_answered = False
 
-    def change(self, version: str) -> None:
+    def change(self, service: str, version: str) -> None:
         """Records that the stream is sent to another version."""
-        self.origin = stream_origins.Origin(version, self.origin.number + 1)
+        self.origin = stream_origins.Origin(
+            service, version, self.origin.number + 1
+        )
         self.misled = set(self.told)
 
     def acknowledge(self, address: str) -> None:
@@ -120,15 +122,18 @@
 
     # Telling
 
-    def note_sent(self, stream: str, version: str) -> None:
+    def note_sent(self, stream: str, service: str, version: str) -> None:
         """Records and tells to which version a stream is sent."""
         telling = self._tellings.get(stream)
         if telling is None:
             known = self._origins.find(stream, clock.now())
-            telling = _Telling(known or stream_origins.Origin(version))
+            telling = _Telling(known or stream_origins.Origin(service, version))
             self._tellings[stream] = telling
-        if telling.origin.version != version:
-            telling.change(version)
+        if (telling.origin.service, telling.origin.version) != (
+            service,
+            version,
+        ):
+            telling.change(service, version)
         self._origins.note(stream, telling.origin, clock.now())
         keepers = stream_origins.choose_keepers(stream, self._list_others())
         telling.told.update(keepers)
@@ -142,7 +147,9 @@
         telling: _Telling,
         origin: stream_origins.Origin,
     ) -> None:
-        message = facts.StreamOrigin(stream, origin.version, origin.number)
+        message = facts.StreamOrigin(
+            stream, origin.service, origin.version, origin.number
+        )
         for pause in _REPEAT_SECONDS:
             for keeper in telling.unacknowledged:
                 self._hub.send(message, addresses.split_address(keeper))
@@ -191,7 +198,9 @@
         self, message: facts.StreamOrigin, source: hub_module.Address
     ) -> None:
         """Records what another instance tells, and acknowledges it."""
-        origin = stream_origins.Origin(message.version, message.number)
+        origin = stream_origins.Origin(
+            message.service, message.version, message.number
+        )
         self._origins.note(message.stream, origin, clock.now())
         kept = facts.StreamOriginKept(message.stream, message.number)
         self._hub.send(kept, source)
@@ -205,6 +214,7 @@
                 message.number,
                 self._address,
                 True,
+                origin.service,
                 origin.version,
                 origin.number,
             )
@@ -275,7 +285,7 @@
             return
         if message.is_known:
             origin = stream_origins.Origin(
-                message.version, message.origin_number
+                message.service, message.version, message.origin_number
             )
             known = question.origin
             if known is None or known.number < origin.number:
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -6,6 +6,7 @@
 
 import asyncio
 
+from standins import platform_site
 from tests.gateway import harness
 from tests.gateway import test_requests
 from tests.gateway import test_unreachable_endpoints as unreachable
@@ -161,3 +162,53 @@
         answer = await ask(system, f"s{number}")
         assert (answer.body, answer.is_whole) == (WHOLE, True)
         await asyncio.sleep(0)
+
+
+@harness.run
+async def test_stream_goes_on_at_the_service_that_began_it(system):
+    manifest = platform_site.manifest(version=2)
+    models = next(s for s in manifest["services"] if s["name"] == "models")
+    manifest["services"].append({**models, "name": "other"})
+    route = next(r for r in manifest["routes"] if r["name"] == "gen")
+    route["traffic_split"] = [
+        {"service": "models", "weight": 1},
+        {"service": "other", "weight": 1},
+    ]
+    system.store.put("config", "main", manifest)
+    await system.until(lambda: system.gateway.holder.version == 2)
+    script = test_requests.stream_whole
+    first = await system.add("e1", "models", ["m1"], script)
+    other = await system.add("e2", "other", ["m1"], script)
+    for number in range(ROUNDS):
+        system.gateway._stream_registry.note_sent("b0", "models", "v1")
+        answer = await resume(system, f"r{number}", "b0", 2, None)
+        assert (answer.status, answer.is_whole) == (200, True)
+    assert len(list_resumed([first])) == ROUNDS
+    assert not list_resumed([other])
+
+
+@harness.run
+async def test_adapter_is_loaded_where_its_stream_may_go_on(system):
+    old, new = await add_engines(system, test_requests.stream_whole, "v1", "v2")
+    new.models["m1"].append("a1")
+    held = [{"name": "m1", "version": 1, "adapters": ["a1"]}]
+    spec = system.store.objects["servers"][new.name]["spec"]
+    system.store.put("servers", new.name, {**spec, "models": held})
+    view = system.gateway.view
+    await system.until(
+        lambda: view.holds(view.tracked[new.name].endpoint, "m1", "a1")
+    )
+    system.gateway._stream_registry.note_sent("b0", "models", "v1")
+    fields = {**unreachable.fields("m1"), "Wayslip_Model": "m1/a1"}
+    answer = await system.ask(
+        "/gen/a",
+        "r1",
+        "POST",
+        body=b"x",
+        Resumes="b0",
+        Last_Event_Id="2",
+        **fields,
+    )
+    assert (answer.status, answer.is_whole) == (200, True)
+    assert list_resumed([old]) == ["r1"]
+    assert not list_resumed([new])
--- a/tests/stateful/stream_world.py
+++ b/tests/stateful/stream_world.py
@@ -165,12 +165,12 @@
         """Returns the version of the first event, None if it was held back."""
         rng = self.rng
         version = rng.choice(VERSIONS)
-        registry.note_sent(stream, version)
+        registry.note_sent(stream, "models", version)
         while rng.random() < 0.25:
             # It fails before its first event.
             await asyncio.sleep(rng.uniform(0, 0.3))
             version = rng.choice(VERSIONS)
-            registry.note_sent(stream, version)
+            registry.note_sent(stream, "models", version)
         await asyncio.sleep(rng.uniform(0.02, 0.5))
         if not await registry.confirm(stream):
             return None
@@ -190,7 +190,7 @@
             self.tally.known += origin is not None
             self.tally.unknown += origin is None
         if origin is not None:
-            registry.note_sent(stream, origin.version)
+            registry.note_sent(stream, origin.service, origin.version)
             registry.note_ended(stream)
 
     async def play_faults(self, seconds):
