--- a/src/wayslip/gateway/sharing/stream_registry.py
+++ b/src/wayslip/gateway/sharing/stream_registry.py
@@ -39,7 +39,7 @@
         misled: Those that may still name an earlier version.
         unacknowledged: Those that did not acknowledge the last one.
         changed: Set when one of them did.
-        is_told: Whether nobody is told any more.
+        is_finished: Whether no keeper is told again.
         is_answered: Whether the stream's request has ended here.
     """
 
@@ -49,7 +49,7 @@
         self.misled: set[str] = set()
         self.unacknowledged: set[str] = set()
         self.changed = asyncio.Event()
-        self.is_told = False
+        self.is_finished = False
         self.is_answered = False
 
     def change(self, service: str, version: str) -> None:
@@ -138,7 +138,7 @@
         keepers = stream_origins.choose_keepers(stream, self._list_others())
         telling.told.update(keepers)
         telling.unacknowledged = set(telling.told)
-        telling.is_told = telling.is_answered = False
+        telling.is_finished = telling.is_answered = False
         self._tasks.start(self._tell(stream, telling, telling.origin))
 
     async def _tell(
@@ -158,7 +158,7 @@
                 return
             if not telling.unacknowledged:
                 break
-        telling.is_told = True
+        telling.is_finished = True
         self._drop_if_over(stream, telling)
 
     def note_ended(self, stream: str) -> None:
@@ -169,7 +169,7 @@
             self._drop_if_over(stream, telling)
 
     def _drop_if_over(self, stream: str, telling: _Telling) -> None:
-        if telling.is_told and telling.is_answered:
+        if telling.is_finished and telling.is_answered:
             self._tellings.pop(stream, None)
 
     async def confirm(self, stream: str) -> bool:
