Print events with their fields, and gateways' states, under failed tests

Reds that failed once stayed untraced: pytest's log under a failure held the messages alone, since fields are carried in 'extra', and INFO was not captured. Now the project's formatter prints them, the harness prints the state of each gateway, and the stand-in's 'Exception in callback ... connection_made' under every failure is gone (asyncio logs an error for each handler that the end of its loop cancels).

--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -189,6 +189,9 @@
                 await self._respond(request, connection)
         except (asyncio.IncompleteReadError, ConnectionError):
             writer.close()
+        except asyncio.CancelledError:
+            # The loop ends. asyncio logs an error for a cancelled handler.
+            writer.close()
         finally:
             self._open_connections.discard(connection)
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,6 +6,7 @@
 import pytest
 
 from tests import system as system_module
+from wayslip import logs
 
 hypothesis.settings.register_profile(
     "ci",
@@ -37,6 +38,13 @@
     return {test: cause for test, _, cause in pairs}
 
 
+def pytest_sessionstart(session):
+    """Prints the logged events of a failed test with their fields."""
+    plugin = session.config.pluginmanager.get_plugin("logging-plugin")
+    if plugin is not None:
+        plugin.report_handler.setFormatter(logs.KeyValueFormatter())
+
+
 def pytest_collection_modifyitems(items):
     """Marks the tests in KNOWN-RED.txt, and only those, as xfail."""
     known = _read_known_red()
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import functools
+import json
 
 from soak import links as links_module
 from standins import platform_client
@@ -150,6 +151,11 @@
             if task.done() and not gateway._stopping.is_set():
                 task.result()
 
+    def print_states(self):
+        """Prints the state of all gateways."""
+        for gateway in self._tasks:
+            print(json.dumps(gateway.dump(), default=str))
+
     async def stop(self):
         for gateway in list(self._tasks):
             await self.kill(gateway)
@@ -182,6 +188,10 @@
             try:
                 async with asyncio.timeout(30):
                     await test(system)
+            except BaseException:
+                # Pytest prints this with a failed test.
+                system.print_states()
+                raise
             finally:
                 await system.stop()
 
