Name a missing version only where a request needs one

Requests for a service without any endpoint were refused as no_version, with 1 s to come back instead of the time of a load: has_version asked for an endpoint also where any version would do. Failed before: test_refusal_without_endpoints_names_no_version.

--- a/src/wayslip/gateway/sharing/view.py
+++ b/src/wayslip/gateway/sharing/view.py
@@ -302,8 +302,11 @@
         return self.holds(endpoint, traits.model, traits.adapter)
 
     def has_version(self, service: str, traits: dialect.Traits) -> bool:
-        """Whether an endpoint of the version that a request needs serves."""
-        return any(
+        """Whether an endpoint of the version that a request needs serves.
+
+        A request that needs none can be served once there is an endpoint.
+        """
+        return traits.version is None or any(
             not t.endpoint.is_leaving and _has_version(t.endpoint, traits)
             for t in self.of_service(service)
         )
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -5,11 +5,13 @@
 """
 
 import asyncio
+from unittest import mock
 
 from standins import platform_site
 from tests.gateway import harness
 from tests.gateway import test_requests
 from tests.gateway import test_unreachable_endpoints as unreachable
+from wayslip import logs
 
 WHOLE = b"".join(test_requests.EVENTS)
 ROUNDS = 6
@@ -150,10 +152,31 @@
     assert answer.status == 503
     assert float(answer.headers["retry-after"]) > 0
     assert not list_resumed(engines)
+    # Nothing is known to end that.
+    assert await find_outcome(system, "r2", Last_Event_Id="2") == (
+        "origin_unknown"
+    )
     # New streams are served.
     assert (await ask(system, "s1")).body == WHOLE
 
 
+async def find_outcome(system, request_id, **headers):
+    """Returns the outcome of a request, as it is logged."""
+    with mock.patch.object(logs, "event", wraps=logs.event) as event:
+        await ask(system, request_id, **headers)
+    ended = [c for c in event.call_args_list if c.args[1] == "ended"]
+    return ended[-1].kwargs["outcome"]
+
+
+@harness.run
+async def test_refusal_without_endpoints_names_no_version(system):
+    assert await find_outcome(system, "s1") == "not_loaded"
+    await add_engines(system, test_requests.stream_whole, "v1")
+    system.gateway._stream_registry.note_sent("b0", "models", "v0")
+    headers = {"Resumes": "b0", "Last_Event_Id": "2"}
+    assert await find_outcome(system, "r1", **headers) == "no_version"
+
+
 @harness.run
 async def test_new_stream_that_fails_before_its_first_event_may_move(system):
     await add_engines(system, test_requests.reset, "v1")
