--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -168,9 +168,13 @@
                 f"LIMIT {self.name} holds {self.models}"
             )
 
-    def is_unframed(self, request: platform_engine.ReceivedRequest) -> bool:
-        """Whether the answer has neither a length nor chunks."""
-        return self._conditions.is_unframed(request.id)
+    def find_framing(
+        self, request: platform_engine.ReceivedRequest
+    ) -> platform_engine.Framing:
+        """Returns how the answer to a request says where it ends."""
+        if self._conditions.is_unframed(request.id):
+            return platform_engine.Framing.UNFRAMED
+        return platform_engine.Framing.CHUNKED
 
     def find_break(self, request: platform_engine.ReceivedRequest) -> int:
         """Returns the event in which a stream breaks off here, 0 for none."""
@@ -204,15 +208,16 @@
         return
     leaving = {"Server-Leaving": "1"} if engine.announces_leaving else {}
     body = f"whole {request.id}".encode()
-    if not engine.is_unframed(request):
+    framing = engine.find_framing(request)
+    if framing is platform_engine.Framing.CHUNKED:
         await connection.answer(request, body, 200, **leaving)
         return
-    await connection.answer(request, b"", 200, Content_Length="", **leaving)
+    await connection.begin(request, framing, **leaving)
     # The answer may be broken off between its parts.
-    await connection.write(body[:_FIRST_BYTES])
+    await connection.write_part(body[:_FIRST_BYTES])
     await asyncio.sleep(_EVENT_INTERVAL_SECONDS)
-    await connection.write(body[_FIRST_BYTES:])
-    connection.close()
+    await connection.write_part(body[_FIRST_BYTES:])
+    await connection.finish()
 
 
 async def _run_stream(
@@ -250,36 +255,22 @@
     request: platform_engine.ReceivedRequest,
     connection: platform_engine.Connection,
 ) -> None:
-    after = int(request.headers.get("last-event-id", 0))
-    stream = request.headers.get("resumes", request.id)
-    is_unframed = engine.is_unframed(request)
+    framing = engine.find_framing(request)
+    is_unframed = framing is platform_engine.Framing.UNFRAMED
     breaks_at = engine.find_break(request)
-    head = platform_engine.format_answer(
-        request.id,
-        b"",
-        200,
-        Content_Length="",
-        Transfer_Encoding="" if is_unframed else "chunked",
-        Content_Type="text/event-stream",
-        **connection.headers,
-    )
-    await connection.write(head)
-    for number in range(after + 1, EVENT_COUNT + 1):
+    await connection.begin(request, framing, Content_Type="text/event-stream")
+    for number in range(request.last_event + 1, EVENT_COUNT + 1):
         await asyncio.sleep(_EVENT_INTERVAL_SECONDS * engine.factor)
-        event = format_event(number, stream, engine.version)
+        event = format_event(number, request.stream, engine.version)
         if number == breaks_at:
             await _break_off(connection, event, is_unframed)
             return
-        if not is_unframed:
-            await connection.write(b"%x\r\n%s\r\n" % (len(event), event))
-            continue
-        await connection.write(event[:_FIRST_BYTES])
-        await asyncio.sleep(_EVENT_INTERVAL_SECONDS * engine.factor / 2)
-        await connection.write(event[_FIRST_BYTES:])
-    if is_unframed:
-        connection.close()
-    else:
-        await connection.write(b"0\r\n\r\n")
+        if is_unframed:
+            await connection.write_part(event[:_FIRST_BYTES])
+            await asyncio.sleep(_EVENT_INTERVAL_SECONDS * engine.factor / 2)
+            event = event[_FIRST_BYTES:]
+        await connection.write_part(event)
+    await connection.finish()
 
 
 async def _break_off(
@@ -291,7 +282,7 @@
         connection.reset()
         return
     part = event[:_FIRST_BYTES] if way == 1 else event[:-1]
-    await connection.write(part)
+    await connection.write_part(part)
     connection.close()
 
 
--- a/soak/streams.py
+++ b/soak/streams.py
@@ -33,7 +33,7 @@
         """Returns the headers with which a client takes the stream up."""
         if not self.id:
             return {}
-        return {"Resumes": self.id, "Last_Event_Id": str(self.last)}
+        return platform_client.make_take_up_headers(self.id, self.last)
 
     def take(self, request: str, answer: platform_client.Answer) -> None:
         """Takes the events of a successful answer and checks them."""
--- a/standins/platform_client.py
+++ b/standins/platform_client.py
@@ -25,6 +25,16 @@
     is_whole: bool
 
 
+def make_take_up_headers(stream: str, last_event: int) -> dict[str, str]:
+    """Returns the headers with which a client takes a stream up.
+
+    Args:
+        stream: Id of the request that brought its first event.
+        last_event: Number of the last event received.
+    """
+    return {"Resumes": stream, "Last_Event_Id": str(last_event)}
+
+
 class Client:
     """A client connection that parses answers without an HTTP library."""
 
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -8,6 +8,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
+import enum
 import json
 import socket
 import struct
@@ -21,6 +22,18 @@
 _READ_BYTES = 32 * 1024
 
 
+class Framing(enum.Enum):
+    """How the head of an answer in parts says where its body ends.
+
+    Attributes:
+        CHUNKED: By chunks.
+        UNFRAMED: Not at all; the body ends with its connection.
+    """
+
+    CHUNKED = "chunked"
+    UNFRAMED = "unframed"
+
+
 @dataclasses.dataclass(frozen=True)
 class ReceivedRequest:
     """A request that an endpoint received."""
@@ -35,6 +48,16 @@
         """The request's id."""
         return self.headers.get("wayslip-request-id", "")
 
+    @property
+    def stream(self) -> str:
+        """Id of the request that began the stream which this one asks for."""
+        return self.headers.get("resumes", self.id)
+
+    @property
+    def last_event(self) -> int:
+        """Number of the last event that the client has, 0 for none."""
+        return int(self.headers.get("last-event-id", 0))
+
 
 Script = Callable[
     ["PlatformEngine", ReceivedRequest, "Connection"], Awaitable[None]
@@ -51,6 +74,7 @@
         self.writer = writer
         # Headers added to every answer that the endpoint itself sends.
         self.headers: dict[str, str] = {}
+        self._framing = Framing.CHUNKED
 
     async def write(self, data: bytes) -> None:
         """Writes raw bytes."""
@@ -67,6 +91,31 @@
         """Closes the connection in order, after all that was written."""
         self.writer.close()
 
+    async def begin(
+        self, request: ReceivedRequest, framing: Framing, **headers: str
+    ) -> None:
+        """Writes the head of a success whose body follows in parts."""
+        self._framing = framing
+        is_chunked = framing is Framing.CHUNKED
+        coding = "chunked" if is_chunked else ""
+        named = {**self.headers, **headers, "Transfer_Encoding": coding}
+        await self.write(
+            format_answer(request.id, b"", 200, Content_Length="", **named)
+        )
+
+    async def write_part(self, data: bytes) -> None:
+        """Writes a part of the body."""
+        if self._framing is Framing.CHUNKED:
+            data = b"%x\r\n%s\r\n" % (len(data), data)
+        await self.write(data)
+
+    async def finish(self) -> None:
+        """Ends the body."""
+        if self._framing is Framing.CHUNKED:
+            await self.write(b"0\r\n\r\n")
+        else:
+            self.close()
+
     async def answer(
         self,
         request: ReceivedRequest,
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -7,6 +7,7 @@
 import asyncio
 from unittest import mock
 
+from standins import platform_client
 from standins import platform_site
 from tests.gateway import harness
 from tests.gateway import test_requests
@@ -173,7 +174,7 @@
     assert await find_outcome(system, "s1") == "not_loaded"
     await add_engines(system, test_requests.stream_whole, "v1")
     system.gateway._stream_registry.note_sent("b0", "models", "v0")
-    headers = {"Resumes": "b0", "Last_Event_Id": "2"}
+    headers = platform_client.make_take_up_headers("b0", 2)
     assert await find_outcome(system, "r1", **headers) == "no_version"
 
 
@@ -228,8 +229,7 @@
         "r1",
         "POST",
         body=b"x",
-        Resumes="b0",
-        Last_Event_Id="2",
+        **platform_client.make_take_up_headers("b0", 2),
         **fields,
     )
     assert (answer.status, answer.is_whole) == (200, True)
--- a/tests/gateway/test_unmarked_ends.py
+++ b/tests/gateway/test_unmarked_ends.py
@@ -13,7 +13,7 @@
 
 EVENTS = [f"id: {n}\ndata: piece-{n}\n\n".encode() for n in range(1, 6)]
 WHOLE = b"".join(EVENTS)
-UNFRAMED = {"Content_Length": "", "Content_Type": "text/event-stream"}
+UNFRAMED = platform_engine.Framing.UNFRAMED
 # The other data hall, whose endpoints are chosen second.
 FAR = "hall-2"
 # Enough for bytes that were written to be forwarded.
@@ -22,26 +22,23 @@
 
 def find_missing(request):
     """Returns the events that a request asks for."""
-    return EVENTS[int(request.headers.get("last-event-id", 0)) :]
+    return EVENTS[request.last_event :]
 
 
-async def write_head(request, line, **headers):
-    head = platform_engine.format_answer(
-        request.id, b"", **{**UNFRAMED, **headers}
-    )
-    await line.write(head)
+async def begin_stream(request, line):
+    await line.begin(request, UNFRAMED, Content_Type="text/event-stream")
 
 
 async def stream_whole(engine, request, line):
-    await write_head(request, line)
+    await begin_stream(request, line)
     for event in find_missing(request):
-        await line.write(event)
-    line.close()
+        await line.write_part(event)
+    await line.finish()
 
 
 async def write_part(request, line, last=b""):
-    await write_head(request, line)
-    await line.write(b"".join(find_missing(request)[:2]) + last)
+    await begin_stream(request, line)
+    await line.write_part(b"".join(find_missing(request)[:2]) + last)
     await asyncio.sleep(PAUSE_SECONDS)
 
 
@@ -61,17 +58,14 @@
 
 
 async def answer_whole(engine, request, line):
-    await line.write(
-        platform_engine.format_answer(request.id, b"whole", Content_Length="")
-    )
-    line.close()
+    await line.begin(request, UNFRAMED)
+    await line.write_part(b"whole")
+    await line.finish()
 
 
 async def exit_halfway(engine, request, line):
-    answer = platform_engine.format_answer(
-        request.id, b"half of it", Content_Length=""
-    )
-    await line.write(answer)
+    await line.begin(request, UNFRAMED)
+    await line.write_part(b"half of it")
     await asyncio.sleep(PAUSE_SECONDS)
     engine.exit()
 
