--- a/soak/conditions.py
+++ b/soak/conditions.py
@@ -42,9 +42,9 @@
     holds_requests: bool
     organisations: tuple[str, ...]
     is_uneven: bool
-    versions: tuple[str, ...]
-    unframed_share: float
-    broken_share: float
+    versions: tuple[str, ...] = ("v1",)
+    unframed_share: float = 0.0
+    broken_share: float = 0.0
 
     @property
     def target_ms(self) -> int:
--- a/tests/test_soak_conditions.py
+++ b/tests/test_soak_conditions.py
@@ -72,7 +72,10 @@
     answer = asyncio.run(ask(endpoint, "/gen/a"))
     figures = answer.headers["wayslip-server-load"].split(",")
     assert len(figures) == 4
-    assert answer.body == endpoints.format_stream("r1")
+    numbers = range(1, endpoints.EVENT_COUNT + 1)
+    assert answer.body == b"".join(
+        endpoints.format_event(n, "r1", endpoint.version) for n in numbers
+    )
 
 
 def test_even_engine_states_no_load():
