Count a connection that is reset while connecting as an ended endpoint

The first time it was taken for the stand-in's delay, wrongly. Cause: where the reset of an accepted connection arrives before connecting returns, that raises, and only a refusal counted as evidence. The gateway's check had the same gap.

--- a/src/wayslip/endpoints/exchange.py
+++ b/src/wayslip/endpoints/exchange.py
@@ -124,7 +124,8 @@
     """Returns whether an endpoint listens, None if that can't be told."""
     try:
         sock = socket.create_connection(address, _CONNECT_TIMEOUT_SECONDS)
-    except ConnectionRefusedError:
+    except (ConnectionRefusedError, ConnectionResetError):
+        # A connection may be accepted and reset before this is told.
         return False
     except OSError:
         return None
--- a/src/wayslip/gateway/serving/end_checks.py
+++ b/src/wayslip/gateway/serving/end_checks.py
@@ -105,7 +105,11 @@
                 opened = await self._paths.reopen(endpoint, is_through_peer)
         except errors.NobodyListensError:
             return False
-        except (errors.NotSentError, TimeoutError):
+        except errors.NotSentError as e:
+            # A connection may be accepted and reset before this is told.
+            is_reset = isinstance(e.__cause__, ConnectionResetError)
+            return False if is_reset else None
+        except TimeoutError:
             return None
         try:
             await asyncio.sleep(body_ends.SETTLING_SECONDS)
