Hold a content back until a new holder's first reports have come

Change: - A holder to which nobody has reported holds a content back for the first 0.4 s of its term. Its requests wait for that. Then it is the only instance and goes on, or exchanges what was recorded as the others do. - An instance that holds a content back and knows nobody reads who holds the lease each 0.1 s, and tells the holder at once.

--- a/src/wayslip/gateway/sharing/leadership.py
+++ b/src/wayslip/gateway/sharing/leadership.py
@@ -202,6 +202,13 @@
             and clock.now() < self._valid_until
         )
 
+    async def look_up(self) -> None:
+        """Reads who holds the lease, without taking it if it is free."""
+        try:
+            await self._read(may_be_stale=True)
+        except errors.ObjectError as e:
+            logs.event(_LOG, "lease_not_read", reason=e.reason)
+
     def request_check(self) -> None:
         """Requests a check of the lease, because its holder is unresponsive."""
         self._check_requested.set()
--- a/src/wayslip/gateway/sharing/members.py
+++ b/src/wayslip/gateway/sharing/members.py
@@ -38,6 +38,9 @@
 _MISS_SECONDS = 25.0
 # An instance that sent no report for this long no longer counts.
 _SILENCE_SECONDS = 2.0
+# Time in which the other instances report to a new holder. They learn of it
+# from its first state, or read its address from the store.
+_FIRST_REPORTS_SECONDS = 0.4
 
 
 @dataclasses.dataclass
@@ -260,6 +263,11 @@
                 )
         return totals
 
+    @property
+    def awaits_first_reports(self) -> bool:
+        """Whether a new term is too young for others to have reported."""
+        return clock.now() - self._term_began < _FIRST_REPORTS_SECONDS
+
     def adopt_peers(self, peers: tuple[tuple[str, str], ...]) -> None:
         """Adopts the list of instances that the holder announced."""
         self._announced_peers = tuple(fanout.Peer(*one) for one in peers)
--- a/src/wayslip/gateway/sharing/peer_broadcast.py
+++ b/src/wayslip/gateway/sharing/peer_broadcast.py
@@ -49,9 +49,24 @@
         A holder that only the stored lease names may have ended since. The
         holder itself is not isolated: the others report to it.
         """
-        if self._leadership.is_held:
-            return False
-        return all(p.address == self._address for p in self._members.peers())
+        return not self._leadership.is_held and not self.has_peers
+
+    @property
+    def awaits_first_reports(self) -> bool:
+        """Whether this instance holds the lease and others may not know it.
+
+        If nobody has reported to it afterwards, it is the only instance.
+        """
+        return (
+            self._leadership.is_held
+            and self._members.awaits_first_reports
+            and not self.has_peers
+        )
+
+    @property
+    def has_peers(self) -> bool:
+        """Whether another instance is known."""
+        return any(p.address != self._address for p in self._members.peers())
 
     def broadcast(self, message: facts.Message) -> None:
         """Sends a message to all known instances; any copy may be lost."""
--- a/src/wayslip/gateway/sharing/quarantine.py
+++ b/src/wayslip/gateway/sharing/quarantine.py
@@ -53,6 +53,9 @@
 _EXEMPT_JITTER_SECONDS = 0.05
 # Interval at which an isolated instance checks for contact.
 _CONTACT_POLL_SECONDS = 0.05
+# Interval at which an isolated instance that has something to tell reads who
+# holds the lease. Its checks of the lease itself are further apart.
+_LOOK_UP_SECONDS = 0.1
 # Lower bound of the retry time of a content that is held back: a few round
 # trips, as the hold may end while the request is refused.
 _MIN_HELD_RETRY_SECONDS = 0.1
@@ -105,6 +108,7 @@
                 wait.
         """
         self._reporter = reporter
+        self._find_pause = find_pause
         self._leadership = leadership
         self._peer_broadcast = peer_broadcast
         self._metrics = metrics
@@ -136,12 +140,15 @@
 
         An instance with peers does not wait: the others count its attempts.
         """
+        if self._peer_broadcast.awaits_first_reports:
+            return bool(self._broken_attempts) or bool(self._held)
         return bool(self._broken_attempts) and self._peer_broadcast.is_isolated
 
     async def wait_for_looks(self, content: bytes) -> bool:
         """Waits until it is known whether endpoints crashed under a content.
 
-        Each look is bounded by the time limit for connecting.
+        Each look is bounded by the time limit for connecting. A new lease
+        holder then waits for what the others may know of the content.
 
         Returns:
             Whether there was anything to wait for.
@@ -150,8 +157,17 @@
         while self.is_looking and (looks := self._list_looks(content)):
             has_waited = True
             await asyncio.wait(looks)
+        while self._awaits_reports_of(content):
+            has_waited = True
+            await asyncio.sleep(_CONTACT_POLL_SECONDS)
         return has_waited
 
+    def _awaits_reports_of(self, content: bytes) -> bool:
+        return (
+            self._peer_broadcast.awaits_first_reports
+            and content in self._held.list_untold()
+        )
+
     def _list_looks(self, content: bytes) -> list[asyncio.Task[None]]:
         """Returns the pending looks at endpoints that may have crashed.
 
@@ -307,31 +323,57 @@
         self._update_blocked()
         if changed:
             self._announce(facts.Suspects(tuple(changed)))
+        # Contents that were answered before crash no endpoint.
+        contents = [m.content for m in crash_records if m.attempts]
         if self._peer_broadcast.is_isolated:
-            # Contents that were answered before crash no endpoint.
-            self._hold([m.content for m in crash_records if m.attempts])
+            self._hold(contents, "no other instance is known")
+        elif self._peer_broadcast.awaits_first_reports:
+            self._hold(contents, "others may not have reported yet")
 
-    def _hold(self, contents: list[bytes]) -> None:
+    def _hold(self, contents: list[bytes], reason: str) -> None:
         """Holds contents back until other instances know of the crash."""
         if not contents:
             return
         if self._contact_task is None or self._contact_task.done():
             self._contact_task = self._background_tasks.start(
                 self._announce_on_contact()
+                if self._peer_broadcast.is_isolated
+                else self._release_after_reports()
             )
         self._held.note_crash(contents, clock.now())
         logs.event(
             _LOG,
             "contents_held",
-            reason="no other instance is known",
+            reason=reason,
             contents=",".join(c.hex()[:8] for c in contents),
         )
 
+    async def _release_after_reports(self) -> None:
+        """Ends the hold of a new lease holder once others can have reported."""
+        while self._peer_broadcast.awaits_first_reports:
+            await asyncio.sleep(_CONTACT_POLL_SECONDS)
+        if self._peer_broadcast.is_isolated or self._peer_broadcast.has_peers:
+            # What the others recorded is still on its way.
+            await self._announce_on_contact()
+            return
+        contents = self._held.list_untold()
+        for content in contents:
+            self._held.release(content)
+        logs.event(
+            _LOG,
+            "held_contents_released",
+            reason="no other instance reported",
+            contents=len(contents),
+        )
+
     async def _announce_on_contact(self) -> None:
         """Announces what was recorded in isolation once that has ended."""
         began = clock.now()
         holder = None
+        look_up = None
         while self._peer_broadcast.is_isolated:
+            if look_up is None or look_up.done():
+                look_up = self._background_tasks.start(self._look_up_holder())
             if holder != self._leadership.holder_address:
                 # It may have ended since it wrote its address, so that this is
                 # no contact, but it is the first that can be told.
@@ -348,6 +390,11 @@
         )
         self._announce(self._list_suspects(contents))
 
+    async def _look_up_holder(self) -> None:
+        """Reads who holds the lease, to have somebody to tell."""
+        await self._leadership.look_up()
+        await asyncio.sleep(self._find_pause(_LOOK_UP_SECONDS))
+
     def _list_suspects(self, contents: Iterable[bytes]) -> facts.Suspects:
         return facts.Suspects(
             tuple(
--- a/tests/gateway/test_isolated_start.py
+++ b/tests/gateway/test_isolated_start.py
@@ -11,6 +11,7 @@
 from wayslip import logs
 from wayslip.decisions import isolation
 from wayslip.gateway.sharing import facts
+from wayslip.gateway.sharing import members
 from wayslip.gateway.sharing import peer_broadcast
 
 
@@ -183,3 +184,33 @@
         assert not quarantine.is_blocked(b"common")
         quarantine._record_crash(endpoint.incarnation)
         assert not quarantine.is_blocked(b"common")
+
+
+@harness.run
+async def test_new_holder_sends_again_once_nobody_can_report(system):
+    # It is the only instance: the content is held no longer than needed.
+    crashed = []
+
+    async def crash_once(engine, request, connection):
+        if not crashed:
+            crashed.append(engine)
+            engine.crash()
+            return
+        await platform_engine.answer_whole(engine, request, connection)
+
+    for n in range(2):
+        await system.add(f"e{n}", "plain", script=crash_once)
+    with mock.patch.object(
+        members.Members,
+        "awaits_first_reports",
+        new_callable=mock.PropertyMock,
+        return_value=True,
+    ):
+        asked = asyncio.create_task(
+            deadly.ask(system, system.gateway, "r1", b"content", "/get/a")
+        )
+        await system.until(lambda: is_any_held(system.gateway))
+        await asyncio.sleep(0.2)
+        assert not asked.done()
+    assert (await asked).status == 200
+    assert not is_any_held(system.gateway)
