Count the time for lapsed entries to return from the store's return

Callers saw: an endpoint that left the list 2 to 3 s after an outage of the store was used for two more seconds, since its entry might have lapsed in the outage.

Cause: an entry that was missing up to 3 s after the outage got 2 s to return from when it was missed, though the platform lists lapsed entries again within two seconds of the store's return.

Change: an entry may return until 2.5 s after the instance noticed the store's return; half a second is for noticing it. An instance that noticed no outage, and a store restored from a copy, keep the two seconds from the news.

--- a/src/wayslip/gateway/sharing/endpoint_follower.py
+++ b/src/wayslip/gateway/sharing/endpoint_follower.py
@@ -18,6 +18,7 @@
 from collections.abc import Callable
 import dataclasses
 import logging
+import math
 
 from wayslip import clock
 from wayslip import logs
@@ -33,6 +34,8 @@
 _LOG = logging.getLogger(__name__)
 # A lapsed entry is listed again within about two seconds of the store's return.
 _RELIST_SECONDS = 2.0
+# The same from when an instance notices the return, which may be later.
+_RETURN_SECONDS = 2.5
 # Engines' entries change with every adapter, so changes are read in batches. A
 # leaving endpoint becomes known this much later, of two seconds allowed.
 _PAUSE_AFTER_CHANGES_SECONDS = 0.25
@@ -40,8 +43,6 @@
 # some time later.
 _LAPSE_SECONDS = 6.0
 _MAX_DEPARTED = 1000
-# For this long after an outage, a missing entry may have lapsed in it.
-_OUTAGE_GRACE_SECONDS = 3.0
 # Entries in one datagram; each takes 0.3 KB of its 30 KB.
 _MAX_ENTRIES_PER_DATAGRAM = 60
 
@@ -77,7 +78,7 @@
         self._listed: set[str] = set()
         # Endpoints that ended but are still listed; bounded by the list.
         self._replaced: set[str] = set()
-        self._outage_ended = -_OUTAGE_GRACE_SECONDS
+        self._outage_ended = -math.inf
         # Last known entries of endpoints that left the list; bounded, the
         # oldest are removed first.
         self._departed: collections.OrderedDict[str, fleet.Endpoint] = (
@@ -317,7 +318,11 @@
             self._outage_ended = clock.now()
 
     def _may_have_lapsed(self) -> bool:
-        return clock.now() - self._outage_ended < _OUTAGE_GRACE_SECONDS
+        return self._find_return_seconds() > 0
+
+    def _find_return_seconds(self) -> float:
+        """Returns the seconds left for entries that lapsed in an outage."""
+        return self._outage_ended + _RETURN_SECONDS - clock.now()
 
     def _remove_missing(self, names: list[str], may_return: bool) -> None:
         """Removes endpoints, now or after their time to return."""
@@ -329,8 +334,13 @@
 
     def _remove_later(self, name: str) -> None:
         self._lapsed.add(name)
+        seconds = self._find_return_seconds()
+        if seconds <= 0:
+            # This instance has noticed no outage: another one announced it, or
+            # the store was restored from a copy.
+            seconds = _RELIST_SECONDS
         loop = asyncio.get_running_loop()
-        loop.call_later(_RELIST_SECONDS, self._remove_if_missing, name)
+        loop.call_later(seconds, self._remove_if_missing, name)
 
     def _remove_if_missing(self, name: str) -> None:
         self._lapsed.discard(name)
