Write a claim again after a conflict that shows it is our own

Every engine's first order after each restore fails so, and is refused by way of a conflict although the claim is the holder's own. - 1018.95 to 1019.97: the store is away, then restored again; g2 takes the lease and holds off for 3.8 s, as the claims of g0 may be lost.

Change: after a conflict the claim is read, as before, and written again once if it is this instance's own. That also covers a write whose answer was lost.

--- a/src/wayslip/gateway/planning/claims.py
+++ b/src/wayslip/gateway/planning/claims.py
@@ -15,6 +15,8 @@
 _LOG = logging.getLogger(__name__)
 # The era of a store that has never lost writes.
 _FIRST_ERA = 1
+# Writes of a claim for one order; the second follows a conflict.
+_MAX_WRITES = 2
 
 
 class Claims:
@@ -141,35 +143,56 @@
             The claim; None if the engine may not be claimed or the write
             failed.
         """
-        endpoint = pending.endpoint
-        if not self.may_claim(endpoint):
-            return None
-        seen = self.known.get(endpoint)
-        claim = lease.next_claim(
-            seen, self._options.name, pending, self.min_token
-        )
-        if self.is_detached():
-            return claim
-        try:
-            if seen is None:
-                stored = await self._store.create(
-                    records.CLAIM, endpoint, claim
-                )
-            else:
-                stored = await self._store.replace(
-                    records.CLAIM,
-                    store_module.Stored(endpoint, seen.revision, claim),
+        for _ in range(_MAX_WRITES):
+            if not self.may_claim(pending.endpoint):
+                return None
+            claim = lease.next_claim(
+                self.known.get(pending.endpoint),
+                self._options.name,
+                pending,
+                self.min_token,
+            )
+            if self.is_detached():
+                return claim
+            try:
+                stored = await self._write(claim)
+            except errors.ObjectError as e:
+                logs.event(
+                    _LOG,
+                    "claim_not_written",
+                    endpoint=pending.endpoint,
+                    reason=e.reason,
                 )
-        except errors.ObjectError as e:
-            logs.event(
-                _LOG, "claim_not_written", endpoint=endpoint, reason=e.reason
+                await self._read(pending.endpoint)
+                if not isinstance(e, errors.ObjectConflictError):
+                    return None
+                # What was read may be an own claim: after a restore of the
+                # store, or after a write whose answer was lost.
+                continue
+            self.known[pending.endpoint] = lease.ObservedClaim(
+                claim, stored.revision, clock.now()
             )
-            await self._read(endpoint)
-            return None
-        self.known[endpoint] = lease.ObservedClaim(
-            claim, stored.revision, clock.now()
+            return claim
+        return None
+
+    async def _write(
+        self, claim: lease.Claim
+    ) -> store_module.Stored[lease.Claim]:
+        """Writes a claim in place of the one that is known.
+
+        Raises:
+            ObjectConflictError: Another claim is stored.
+            ObjectUnavailableError: The store did not answer.
+        """
+        seen = self.known.get(claim.endpoint)
+        if seen is None:
+            return await self._store.create(
+                records.CLAIM, claim.endpoint, claim
+            )
+        return await self._store.replace(
+            records.CLAIM,
+            store_module.Stored(claim.endpoint, seen.revision, claim),
         )
-        return claim
 
     async def _read(self, endpoint: str) -> None:
         """Reads a claim whose write met a conflict or had no answer."""
