Begin hold-offs with what the holder tells of the store's history

Cause, seen in the trace of test_orders_continue_after_each_restore: a follower heard of the era 3 with every state of the holder from 1015.3 on, and counted its hold-off from its own first read of the store, when it took the lease at 1019.98. Claims counted likewise as written when they were first read.

Change: a position that the holder announces begins the hold-off of its era, once. A claim was written before any later position of its era was heard of; the minimum distance to the orders of its holder counts from there. What the hold-off guards against, orders whose claims are lost, was sent before the restore, so before the first news of it.

The tests of tests/gateway/test_claims.py show the case.

--- a/src/wayslip/gateway/planning/claims.py
+++ b/src/wayslip/gateway/planning/claims.py
@@ -8,6 +8,7 @@
 from wayslip import logs
 from wayslip.decisions import detachment
 from wayslip.decisions import lease
+from wayslip.decisions import position
 from wayslip.gateway import options as options_module
 from wayslip.gateway import store as store_module
 from wayslip.gateway.sharing import records
@@ -48,7 +49,10 @@
         self._startup_hold_off_until = self._find_end_of_detached_orders()
         # Until then orders may arrive whose claims the store has lost.
         self._store_hold_off_until = 0.0
-        store.on_restore(self._start_store_hold_off)
+        # Positions of the store's history that the lease holder announced.
+        self._history = position.History()
+        self._era = 0
+        store.on_restore(lambda: self._note_era(store.era))
 
     def note_revision(self, endpoint: str, revision: int) -> None:
         """Records a claim's revision that its holder announced."""
@@ -61,6 +65,23 @@
             unknown, revision, clock.now()
         )
 
+    def note_position(self, heard: int) -> None:
+        """Records a position of the store that the lease holder announced."""
+        self._history.note(heard, clock.now())
+        era = position.find_era(heard)
+        # A restore before the start of this process is covered by the initial
+        # hold-off.
+        is_first = not max(self._era, self._store.era)
+        self._note_era(era, is_first or era <= self._store.era)
+
+    def _note_era(self, era: int, is_known: bool = False) -> None:
+        """Starts the hold-off of a restore, unless it is known."""
+        if era <= self._era:
+            return
+        self._era = era
+        if not is_known:
+            self._start_store_hold_off()
+
     def start_hold_off(self) -> None:
         """Starts the hold-off for a holder that orders without claims."""
         self._hold_off_until = self._find_end_of_detached_orders()
@@ -74,10 +95,10 @@
     def _start_store_hold_off(self) -> None:
         """Holds off from all engines after the store has lost writes.
 
-        The lost writes may include claims of orders that another instance
-        sent. The lease holder does not wait, because such orders are its own.
-        No instance that knows less of them can write claims before this
-        hold-off is over.
+        It counts from the first news of that, whoever told it. The lost writes
+        may include claims of orders that another instance sent. The lease
+        holder does not wait, because such orders are its own. No instance that
+        knows less of them can write claims before this hold-off is over.
         """
         if self.holds_lease() or self.is_detached():
             return
@@ -102,11 +123,13 @@
             self._observe(stored)
 
     def _observe(self, stored: store_module.Stored[lease.Claim]) -> None:
+        # It was written before a later position of the store became known.
+        heard_at = self._history.find_time(stored.revision)
         self.known[stored.name] = lease.observe_claim(
             self.known.get(stored.name),
             stored.value,
             stored.revision,
-            clock.now(),
+            clock.now() if heard_at is None else heard_at,
         )
 
     async def remove(self, endpoint: str) -> None:
--- a/src/wayslip/gateway/planning/planner.py
+++ b/src/wayslip/gateway/planning/planner.py
@@ -221,6 +221,9 @@
     def _process_holder_message(self, message: facts.Message) -> None:
         """Records what this instance needs if it becomes the next holder."""
         if isinstance(message, facts.State):
+            self._order_sender.claims.note_position(
+                max(message.revision, message.endpoints.revision)
+            )
             if message.is_detached:
                 self._order_sender.claims.start_hold_off()
             return
--- a/tests/gateway/test_claims.py
+++ b/tests/gateway/test_claims.py
@@ -3,6 +3,7 @@
 import asyncio
 from unittest import mock
 
+from wayslip import clock
 from wayslip import errors
 from wayslip.decisions import lease
 from wayslip.decisions import position
@@ -94,3 +95,42 @@
 
     assert asyncio.run(body()) is None
     assert store.stored["e1"][1].holder == "g2"
+
+
+def test_hold_off_begins_when_the_holder_tells_of_a_restore():
+    store = FakeStore()
+    claims = make_claims(store)
+    claims.note_position(position.make(1, 5))
+    with mock.patch.object(clock, "now", return_value=1000.0):
+        claims.note_position(position.make(2, 5))
+        assert not claims.may_claim("e1")
+    with mock.patch.object(clock, "now", return_value=1003.0):
+        # The instance reads the store for the first time since.
+        store.restore()
+    with mock.patch.object(clock, "now", return_value=1004.0):
+        assert claims.may_claim("e1")
+
+
+def test_claim_is_older_than_a_later_position_that_was_announced():
+    store = FakeStore()
+    other, claims = make_claims(store, "g2"), make_claims(store)
+    asyncio.run(other.write(PENDING))
+    with mock.patch.object(clock, "now", return_value=1000.0):
+        claims.note_position(position.make(1, 5))
+    with mock.patch.object(clock, "now", return_value=1004.0):
+        asyncio.run(claims.read_all())
+        assert claims.may_claim("e1")
+
+
+def test_claim_of_a_later_era_is_as_old_as_its_first_observation():
+    store = FakeStore()
+    other, claims = make_claims(store, "g2"), make_claims(store)
+    with mock.patch.object(clock, "now", return_value=1000.0):
+        claims.note_position(position.make(1, 5))
+    store.restore()
+    other._store_hold_off_until = 0.0
+    asyncio.run(other.write(PENDING))
+    with mock.patch.object(clock, "now", return_value=1004.0):
+        claims._store_hold_off_until = 0.0
+        asyncio.run(claims.read_all())
+        assert not claims.may_claim("e1")
