Find the load of others from the own load that was reported

Cause, from the log lines of the failed runs (state_age 0.003 to 0.010, occupancy still 2.00): what others have at an endpoint was the holder's total less the own requests of now. The total includes the own ones of an earlier report; 9 that had ended since counted as those of others until the next state. A difference of two figures of different times; the other way round it hides requests of others while own ones rise.

Change: the usages of the last reports are kept, and what the total includes is subtracted: the last report that can have arrived, or the one that fits into the totals where that one does not (lost, or overtaken).

Two new tests in tests/gateway/test_waiting.py fail before with 9 and 13 requests of others for 0 and 5.

Elsewhere: backlog.subtract in the same line, mended with it. Quotas and shares of organisations count sums with what was known of them (limits.py, share_accounts.py), places take the greater of grants and reports: no such difference.

--- a/src/wayslip/gateway/sharing/placement.py
+++ b/src/wayslip/gateway/sharing/placement.py
@@ -7,6 +7,8 @@
 import asyncio
 import collections
 from collections.abc import Callable
+import dataclasses
+import itertools
 import logging
 import os
 import random
@@ -43,11 +45,27 @@
 _LEASE_CHECK_SECONDS = 0.25
 # An item request is repeated after this, in case its datagram was lost.
 _REQUEST_INTERVAL_SECONDS = 0.15
+# A report is in the holder's totals if it was sent this long before they came.
+_REPORT_TRIP_SECONDS = 0.01
+# Reports of this instance that are remembered; the holder's totals may lag
+# behind by one or two.
+_MAX_SENT_REPORTS = 4
 # Assumed until the holder announces the number of instances. It is higher than
 # in the first two deployments, so that shared budgets are not exceeded.
 _ASSUMED_INSTANCES = 12
 
 
+_NO_USAGE = facts.Usage("", 0, ())
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _SentReport:
+    """What this instance reported to have at endpoints, and when."""
+
+    at: float
+    usages: dict[str, facts.Usage]
+
+
 class Placement:
     """Reports demand and load, and waits for models that are loaded."""
 
@@ -91,6 +109,7 @@
         # Set when the next report must be sent before its time.
         self._is_report_due = asyncio.Event()
         self._is_leaving = False
+        self._sent_reports: list[_SentReport] = []
         self.instances = _ASSUMED_INSTANCES
         # Called when the known load or the loaded items change.
         self.on_change: Callable[[], None] = lambda: None
@@ -281,6 +300,9 @@
         self._demand.clear()
         self._work.clear()
         self._can_wait.clear()
+        usages = {u.endpoint: u for u in report.usages}
+        self._sent_reports.append(_SentReport(clock.now(), usages))
+        del self._sent_reports[:-_MAX_SENT_REPORTS]
         self._hub.send(report, addresses.split_address(holder))
 
     def announce_leaving(self) -> None:
@@ -333,18 +355,36 @@
 
     def _apply_usages(self, state: facts.State) -> None:
         totals = {u.endpoint: u for u in state.usages}
+        # The totals include this instance's share as it was reported, whatever
+        # it has in flight now; the rest is from others.
+        reported = self._find_counted_usages(totals)
         for name, tracked in self._view.tracked.items():
             total = totals.get(name)
             if total is None:
                 tracked.others = (0, backlog.EMPTY)
                 continue
-            # The total includes this instance's share as of the last report,
-            # which may differ from the current one; the rest is from others.
+            own = reported.get(name, _NO_USAGE)
             tracked.others = (
-                max(total.in_flight - tracked.in_flight, 0),
-                backlog.subtract(total.backlog, tracked.unread),
+                max(total.in_flight - own.in_flight, 0),
+                backlog.subtract(total.backlog, own.backlog),
             )
 
+    def _find_counted_usages(
+        self, totals: dict[str, facts.Usage]
+    ) -> dict[str, facts.Usage]:
+        """Returns this instance's usages that the holder's totals include.
+
+        These are of the last report that can have arrived before, unless only
+        another one fits into the totals: one may have been lost or overtaken.
+        """
+        limit = clock.now() - _REPORT_TRIP_SECONDS
+        newest_first = self._sent_reports[::-1]
+        arrived = [r.usages for r in newest_first if r.at <= limit]
+        under_way = [r.usages for r in newest_first if r.at > limit]
+        candidates = [*arrived, *under_way]
+        fitting = (c for c in candidates if _fit_into(c, totals))
+        return next(fitting, candidates[0] if candidates else {})
+
     def _schedule_update(self, update: facts.ItemUpdate) -> None:
         if not update.seconds:
             self._apply_update(update)
@@ -371,6 +411,20 @@
         self.notify()
 
 
+def _fit_into(
+    usages: dict[str, facts.Usage], totals: dict[str, facts.Usage]
+) -> bool:
+    """Whether totals over all instances can include an instance's usages."""
+    for name, own in usages.items():
+        total = totals.get(name, _NO_USAGE)
+        if own.in_flight > total.in_flight:
+            return False
+        pairs = itertools.zip_longest(own.unread, total.unread, fillvalue=0)
+        if any(part > whole for part, whole in pairs):
+            return False
+    return True
+
+
 def _is_answered_at_once(last: facts.State | None, state: facts.State) -> bool:
     """Whether the holder needs the answer to a state at once.
 
--- a/tests/gateway/test_waiting.py
+++ b/tests/gateway/test_waiting.py
@@ -1,10 +1,12 @@
 """Requests that wait at the instance while their engine has no room."""
 
 import asyncio
+import dataclasses
 
 from standins import platform_site
 from tests.gateway import harness
 from wayslip.decisions import backlog
+from wayslip.gateway.sharing import facts
 
 SLOTS = 8
 TARGET_SECONDS = 0.8
@@ -27,6 +29,10 @@
     return len(system.gateway._requests._endpoint_chooser._waiting_room)
 
 
+def has_usages(state):
+    return state is not None and bool(state.usages)
+
+
 async def ask_model(system, request_id="r1"):
     return await system.ask(
         "/gen/a",
@@ -198,3 +204,34 @@
 
 async def refuse(engine, request, connection):
     await connection.answer(request, b"", 503, Wayslip_Not_Executed="1")
+
+
+@harness.run
+async def test_requests_that_ended_are_not_counted_as_those_of_others(system):
+    # A state that was sent before 9 requests of this instance ended.
+    await system.add("e1", "models", ["m1"])
+    placement = system.gateway._placement
+    tracked = system.gateway.view.tracked["e1"]
+    occupy(system, "e1", SLOTS * 2)
+    tracked.unread = backlog.of_request(0, 2.0)
+    await system.until(lambda: has_usages(placement._last_state))
+    state = placement._last_state
+    assert state.usages[0].in_flight == SLOTS * 2
+    occupy(system, "e1", SLOTS - 1)
+    tracked.unread = backlog.EMPTY
+    placement.apply_state(state)
+    assert tracked.others == (0, backlog.EMPTY)
+
+
+@harness.run
+async def test_requests_of_others_count_while_own_ones_end(system):
+    await system.add("e1", "models", ["m1"])
+    placement = system.gateway._placement
+    tracked = system.gateway.view.tracked["e1"]
+    occupy(system, "e1", SLOTS)
+    await system.until(lambda: has_usages(placement._last_state))
+    usage = facts.Usage("e1", SLOTS + 5, (300,))
+    state = dataclasses.replace(placement._last_state, usages=(usage,))
+    occupy(system, "e1", 0)
+    placement.apply_state(state)
+    assert tracked.others == (5, (0.3,))
