Keep a requested check of the lease until the holder was silent

Cause: an instance that has read the record counts its holder as heard from. A check that was requested within the next 1.2 s then ended without a read, and the request was used up. If the others read the record just before the release, and the release isn't also told by a message, nobody takes the lease until the next request: the planned handover took as long as a death, or never ended where the request isn't repeated.

Change: a check waits until the holder was silent for as long as a lease is valid, then reads; it ends at once when the holder is heard from meanwhile. The reads are as rare as before.

Evidence: the new test brings the order of events about (the others read, then release, then one request): TimeoutError before, passes after. A loop that waited for 0 s in simulated time, found by tests/stateful, is bounded by _MIN_WAIT_SECONDS.

--- a/src/wayslip/gateway/sharing/leadership.py
+++ b/src/wayslip/gateway/sharing/leadership.py
@@ -336,7 +336,7 @@
         await self._delay_attempt()
         # An instance that the store did not answer continues with the read,
         # because the store may turn away the holder only.
-        if self._is_holder_active() and not self._is_cut_off:
+        if not self._is_cut_off and not await self._wait_for_silence():
             return
         # A stale read is harmless: the record is replaced only if it is still
         # the newest one.
@@ -382,6 +382,28 @@
             except TimeoutError:
                 return
 
+    async def _wait_for_silence(self) -> bool:
+        """Waits until the holder was silent for as long as a lease is valid.
+
+        The record may have been read just before the holder released it.
+
+        Returns:
+            Whether that is so; False once the holder is heard from.
+        """
+        first = self.observed
+        while self._is_holder_active():
+            assert self.observed is not None and first is not None
+            if self.observed.since > first.since:
+                return False
+            self._check_requested.clear()
+            left = self.observed.since + lease.HOLD_SECONDS - clock.now()
+            try:
+                async with asyncio.timeout(max(left, _MIN_WAIT_SECONDS)):
+                    await self._check_requested.wait()
+            except TimeoutError:
+                pass
+        return True
+
     def _seconds_until_free(self) -> float:
         """Returns the seconds until another holder's lease can be taken."""
         if self.observed is None or self._is_cut_off:
--- a/tests/gateway/test_leadership.py
+++ b/tests/gateway/test_leadership.py
@@ -174,3 +174,37 @@
     await asyncio.sleep(2 * lease.RENEWAL_SECONDS)
     assert taken.is_held
     assert sum(m.taken for m in others) == 1
+
+
+@with_members
+async def test_record_read_just_before_a_release_uses_up_no_check(
+    standin, members
+):
+    # A read counts as a sign of the holder. The check that was requested after
+    # the release must not end by it: nobody would take the lease.
+    await until(lambda: holders(members))
+    holder = holders(members)[0]
+    others = [m for m in members if m is not holder]
+    for member in others:
+        await member.leadership.look_up()
+    await holder.leadership.release()
+    for member in others:
+        member.leadership.request_check()
+    async with asyncio.timeout(lease.HOLD_SECONDS + lease.EXPIRY_SECONDS):
+        await until(lambda: holders(others))
+    assert sum(m.taken for m in others) == 1
+
+
+@with_members
+async def test_holder_that_renews_ends_a_check(standin, members):
+    await until(lambda: holders(members))
+    holder = holders(members)[0]
+    other = next(m for m in members if m is not holder)
+    await other.leadership.look_up()
+    other.leadership.request_check()
+    end = asyncio.get_running_loop().time() + 2 * lease.EXPIRY_SECONDS
+    while asyncio.get_running_loop().time() < end:
+        other.leadership.note_renewal(holder.leadership.revision)
+        await asyncio.sleep(0.1)
+    assert holder.leadership.is_valid
+    assert sum(m.taken for m in members) == 1
