--- a/tests/gateway/test_late_messages.py
+++ b/tests/gateway/test_late_messages.py
@@ -10,6 +10,7 @@
 
 from tests.gateway import harness
 from tests.gateway import test_brittle_engines as brittle
+from tests.gateway import test_engine_limits as engine_limits
 from wayslip.gateway.sharing import facts
 from wayslip.gateway.sharing import hub as hub_module
 
@@ -82,3 +83,14 @@
         await system.until(
             lambda: not granting._find(endpoint.incarnation).count()
         )
+
+
+@harness.run
+async def test_late_permits_of_a_limited_engine_are_not_lost(system):
+    await engine_limits.add_limited(system, limit=4)
+    gateways = await engine_limits.join_two(system)
+    await asyncio.gather(*(system.ask("/get/a", at=g) for g in gateways))
+    with patch_late_answers(every=2):
+        answers = await engine_limits.ask_all(system, gateways, 4.0)
+    # Of 16 permits in that time.
+    assert sum(a.status == 200 for a in answers) >= 12
