Let only the lease holder grant places to questions that wait

Found by reading: an instance that lost the lease still granted places to the questions that waited at it when a late return or report arrived, beside the next holder. It grants nothing now. Also: a question that is given up before it was granted counted as a return, and a repeat as another request, in the estimate of the wait that callers are told.

tests/gateway/test_late_messages.py::test_former_holder_grants_no_waiting_question and two tests of tests/decisions/test_places.py fail before.

--- a/src/wayslip/decisions/places.py
+++ b/src/wayslip/decisions/places.py
@@ -172,16 +172,21 @@
 
     def add_waiting(self, question: Question, now: float) -> bool:
         """Has a question wait for a place; returns whether it may."""
-        key = question.instance, question.number
+        if self.is_waiting(question):
+            return True
         if not question.number or question.max_wait <= 0:
             return False
-        if key not in self.waiting:
-            if len(self.waiting) >= _MAX_WAITING:
-                return False
-            until = now + question.max_wait
-            self.waiting[key] = _Waiting(question, until)
+        if len(self.waiting) >= _MAX_WAITING:
+            return False
+        until = now + question.max_wait
+        key = question.instance, question.number
+        self.waiting[key] = _Waiting(question, until)
         return True
 
+    def is_waiting(self, question: Question) -> bool:
+        """Whether a question, or an earlier copy of it, waits for a place."""
+        return (question.instance, question.number) in self.waiting
+
     def grant_waiting(self, now: float) -> list[Question]:
         """Grants free places to those that wait; returns whose they are."""
         found = []
@@ -206,6 +211,10 @@
         self.waiting.pop((place.instance, place.number), None)
         count = self.count()
         grant = self._pop_grant(place)
+        was_sent = place.is_refused or place.exchange is not None
+        if place.number and grant is None and not was_sent:
+            # A question that was given up before it was granted.
+            return
         reported = self.reported.get(place.instance, 0)
         self.reported[place.instance] = max(reported - 1, 0)
         self.returned.append(now)
@@ -330,7 +339,7 @@
             ledger.grant(question, now)
             return Verdict(True)
         wait = ledger.estimate_wait(now)
-        if question.is_first:
+        if question.is_first and not ledger.is_waiting(question):
             ledger.refused.append(now)
         return Verdict(False, wait, ledger.add_waiting(question, now))
 
--- a/src/wayslip/gateway/sharing/place_broker.py
+++ b/src/wayslip/gateway/sharing/place_broker.py
@@ -471,6 +471,9 @@
 
     def _grant_waiting(self) -> None:
         """Grants free places to the requests that wait for one."""
+        if not self._leadership.is_held:
+            # The next holder counts the places that are taken.
+            return
         for start, question in self._granting.grant_waiting(clock.now()):
             logs.event(
                 _LOG,
--- a/tests/decisions/test_places.py
+++ b/tests/decisions/test_places.py
@@ -250,3 +250,21 @@
     granting = make()
     take(granting, 2)
     assert not ask(granting, number=7).is_waiting
+
+
+def test_repeated_question_does_not_lengthen_the_wait():
+    granting = make()
+    take(granting, 2)
+    first = ask(granting, number=7, max_wait=1.0)
+    for _ in range(3):
+        ask(granting, number=7, max_wait=1.0)
+    granting.give_back(START, places.Return("g1", 7), 10.0)
+    assert ask(granting, number=8, is_first=False).wait == first.wait + 1.0
+
+
+def test_question_that_is_given_up_counts_as_no_return():
+    granting = make({"g1": 2})
+    before = ask(granting, is_first=False).wait
+    granting.give_back(START, places.Return("g1", 7), 10.0)
+    assert ask(granting, is_first=False).wait == before
+    assert take(granting, 9) == 0
--- a/tests/gateway/test_late_messages.py
+++ b/tests/gateway/test_late_messages.py
@@ -94,3 +94,29 @@
         answers = await engine_limits.ask_all(system, gateways, 4.0)
     # Of 16 permits in that time.
     assert sum(a.status == 200 for a in answers) >= 12
+
+
+@harness.run
+async def test_former_holder_grants_no_waiting_question(system):
+    await brittle.add_brittle(system, 1)
+    gateways = await brittle.join(system, 2)
+    await brittle.learn(system, gateways)
+    holder, asking = gateways
+    endpoint = asking.view.tracked["e0"].endpoint
+    brokers = [g._place_broker for g in gateways]
+    taken = [
+        await brokers[1].take(endpoint, f"r{n}", True, 1.0, may_queue=True)
+        for n in range(2)
+    ]
+    assert all(one.is_granted for one in taken)
+    waiting = asyncio.create_task(
+        brokers[1].take(endpoint, "r3", True, 1.0, may_queue=True)
+    )
+    ledger = brokers[0]._granting._find(endpoint.incarnation)
+    await system.until(lambda: ledger.waiting)
+    with mock.patch.object(holder.leadership, "_is_held", False):
+        brokers[1].give_back(taken[0].place, False)
+        await system.until(lambda: ledger.count() < 2)
+        await asyncio.sleep(0.1)
+        assert not waiting.done()
+    waiting.cancel()
