Split the ledger of places off, number all places, wait for late permits

For a newcomer: decisions/place_ledger is the state of one endpoint, held_places what a request of this instance holds; place_broker keeps the messages.

Found by reading: places granted by the own share had no number, and the lease holder's own places were numbered apart from its questions, so that a return after a change of the lease could free the place of another request. All draw from one counter now.

--- a/src/wayslip/gateway/serving/jobs.py
+++ b/src/wayslip/gateway/serving/jobs.py
@@ -14,7 +14,7 @@
 from wayslip.decisions import retry
 from wayslip.gateway import dialect as dialect_module
 from wayslip.gateway.serving import events
-from wayslip.gateway.sharing import place_broker
+from wayslip.gateway.sharing import held_places
 from wayslip.http1 import messages
 from wayslip.http1 import server
 
@@ -106,7 +106,7 @@
     is_probe: bool = False
     share_units: float = 0.0
     timing: load_timing.Timing = load_timing.DEFAULT
-    place: place_broker.Place | None = None
+    place: held_places.Place | None = None
     lacked_room: bool = False
     room_wait: float = 0.0
     ending: messages.BodyEnd | None = None
--- a/src/wayslip/gateway/sharing/permit_broker.py
+++ b/src/wayslip/gateway/sharing/permit_broker.py
@@ -32,6 +32,9 @@
 _EXCLUDED_RETRY_SECONDS = 1.0
 # Buckets that are kept; the least recently used are dropped.
 _MAX_BUCKETS = 2000
+# Maximum time to wait for a permit; then the own share is used, since the
+# holder may have ended.
+_MAX_PERMIT_WAIT_SECONDS = 0.3
 # Interval at which a question that waits at the holder is repeated.
 _WAITING_REPEAT_SECONDS = 0.25
 _DRAW_BYTES = 4
@@ -222,6 +225,7 @@
                 number, start.endpoint, start.born, limit, max_wait
             ),
             lambda number: self._give_back(start),
+            min(max_wait, _MAX_PERMIT_WAIT_SECONDS),
         )
         if response is not None:
             # The local share accumulates only without a lease holder.
@@ -234,6 +238,7 @@
         make_request: Callable[[int], facts.Message],
         give_back: Callable[[int], None],
         max_wait: float = 0.0,
+        is_repeatable: bool = False,
     ) -> facts.PermitResponse | None:
         """Asks the lease holder; returns None if it doesn't answer.
 
@@ -245,15 +250,14 @@
                 `PermitResponse` answers it.
             give_back: Called with the number if what was asked for is granted
                 and nobody waits for it any more.
-            max_wait: Seconds to wait for a grant. Where it is longer than the
-                time-out of a response, the recipient must tell repeats from
-                new questions by their number.
+            max_wait: Seconds to wait for an answer; the time-out at least.
+            is_repeatable: Whether the holder tells a repeated message from a
+                new one by its number.
         """
         holder = self._leadership.holder_address
         if holder is None or not self.has_holder_contact():
             return None
-        self._last_number += 1
-        number = self._last_number
+        number = self.draw_number()
         message = make_request(number)
         answers: asyncio.Queue[facts.PermitResponse] = asyncio.Queue()
         self._pending[number] = answers
@@ -264,11 +268,9 @@
             while (now := clock.now()) < until:
                 if now >= send_at:
                     self._hub.send(message, addresses.split_address(holder))
-                    send_at = now + (
-                        RESPONSE_TIMEOUT_SECONDS
-                        if response is None
-                        else _WAITING_REPEAT_SECONDS
-                    )
+                    send_at = until
+                    if is_repeatable:
+                        send_at = now + _find_repeat_seconds(response)
                 answer = await _get(answers, min(send_at, until) - now)
                 response = answer or response
                 if answer is not None and not answer.is_waiting:
@@ -279,6 +281,11 @@
             if response is None or response.is_waiting:
                 self._give_up(number, _GivenUp(holder, give_back), answers)
 
+    def draw_number(self) -> int:
+        """Returns a number that no question of this instance has had."""
+        self._last_number += 1
+        return self._last_number
+
     def _give_up(
         self,
         number: int,
@@ -380,6 +387,17 @@
         return may_call
 
 
+def _find_repeat_seconds(response: facts.PermitResponse | None) -> float:
+    """Returns after how long a question is repeated.
+
+    Args:
+        response: The last answer; it says that the question waits.
+    """
+    if response is None:
+        return RESPONSE_TIMEOUT_SECONDS
+    return _WAITING_REPEAT_SECONDS
+
+
 async def _get(
     answers: asyncio.Queue[facts.PermitResponse], seconds: float
 ) -> facts.PermitResponse | None:
--- a/src/wayslip/gateway/sharing/place_broker.py
+++ b/src/wayslip/gateway/sharing/place_broker.py
@@ -16,8 +16,10 @@
 from wayslip import metrics as metrics_module
 from wayslip.decisions import concurrency
 from wayslip.decisions import fleet
+from wayslip.decisions import place_ledger
 from wayslip.decisions import places as places_module
 from wayslip.gateway.sharing import facts
+from wayslip.gateway.sharing import held_places
 from wayslip.gateway.sharing import hub as hub_module
 from wayslip.gateway.sharing import leadership as leadership_module
 from wayslip.gateway.sharing import peer_broadcast as peer_broadcast_module
@@ -29,71 +31,13 @@
 _SHARE_RETRY_SECONDS = 0.5
 # A holder that is heard and answers no question for this long grants no places.
 _MAX_UNANSWERED_SECONDS = 1.0
-# Least time for the way to an endpoint and back: that of one pass of its event
-# loop and of this one.
-_MIN_ROUND_TRIP_SECONDS = 0.005
-
-
-@dataclasses.dataclass(slots=True)
-class Place:
-    """A place that a request of this instance holds.
-
-    Attributes:
-        start: The endpoint's incarnation.
-        number: Number of the question that it was granted to, 0 without one.
-        taken_at: When it was granted, as known here, steady seconds.
-        sent_at: When the request was sent, None before.
-        answered_at: When the head of its answer arrived, None before.
-        round_trip: Seconds that a message takes to the endpoint and back.
-    """
-
-    start: fleet.Incarnation
-    number: int
-    taken_at: float
-    sent_at: float | None = None
-    answered_at: float | None = None
-    round_trip: float = 0.0
-
-    def note_sent(self, round_trip: float) -> None:
-        """Records that the request is being sent."""
-        self.sent_at = clock.now()
-        self.answered_at = None
-        self.round_trip = max(round_trip, _MIN_ROUND_TRIP_SECONDS)
-
-    def find_exchange(self) -> concurrency.Exchange | None:
-        """Returns the exchange with the endpoint, None without an answer."""
-        if self.sent_at is None or self.answered_at is None:
-            return None
-        return concurrency.Exchange(
-            taken_at=self.taken_at,
-            sent_at=self.sent_at,
-            answered_at=self.answered_at,
-            returned_at=clock.now(),
-            round_trip=self.round_trip,
-        )
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Admission:
-    """The decision on a request for a place.
-
-    Attributes:
-        is_granted: Whether the request may be sent.
-        wait: Seconds until a place is expected to be free, if it was refused.
-        place: The place, which has to be given back; None if it was refused or
-            none is needed.
-    """
-
-    is_granted: bool
-    wait: float = 0.0
-    place: Place | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Decision:
     """A verdict, where it came from, and the question's number."""
 
-    verdict: places_module.Verdict
+    verdict: place_ledger.Verdict
     source: str
     number: int = 0
 
@@ -138,8 +82,6 @@
         self._askers: dict[str, hub_module.Address] = {}
         # Requests of this instance that wait while it holds the lease.
         self._own_waiting: dict[int, asyncio.Event] = {}
-        # Number of the last place that this instance granted itself.
-        self._last_number = 0
 
     # What endpoints announce
 
@@ -230,7 +172,7 @@
         is_first: bool,
         max_wait: float = 0.0,
         may_queue: bool = False,
-    ) -> Admission:
+    ) -> held_places.Admission:
         """Takes a place for one request, if the endpoint is brittle.
 
         Args:
@@ -241,10 +183,10 @@
             may_queue: Whether it waits that long for a place too.
         """
         if self._view.notices.find_brittle(endpoint) is None:
-            return Admission(True)
+            return held_places.Admission(True)
         places = self._find_places(endpoint)
         start = endpoint.incarnation
-        question = places_module.Question(
+        question = place_ledger.Question(
             self._name,
             places,
             is_first=is_first,
@@ -268,14 +210,14 @@
             source=decision.source,
         )
         if not verdict.is_granted:
-            return Admission(False, verdict.wait)
-        place = Place(start, decision.number, clock.now())
-        return Admission(True, place=place)
+            return held_places.Admission(False, verdict.wait)
+        place = held_places.Place(start, decision.number, clock.now())
+        return held_places.Admission(True, place=place)
 
     async def _decide(
         self,
         start: fleet.Incarnation,
-        question: places_module.Question,
+        question: place_ledger.Question,
         max_wait: float,
     ) -> _Decision:
         if self._leadership.is_held:
@@ -284,13 +226,13 @@
         response = await self._ask(start, question, max_wait)
         if response is not None:
             self._unanswered_since = math.inf
-            verdict = places_module.Verdict(response.is_granted, response.wait)
+            verdict = place_ledger.Verdict(response.is_granted, response.wait)
             return _Decision(verdict, "holder", response.number)
         self._unanswered_since = min(self._unanswered_since, clock.now())
         if has_contact and not self._grants_nothing:
             # Its answer is late. A place of the own share might be one that it
             # has granted to another instance.
-            verdict = places_module.Verdict(False, _SHARE_RETRY_SECONDS)
+            verdict = place_ledger.Verdict(False, _SHARE_RETRY_SECONDS)
             return _Decision(verdict, "late")
         share = places_module.find_share(
             question.places,
@@ -298,16 +240,17 @@
             permit_broker_module.draw(self._name, start),
         )
         if self._held.get(start, 0) < share:
-            return _Decision(places_module.Verdict(True), "part")
-        verdict = places_module.Verdict(False, _SHARE_RETRY_SECONDS)
+            # The number keeps its return from freeing a granted place.
+            number = self._permit_broker.draw_number()
+            return _Decision(place_ledger.Verdict(True), "part", number)
+        verdict = place_ledger.Verdict(False, _SHARE_RETRY_SECONDS)
         return _Decision(verdict, "part")
 
     async def _decide_own(
-        self, start: fleet.Incarnation, question: places_module.Question
+        self, start: fleet.Incarnation, question: place_ledger.Question
     ) -> _Decision:
         """Grants a place to a request of this instance, the lease holder."""
-        self._last_number += 1
-        number = self._last_number
+        number = self._permit_broker.draw_number()
         question = dataclasses.replace(question, number=number)
         verdict = self._granting.take(start, question, clock.now())
         if not verdict.is_waiting:
@@ -318,18 +261,20 @@
             async with asyncio.timeout(question.max_wait):
                 await granted.wait()
             is_taken = True
-            return _Decision(places_module.Verdict(True), "own", number)
+            return _Decision(place_ledger.Verdict(True), "own", number)
         except TimeoutError:
             return _Decision(verdict, "own", number)
         finally:
             del self._own_waiting[number]
             if not is_taken:
-                self._return_place(Place(start, number, clock.now()), False)
+                self._return_place(
+                    held_places.Place(start, number, clock.now()), False
+                )
 
     async def _ask(
         self,
         start: fleet.Incarnation,
-        question: places_module.Question,
+        question: place_ledger.Question,
         max_wait: float,
     ) -> facts.PermitResponse | None:
         """Asks the lease holder for a place.
@@ -352,12 +297,14 @@
             )
 
         def give_back(number: int) -> None:
-            self._return_place(Place(start, number, clock.now()), False)
+            self._return_place(
+                held_places.Place(start, number, clock.now()), False
+            )
 
         response = None
         try:
             response = await self._permit_broker.ask_holder(
-                make_request, give_back, max_wait
+                make_request, give_back, max_wait, is_repeatable=True
             )
         finally:
             if response is None or response.is_waiting:
@@ -371,7 +318,7 @@
         silence = clock.now() - self._unanswered_since
         return silence > _MAX_UNANSWERED_SECONDS
 
-    def give_back(self, place: Place, is_refused: bool) -> None:
+    def give_back(self, place: held_places.Place, is_refused: bool) -> None:
         """Gives a place back.
 
         Args:
@@ -386,13 +333,13 @@
             self._held.pop(place.start, None)
         self._return_place(place, is_refused)
 
-    def _return_place(self, place: Place, is_refused: bool) -> None:
+    def _return_place(self, place: held_places.Place, is_refused: bool) -> None:
         """Tells the lease holder that a place is free again."""
         start, exchange = place.start, place.find_exchange()
         if self._leadership.is_held:
             self._granting.give_back(
                 start,
-                places_module.Return(
+                place_ledger.Return(
                     self._name, place.number, is_refused, exchange
                 ),
                 clock.now(),
@@ -453,7 +400,7 @@
         if tracked is not None and tracked.endpoint.incarnation == start:
             places = min(places, self._find_places(tracked.endpoint))
         self._askers[request.instance] = source
-        question = places_module.Question(
+        question = place_ledger.Question(
             request.instance,
             places,
             request.number,
@@ -499,7 +446,7 @@
                 message.returned_at,
                 message.round_trip,
             )
-        place = places_module.Return(
+        place = place_ledger.Return(
             message.instance, message.number, message.is_refused, exchange
         )
         start = fleet.Incarnation(message.endpoint, message.born)
--- a/tests/decisions/test_places.py
+++ b/tests/decisions/test_places.py
@@ -2,6 +2,7 @@
 
 from wayslip.decisions import concurrency
 from wayslip.decisions import fleet
+from wayslip.decisions import place_ledger
 from wayslip.decisions import places
 
 START = fleet.Incarnation("e1", 1)
@@ -19,7 +20,7 @@
 
 def ask(granting, now=10.0, name="g1", **fields):
     """Asks for a place; returns the verdict."""
-    question = places.Question(name, SLOTS, **fields)
+    question = place_ledger.Question(name, SLOTS, **fields)
     return granting.take(START, question, now)
 
 
@@ -34,7 +35,7 @@
     if not is_refused:
         sent_at = now - duration
         exchange = concurrency.Exchange(sent_at, sent_at, now, now, 0.005)
-    place = places.Return(name, 0, is_refused, exchange)
+    place = place_ledger.Return(name, 0, is_refused, exchange)
     granting.give_back(START, place, now)
 
 
@@ -68,7 +69,7 @@
     # The other requests may have left the endpoint, or not be there yet.
     granting = make()
     assert take(granting, 2) == 2
-    granting.give_back(START, places.Return("g1"), 10.2)
+    granting.give_back(START, place_ledger.Return("g1"), 10.2)
     assert take(granting, 9, 10.2) == 1
     for now in (10.5, 10.8, 11.1):
         leave(granting, now, duration=0.05)
@@ -90,7 +91,9 @@
     # or one after the other.
     exchange = concurrency.Exchange(0.0, 0.0, 0.1, 0.1, 0.005)
     for now in (10.4, 10.5):
-        granting.give_back(START, places.Return("g1", 0, False, exchange), now)
+        granting.give_back(
+            START, place_ledger.Return("g1", 0, False, exchange), now
+        )
     assert take(granting, 9, 10.5) == 2
 
 
@@ -102,7 +105,9 @@
     # The clocks are the same, as the messages before showed.
     exchange = concurrency.Exchange(10.0, 10.0, 10.1, 10.1, 0.005)
     for now in (10.4, 10.5):
-        granting.give_back(START, places.Return("g1", 0, False, exchange), now)
+        granting.give_back(
+            START, place_ledger.Return("g1", 0, False, exchange), now
+        )
     assert take(granting, 9, 10.5) == 3
 
 
@@ -132,7 +137,7 @@
     granting = make()
     for _ in range(3):
         assert ask(granting, number=7).is_granted
-    granting.give_back(START, places.Return("g1", 7), 10.1)
+    granting.give_back(START, place_ledger.Return("g1", 7), 10.1)
     assert take(granting, 9, 10.1) == 2
 
 
@@ -140,8 +145,8 @@
     granting = make()
     ask(granting, number=7)
     ask(granting, number=8)
-    granting.give_back(START, places.Return("g1", 8), 10.1)
-    granting.give_back(START, places.Return("g1", 8), 10.2)
+    granting.give_back(START, place_ledger.Return("g1", 8), 10.1)
+    granting.give_back(START, place_ledger.Return("g1", 8), 10.2)
     # Only one is free: that of number 7 is in use.
     assert take(granting, 9, 10.2) == 1
 
@@ -241,7 +246,7 @@
     granting = make()
     take(granting, 2)
     ask(granting, number=7, max_wait=1.0)
-    granting.give_back(START, places.Return("g1", 7), 10.1)
+    granting.give_back(START, place_ledger.Return("g1", 7), 10.1)
     granted = granting.grant_waiting(10.1)
     assert not granted
 
@@ -258,13 +263,13 @@
     first = ask(granting, number=7, max_wait=1.0)
     for _ in range(3):
         ask(granting, number=7, max_wait=1.0)
-    granting.give_back(START, places.Return("g1", 7), 10.0)
+    granting.give_back(START, place_ledger.Return("g1", 7), 10.0)
     assert ask(granting, number=8, is_first=False).wait == first.wait + 1.0
 
 
 def test_question_that_is_given_up_counts_as_no_return():
     granting = make({"g1": 2})
     before = ask(granting, is_first=False).wait
-    granting.give_back(START, places.Return("g1", 7), 10.0)
+    granting.give_back(START, place_ledger.Return("g1", 7), 10.0)
     assert ask(granting, is_first=False).wait == before
     assert take(granting, 9) == 0
--- a/tests/gateway/test_late_messages.py
+++ b/tests/gateway/test_late_messages.py
@@ -13,6 +13,7 @@
 from tests.gateway import test_engine_limits as engine_limits
 from wayslip.gateway.sharing import facts
 from wayslip.gateway.sharing import hub as hub_module
+from wayslip.gateway.sharing import permit_broker
 
 LATE_SECONDS = 0.15
 
@@ -57,6 +58,7 @@
     buckets = gateways[0]._permit_broker._granted
     with (
         patch_late_answers(every=1),
+        mock.patch.object(permit_broker, "_MAX_PERMIT_WAIT_SECONDS", 0.0),
         mock.patch.object(
             buckets, "give_back", lambda start: taken.append(start)
         ),
--- a/tests/stateful/brittle_world.py
+++ b/tests/stateful/brittle_world.py
@@ -11,6 +11,7 @@
 
 from wayslip.decisions import concurrency
 from wayslip.decisions import fleet
+from wayslip.decisions import place_ledger
 from wayslip.decisions import places
 
 START = fleet.Incarnation("e1", 1)
@@ -94,7 +95,7 @@
             self._send(self._decide, name, give_up, next(self._numbers))
 
     def _decide(self, name, give_up, number):
-        question = places.Question(name, SLOTS, number)
+        question = place_ledger.Question(name, SLOTS, number)
         verdict = self._places.take(START, question, self._now)
         handler = self._dispatch if verdict.is_granted else self._wait
         self._send(handler, name, give_up, number)
@@ -131,7 +132,7 @@
             returned_at=now,
             round_trip=ROUND_TRIP_SECONDS,
         )
-        place = places.Return(
+        place = place_ledger.Return(
             name, number, is_refused, None if is_refused else exchange
         )
         self._send(self._give_back, place)
