--- a/src/wayslip/gateway/serving/endpoint_chooser.py
+++ b/src/wayslip/gateway/serving/endpoint_chooser.py
@@ -34,7 +34,7 @@
 # have been silent for a moment.
 _NO_VERSION_RETRY_AFTER_SECONDS = 1.0
 # How long an endpoint that had no free place is expected to have none.
-_PLACE_RETRY_SECONDS = 0.1
+_CROWDED_SECONDS = 0.1
 # Range of Retry-After while this instance reaches no endpoint. Clients return
 # to any instance, so that it only has to spread them.
 _CUT_OFF_RETRY_SECONDS = (0.1, 0.3)
@@ -277,6 +277,9 @@
     ) -> bool:
         """Takes a place at a brittle endpoint; returns whether there was one.
 
+        The request asks for a place that is free now first, at each endpoint
+        that can serve it. Once all of them are crowded it waits at one.
+
         A place at another endpoint, which was not used, is given back.
         """
         self.give_back_place(job)
@@ -295,7 +298,7 @@
             job.place = admission.place
             return True
         job.room_wait = admission.wait
-        pause = min(admission.wait, _PLACE_RETRY_SECONDS)
+        pause = min(admission.wait, _CROWDED_SECONDS)
         if max_wait > 0 and not is_crowded:
             # Another endpoint may have a place now; else it waits for one.
             self._view.notices.note_crowded(endpoint, pause)
