Stand-in links: cut the tunnels that a cut instance opens for others

The links of a gateway that a test cuts covered its own connections only. So neither test_unreachable_endpoints.py nor the soak of paths could show what happens when those that are asked for help are cut off too.

Server.connector is the seam.

--- a/soak/links.py
+++ b/soak/links.py
@@ -37,6 +37,10 @@
 }
 
 
+# Cuts under which new connections are refused.
+_REFUSING = (State.RESET, State.KEPT, State.SEVERED)
+
+
 class Links:
     """The links of one gateway.
 
@@ -67,7 +71,7 @@
             NobodyListensError: The link refuses new connections.
             NotSentError: The link is silent.
         """
-        if self.state in (State.RESET, State.KEPT, State.SEVERED):
+        if self.state in _REFUSING:
             raise errors.NobodyListensError("refused by a cut link", "heal it")
         if self.state is State.SILENT:
             await asyncio.sleep(timeout)
@@ -75,6 +79,24 @@
         self.opened.append(address)
         return await client.connect(await self._find_proxy(address), timeout)
 
+    async def connect_tunnel(
+        self, protocol: asyncio.Protocol, address: tuple[str, int]
+    ) -> None:
+        """Stands in for the connector of `tunnels.Server`.
+
+        Raises:
+            ConnectionRefusedError: The link refuses new connections.
+        """
+        if self.state in _REFUSING:
+            raise ConnectionRefusedError("refused by a cut link")
+        if self.state is State.SILENT:
+            # The caller's time limit ends this.
+            await asyncio.Event().wait()
+        loop = asyncio.get_running_loop()
+        await loop.create_connection(
+            lambda: protocol, *await self._find_proxy(address)
+        )
+
     async def _find_proxy(self, address: tuple[str, int]) -> tuple[str, int]:
         async with self._lock:
             if address not in self._addresses:
--- a/src/wayslip/http1/tunnels.py
+++ b/src/wayslip/http1/tunnels.py
@@ -13,6 +13,7 @@
 """
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 import enum
 
@@ -156,10 +157,23 @@
 # Told what an attempt to connect for a tunnel showed: source IP, endpoint,
 # status. Returns the status to answer.
 Observer = Callable[[str, str, Status], Status]
+# Connects a protocol to an address; raises OSError if that fails.
+Connector = Callable[[asyncio.Protocol, tuple[str, int]], Awaitable[None]]
+
+
+async def _connect_directly(
+    protocol: asyncio.Protocol, address: tuple[str, int]
+) -> None:
+    loop = asyncio.get_running_loop()
+    await loop.create_connection(lambda: protocol, *address)
 
 
 class Server:
-    """Serves tunnels to endpoints for other instances."""
+    """Serves tunnels to endpoints for other instances.
+
+    Attributes:
+        connector: Connects to endpoints.
+    """
 
     def __init__(
         self,
@@ -183,6 +197,7 @@
         self._connect_seconds = connect_seconds
         self._listener: asyncio.Server | None = None
         self._tunnels: set[_Tunnel] = set()
+        self.connector: Connector = _connect_directly
 
     def __len__(self) -> int:
         """Returns the number of tunnels, including those being opened."""
@@ -221,11 +236,10 @@
         found = self._judge(source, endpoint)
         if isinstance(found, Status):
             return found
-        loop = asyncio.get_running_loop()
         status = Status.OPENED
         try:
             async with asyncio.timeout(self._connect_seconds):
-                await loop.create_connection(lambda: far_end, *found)
+                await self.connector(far_end, found)
         except ConnectionRefusedError:
             status = Status.REFUSED
         except (OSError, TimeoutError):
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -27,11 +27,11 @@
     return f"{HOST}:{ports.find_free(HOST)}"
 
 
-def make_options(name, store):
+def make_options(name, store, data_hall="hall-1"):
     return options_module.Options(
         name=name,
         ip=HOST,
-        data_hall="hall-1",
+        data_hall=data_hall,
         callers=make_address(),
         readiness=make_address(),
         store=store,
@@ -92,15 +92,33 @@
         gateway = self._launch(
             dataclasses.replace(options, bounds=bounds or options.bounds)
         )
+        await self._until_in_contact(gateway)
+        return gateway
+
+    async def join_all(self, count, data_hall):
+        """Adds gateways to a data hall, as `join`; returns them."""
+        gateways = [
+            self._launch(
+                make_options(
+                    f"{data_hall}-{n}", self.options.store, data_hall
+                )
+            )
+            for n in range(count)
+        ]
+        for gateway in gateways:
+            await self._until_in_contact(gateway)
+        return gateways
+
+    async def _until_in_contact(self, gateway):
         count = len(self._tasks)
         await self.until(lambda: gateway._placement.instances == count)
         await self.until(gateway.is_ready)
-        return gateway
 
     def install_links(self, gateway):
         """Has a gateway connect to endpoints through links that can be cut."""
         links = self.links[gateway] = links_module.Links()
         gateway.paths.dial = links.connect
+        gateway._tunnels._server.connector = links.connect_tunnel
         pool = gateway._platform.engines._pool
         seconds = pool._connect_seconds
         # Open connections lead past the links.
