--- a/src/wayslip/errors.py
+++ b/src/wayslip/errors.py
@@ -79,6 +79,18 @@
     """A peer did not answer or refused a call."""
 
 
+class TunnelRefusedError(PeerError):
+    """A peer opens no tunnel to an endpoint now.
+
+    Attributes:
+        cause: Why, one word; empty if the peer's release doesn't tell.
+    """
+
+    def __init__(self, reason: str, remedy: str, cause: str) -> None:
+        super().__init__(reason, remedy)
+        self.cause = cause
+
+
 class FrameError(WayslipError):
     """A frame from a peer is malformed or not authentic."""
 
--- a/src/wayslip/gateway/serving/attempts.py
+++ b/src/wayslip/gateway/serving/attempts.py
@@ -107,7 +107,9 @@
         idle = began - connection.idle_since if connection else None
         try:
             if connection is None:
-                connection = await self._paths.open(tracked.endpoint)
+                connection = await self._paths.open(
+                    tracked.endpoint, job.traits.request_id
+                )
             self._end_checks.note_used(choice.name, connection)
             if connection.peer:
                 self._log_tunnel(job, connection)
--- a/src/wayslip/gateway/sharing/endpoint_paths.py
+++ b/src/wayslip/gateway/sharing/endpoint_paths.py
@@ -78,6 +78,7 @@
         # Until when an instance is asked last, by address.
         self._pauses: dict[str, float] = {}
         self._reached_by_peer_at = 0.0
+        self._refusal_count = 0
         # When others may be asked again what they see of an endpoint, by name.
         self._next_checks: dict[str, float] = {}
         self._rng = random.Random()
@@ -199,9 +200,15 @@
 
     # Opening
 
-    async def open(self, endpoint: fleet.Endpoint) -> client.Connection:
+    async def open(
+        self, endpoint: fleet.Endpoint, request_id: str = ""
+    ) -> client.Connection:
         """Returns a new connection to an endpoint.
 
+        Args:
+            endpoint: The endpoint.
+            request_id: The request that waits for it, for the log.
+
         Raises:
             NobodyListensError: The connection was refused, also elsewhere.
             NotSentError: Neither this instance nor others could connect.
@@ -212,13 +219,13 @@
             return await self._open_directly(endpoint)
         if not is_lost and not self.is_cut_off:
             openers.insert(0, lambda: self._open_directly(endpoint))
-            return await self._race(endpoint, openers)
+            return await self._race(endpoint, openers, request_id)
         now = clock.now()
         if self._reachability.take_trial(
             endpoint.name, self._rng.random(), now
         ):
             self._tasks.start(self._try_directly(endpoint))
-        return await self._race(endpoint, openers)
+        return await self._race(endpoint, openers, request_id)
 
     async def reopen(
         self, endpoint: fleet.Endpoint, is_through_peer: bool
@@ -324,6 +331,7 @@
     def _note_no_tunnel(
         self, endpoint: fleet.Endpoint, peer: str, error: errors.WayslipError
     ) -> None:
+        self._refusal_count += 1
         if isinstance(error, errors.PeerError):
             self._pauses[peer] = clock.now() + _PEER_PAUSE_SECONDS
         self._metrics.count("tunnels", outcome=type(error).__name__)
@@ -358,9 +366,36 @@
         self,
         endpoint: fleet.Endpoint,
         openers: Sequence[connection_race.Opener],
+        request_id: str = "",
     ) -> client.Connection:
-        return await connection_race.race(
-            endpoint.name,
-            openers,
-            lambda connection: self.on_found(endpoint.name, connection),
+        began = clock.now()
+        refused = self._refusal_count
+        peer = ""
+        try:
+            connection = await connection_race.race(
+                endpoint.name,
+                openers,
+                lambda connection: self.on_found(endpoint.name, connection),
+            )
+            peer = connection.peer
+            return connection
+        finally:
+            if peer or self._refusal_count > refused:
+                self._log_search(
+                    endpoint.name, request_id, peer, clock.now() - began
+                )
+
+    def _log_search(
+        self, endpoint: str, request_id: str, peer: str, seconds: float
+    ) -> None:
+        """Logs how long a request waited for a way through another instance."""
+        self._metrics.latency("helper_wait").observe(seconds)
+        logs.event(
+            _LOG,
+            "helper_searched",
+            request=request_id,
+            endpoint=endpoint,
+            peer=peer,
+            seconds=f"{seconds:.3f}",
+            cut_off=self.is_cut_off,
         )
--- a/src/wayslip/gateway/sharing/tunnel_service.py
+++ b/src/wayslip/gateway/sharing/tunnel_service.py
@@ -74,7 +74,7 @@
 
     def _judge(
         self, source: str, endpoint: str
-    ) -> tuple[str, int] | tunnels.Status:
+    ) -> tuple[str, int] | tunnels.Outcome:
         """Returns the address to connect to, or a refusal."""
         if not any(
             addresses.split_address(p.address)[0] == source
@@ -101,24 +101,26 @@
             return "unknown_endpoint"
         if tracked.endpoint.is_leaving:
             return "endpoint_leaves"
-        if self._paths.is_cut_off or self._paths.is_lost(endpoint):
+        if self._paths.is_cut_off:
+            return "cut_off"
+        if self._paths.is_lost(endpoint):
             return "path_lost"
         return ""
 
     def _refuse(
         self, source: str, endpoint: str, status: tunnels.Status, reason: str
-    ) -> tunnels.Status:
+    ) -> tunnels.Outcome:
         self._log(source, endpoint, reason)
-        return status
+        return tunnels.Outcome(status, reason)
 
     def _note_outcome(
         self, source: str, endpoint: str, status: tunnels.Status
-    ) -> tunnels.Status:
-        """Records what connecting showed; returns the status to answer."""
+    ) -> tunnels.Outcome:
+        """Records what connecting showed; returns the answer."""
         if status is tunnels.Status.OPENED:
             self._paths.note_opened(endpoint)
             self._log(source, endpoint, "opened")
-            return status
+            return tunnels.Outcome(status)
         self._paths.note_failed(endpoint, status is tunnels.Status.SILENT)
         if self._paths.is_in_doubt:
             # The fault may be at this instance, so that this tells nothing.
@@ -126,7 +128,7 @@
                 source, endpoint, tunnels.Status.BUSY, "path_in_doubt"
             )
         self._log(source, endpoint, status.name.lower())
-        return status
+        return tunnels.Outcome(status)
 
     def _log(self, source: str, endpoint: str, outcome: str) -> None:
         self._metrics.count("tunnels_served", outcome=outcome)
--- a/src/wayslip/http1/tunnels.py
+++ b/src/wayslip/http1/tunnels.py
@@ -5,7 +5,8 @@
 them, so the endpoint's answers stay as they are. An orderly close by the
 endpoint is forwarded as one; a reset, and the end of the other instance, reset
 the tunnel. A header of the answer says so, since earlier releases don't keep
-the two apart. Any other status says that no byte was forwarded:
+the two apart. Any other status says that no byte was forwarded, and the header
+`because` says why, if the release has it:
 
 * 403, 503: the other instance doesn't serve this tunnel, see `Status`.
 * 502: no process listens at the endpoint's address.
@@ -15,6 +16,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import dataclasses
 import enum
 
 from wayslip import clock
@@ -31,6 +33,7 @@
 _END_OF_LINE = b"\r\n"
 # Says that a close of the tunnel is a close by the endpoint.
 _KEEPS_CLOSES = b"\r\ncloses: kept\r\n"
+_REASON_HEADER = b"\r\nbecause: "
 
 
 class Status(enum.IntEnum):
@@ -60,6 +63,7 @@
     Attributes:
         status: Its status, 0 if there is none.
         keeps_closes: Whether a close of the tunnel is a close by the endpoint.
+        reason: Why no tunnel was opened; empty if that is not told.
     """
 
     def __init__(self) -> None:
@@ -67,6 +71,7 @@
             asyncio.get_running_loop().create_future()
         )
         self.keeps_closes = False
+        self.reason = ""
         self._head = b""
 
     def data_received(self, data: bytes) -> None:
@@ -74,6 +79,8 @@
         self._head += data
         if self._head.endswith(_END_OF_HEAD) and not self.status.done():
             self.keeps_closes = _KEEPS_CLOSES in self._head
+            _, _, rest = self._head.partition(_REASON_HEADER)
+            self.reason = rest.partition(_END_OF_LINE)[0].decode("latin-1")
             code = self._head.split(b" ", 2)[1:2]
             is_number = code and code[0].isdigit()
             self.status.set_result(int(code[0]) if is_number else 0)
@@ -104,6 +111,7 @@
     began = clock.now()
     transport: asyncio.Transport | None = None
     status = 0
+    reason = ""
     try:
         async with asyncio.timeout(timeout):
             transport, handshake = await loop.create_connection(
@@ -112,6 +120,7 @@
             request = f"CONNECT {endpoint} HTTP/1.1\r\nhost: {endpoint}"
             transport.write(request.encode("latin-1") + _END_OF_HEAD)
             status = await handshake.status
+            reason = handshake.reason
     except (OSError, TimeoutError) as e:
         raise errors.PeerError(
             f"{peer[0]}:{peer[1]} opened no tunnel ({type(e).__name__})",
@@ -120,7 +129,7 @@
     finally:
         if transport is not None and status != Status.OPENED:
             transport.abort()
-    _check_status(status, peer, endpoint)
+    _check_status(status, reason, peer, endpoint)
     connection = client.Connection(
         f"{peer[0]}:{peer[1]}", handshake.keeps_closes
     )
@@ -130,7 +139,9 @@
     return connection
 
 
-def _check_status(status: int, peer: tuple[str, int], endpoint: str) -> None:
+def _check_status(
+    status: int, reason: str, peer: tuple[str, int], endpoint: str
+) -> None:
     if status == Status.OPENED:
         return
     if status == Status.REFUSED:
@@ -143,20 +154,34 @@
             f"{endpoint} did not answer {peer[0]} either",
             "check that the endpoint runs and can be reached",
         )
-    raise errors.PeerError(
-        f"{peer[0]} opens no tunnel to {endpoint} now ({status})",
+    raise errors.TunnelRefusedError(
+        f"{peer[0]} opens no tunnel to {endpoint} now ({reason or status})",
         "another instance is asked",
+        reason,
     )
 
 
 # Serving side
 
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outcome:
+    """The answer to a request for a tunnel.
+
+    Attributes:
+        reason: Why it is refused, one word; empty if it isn't.
+    """
+
+    status: Status
+    reason: str = ""
+
+
 # Decides on a request for a tunnel: (source IP, endpoint) to the endpoint's
-# address, or to the status of a refusal.
-Judge = Callable[[str, str], tuple[str, int] | Status]
+# address, or to a refusal.
+Judge = Callable[[str, str], tuple[str, int] | Outcome]
 # Told what an attempt to connect for a tunnel showed: source IP, endpoint,
-# status. Returns the status to answer.
-Observer = Callable[[str, str, Status], Status]
+# status. Returns the answer.
+Observer = Callable[[str, str, Status], Outcome]
 # Connects a protocol to an address; raises OSError if that fails.
 Connector = Callable[[asyncio.Protocol, tuple[str, int]], Awaitable[None]]
 
@@ -231,10 +256,10 @@
 
     async def connect(
         self, source: str, endpoint: str, far_end: "_FarEnd"
-    ) -> Status:
+    ) -> Outcome:
         """Connects a tunnel to its endpoint."""
         found = self._judge(source, endpoint)
-        if isinstance(found, Status):
+        if isinstance(found, Outcome):
             return found
         status = Status.OPENED
         try:
@@ -247,10 +272,13 @@
         return self._observe(source, endpoint, status)
 
 
-def _format_status(status: Status) -> bytes:
+def _format_outcome(outcome: Outcome) -> bytes:
     """Returns the answer to a request for a tunnel."""
-    line = f"HTTP/1.1 {status.value} {status.name}".encode("ascii")
-    return line + _KEEPS_CLOSES + _END_OF_LINE
+    status = outcome.status
+    head = f"HTTP/1.1 {status.value} {status.name}".encode("ascii")
+    if outcome.reason:
+        head += _REASON_HEADER + outcome.reason.encode("ascii")
+    return head + _KEEPS_CLOSES + _END_OF_LINE
 
 
 class _End(asyncio.Protocol):
@@ -373,14 +401,14 @@
         assert self.transport is not None
         source = self.transport.get_extra_info("peername")[0]
         far_end = _FarEnd(self)
-        status = Status.SILENT
+        outcome = Outcome(Status.SILENT)
         try:
-            status = await self._server.connect(source, endpoint, far_end)
+            outcome = await self._server.connect(source, endpoint, far_end)
         finally:
-            if status is not Status.OPENED:
+            if outcome.status is not Status.OPENED:
                 far_end.abort()
-        self.transport.write(_format_status(status))
-        if status is not Status.OPENED:
+        self.transport.write(_format_outcome(outcome))
+        if outcome.status is not Status.OPENED:
             self.close()
             return
         far_end.other = self
--- a/src/wayslip/story.py
+++ b/src/wayslip/story.py
@@ -26,6 +26,7 @@
         "endpoint_rests",
         "endpoint_says_leaving",
         "endpoint_brittle",
+        "helper_searched",
         "path_found",
         "path_lost",
         "path_tried",
--- a/tests/gateway/test_unreachable_endpoints.py
+++ b/tests/gateway/test_unreachable_endpoints.py
@@ -11,6 +11,7 @@
 
 from soak import links
 from tests.gateway import harness
+from wayslip import addresses
 from wayslip.http1 import client
 from wayslip.http1 import tunnels
 
@@ -157,9 +158,13 @@
 async def test_only_known_instances_get_tunnels(system):
     await make_fleet(system, 2)
     service = system.gateway._tunnels
-    assert service._judge("127.1.2.3", "p1") is tunnels.Status.FORBIDDEN
-    assert service._judge(harness.HOST, "p1") != tunnels.Status.FORBIDDEN
-    assert service._judge(harness.HOST, "other") is tunnels.Status.BUSY
+    forbidden = tunnels.Outcome(tunnels.Status.FORBIDDEN, "unknown_instance")
+    assert service._judge("127.1.2.3", "p1") == forbidden
+    endpoint = system.gateway.view.tracked["p1"].endpoint
+    address = addresses.split_address(endpoint.address)
+    assert service._judge(harness.HOST, "p1") == address
+    busy = tunnels.Outcome(tunnels.Status.BUSY, "unknown_endpoint")
+    assert service._judge(harness.HOST, "other") == busy
 
 
 @harness.run
@@ -167,7 +172,8 @@
     await make_fleet(system, 2)
     service = system.gateway._tunnels
     service.is_draining = True
-    assert service._judge(harness.HOST, "p1") is tunnels.Status.BUSY
+    busy = tunnels.Outcome(tunnels.Status.BUSY, "stopping")
+    assert service._judge(harness.HOST, "p1") == busy
 
 
 @harness.run
--- a/tests/http1/test_tunnels.py
+++ b/tests/http1/test_tunnels.py
@@ -50,7 +50,7 @@
 
     def _observe(self, source, endpoint, status):
         self.seen.append((source, endpoint, status))
-        return status
+        return tunnels.Outcome(status)
 
     async def connect(self, seconds=1.0):
         return await tunnels.connect(HOST, self.peer, "e1", seconds)
@@ -164,7 +164,7 @@
 @run(answer_until_close)
 async def test_close_of_a_tunnel_of_the_release_before_ends_no_answer(rig):
     # It can't be told from one that was reset before the tunnel.
-    with mock.patch.object(tunnels, "_format_status", format_status_before):
+    with mock.patch.object(tunnels, "_format_outcome", format_outcome_before):
         connection = await rig.connect()
     with pytest.raises(errors.EndpointUnclearError):
         await ask(connection)
@@ -201,7 +201,8 @@
     asyncio.run(run_check())
 
 
-def format_status_before(status):
+def format_outcome_before(outcome):
+    status = outcome.status
     return f"HTTP/1.1 {status.value} {status.name}\r\n\r\n".encode()
 
 
@@ -220,7 +221,7 @@
         server = tunnels.Server(
             peer,
             lambda source, name: address,
-            lambda source, name, status: status,
+            lambda source, name, status: tunnels.Outcome(status),
             1.0,
         )
         await server.start()
@@ -268,15 +269,26 @@
     "status", [tunnels.Status.BUSY, tunnels.Status.FORBIDDEN]
 )
 def test_refusal_by_the_instance_says_nothing_of_the_endpoint(status):
-    @run(answer=status)
+    @run(answer=tunnels.Outcome(status, "path_lost"))
     async def check(rig):
-        with pytest.raises(errors.PeerError):
+        with pytest.raises(errors.TunnelRefusedError) as caught:
             await rig.connect()
+        assert caught.value.cause == "path_lost"
         assert not rig.seen
 
     check()
 
 
+@run(answer=tunnels.Outcome(tunnels.Status.BUSY, "path_lost"))
+async def test_refusal_of_the_release_before_has_no_reason(rig):
+    with (
+        mock.patch.object(tunnels, "_format_outcome", format_outcome_before),
+        pytest.raises(errors.TunnelRefusedError) as caught,
+    ):
+        await rig.connect()
+    assert not caught.value.cause
+
+
 @run()
 async def test_instance_without_tunnels_says_nothing_of_the_endpoint(rig):
     rig.server.close()
