--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -99,9 +99,7 @@
         """Adds gateways to a data hall, as `join`; returns them."""
         gateways = [
             self._launch(
-                make_options(
-                    f"{data_hall}-{n}", self.options.store, data_hall
-                )
+                make_options(f"{data_hall}-{n}", self.options.store, data_hall)
             )
             for n in range(count)
         ]
