Ask peers of other data halls for tunnels too, and remember what they answered

Cause: four peers were asked for a tunnel, those of the own data hall first, and one that refused was asked last for a second. With thirty instances in a data hall, all cut off, the 29 others of it always came before any peer that could help. No tunnel opened, so no path ever counted as lost either (that takes a peer's success): each request tried its dead path first, peers answered path_in_doubt, and a holder of the lease there kept it. Class: those asked for help were drawn from the domain that fails together with the one who asks, and a refusal taught nothing beyond a second.

Peers are chosen when they are asked. endpoint_paths.py hands the search to helper_search.py.

--- a/src/wayslip/gateway/sharing/connection_race.py
+++ b/src/wayslip/gateway/sharing/connection_race.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Sequence
 import logging
 
@@ -24,7 +25,7 @@
 
 async def race(
     endpoint: str,
-    openers: Sequence[Opener],
+    openers: Iterable[Opener],
     keep: Callable[[client.Connection], None],
 ) -> client.Connection:
     """Returns the first connection that is opened.
@@ -34,7 +35,8 @@
 
     Args:
         endpoint: The endpoint's name.
-        openers: The ways to connect to it, in order.
+        openers: The ways to connect to it, in order; the next one is taken
+            when it is started.
         keep: Called with each connection that is opened too late.
 
     Raises:
@@ -43,15 +45,17 @@
     """
     failures: list[errors.WayslipError] = []
     running: set[asyncio.Task[client.Connection]] = set()
-    waiting = list(openers)
+    waiting = iter(openers)
     try:
-        while waiting or running:
-            if waiting:
-                opener = waiting.pop(0)
+        while True:
+            opener = next(waiting, None)
+            if opener is not None:
                 running.add(asyncio.ensure_future(opener()))
+            if not running:
+                break
             done, running = await asyncio.wait(
                 running,
-                timeout=_HEDGE_SECONDS if waiting else None,
+                timeout=None if opener is None else _HEDGE_SECONDS,
                 return_when=asyncio.FIRST_COMPLETED,
             )
             opened = [t for t in done if t.exception() is None]
--- a/src/wayslip/gateway/sharing/endpoint_paths.py
+++ b/src/wayslip/gateway/sharing/endpoint_paths.py
@@ -10,7 +10,8 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
-from collections.abc import Sequence
+from collections.abc import Iterable
+import itertools
 import logging
 import random
 
@@ -24,20 +25,13 @@
 from wayslip.decisions import reachability
 from wayslip.gateway import background
 from wayslip.gateway.sharing import connection_race
+from wayslip.gateway.sharing import helper_search
 from wayslip.http1 import client
-from wayslip.http1 import tunnels
 
 _LOG = logging.getLogger(__name__)
 # Connecting inside a region takes 2 ms, and a lost packet is retransmitted
 # after a few hundred. After this time an endpoint counts as unreachable.
 CONNECT_TIMEOUT_SECONDS = 0.4
-# Limit for a tunnel; another instance is asked meanwhile.
-_TUNNEL_TIMEOUT_SECONDS = 0.5
-# Instances that are asked for a tunnel before an endpoint counts as
-# unreachable. Half of them may be cut off too.
-_MAX_PEERS = 4
-# For how long an instance is asked last after it could not open a tunnel.
-_PEER_PAUSE_SECONDS = 1.0
 # Interval of questions to others about an endpoint that does not answer.
 _CHECK_PERIOD_SECONDS = 1.0
 # What others reached this long ago says that they do now.
@@ -70,15 +64,13 @@
             list_peers: Returns the known instances.
             metrics: Where tunnels and lost paths are counted.
         """
-        self._data_hall = data_hall
-        self._own_address = own_address
-        self._list_peers = list_peers
         self._metrics = metrics
         self._reachability = reachability.Reachability()
-        # Until when an instance is asked last, by address.
-        self._pauses: dict[str, float] = {}
+        self._helpers = helper_search.HelperSearch(
+            data_hall, own_address, list_peers, metrics
+        )
+        self._helpers.on_opened = self._note_reached_by_peer
         self._reached_by_peer_at = 0.0
-        self._refusal_count = 0
         # When others may be asked again what they see of an endpoint, by name.
         self._next_checks: dict[str, float] = {}
         self._rng = random.Random()
@@ -168,11 +160,12 @@
         return True
 
     async def _ask_others(self, endpoint: fleet.Endpoint) -> None:
-        openers = [self._make_tunnel_opener(endpoint, p) for p in self._rank()]
-        if not openers:
+        if not self._helpers.has_peers:
             return
         try:
-            connection = await self._race(endpoint, openers)
+            connection = await self._race(
+                endpoint, self._helpers.list_openers(endpoint)
+            )
         except errors.NotSentError as e:
             logs.event(
                 _LOG,
@@ -213,13 +206,14 @@
             NobodyListensError: The connection was refused, also elsewhere.
             NotSentError: Neither this instance nor others could connect.
         """
-        openers = [self._make_tunnel_opener(endpoint, p) for p in self._rank()]
-        is_lost = self.is_lost(endpoint.name)
-        if not openers:
+        if not self._helpers.has_peers:
             return await self._open_directly(endpoint)
-        if not is_lost and not self.is_cut_off:
-            openers.insert(0, lambda: self._open_directly(endpoint))
-            return await self._race(endpoint, openers, request_id)
+        openers = self._helpers.list_openers(endpoint)
+        if not self.is_lost(endpoint.name) and not self.is_cut_off:
+            direct = [lambda: self._open_directly(endpoint)]
+            return await self._race(
+                endpoint, itertools.chain(direct, openers), request_id
+            )
         now = clock.now()
         if self._reachability.take_trial(
             endpoint.name, self._rng.random(), now
@@ -289,68 +283,11 @@
 
     # Tunnels
 
-    def _rank(self) -> list[str]:
-        """Returns the addresses of instances to ask, the best first.
-
-        Those of the same data hall come first, since bytes between data halls
-        cost, and those that could not help recently come last.
-        """
+    def _note_reached_by_peer(self, name: str) -> None:
         now = clock.now()
-        peers = [
-            p for p in self._list_peers() if p.address != self._own_address
-        ]
-        self._pauses = {a: t for a, t in self._pauses.items() if t > now}
-        self._rng.shuffle(peers)
-        peers.sort(
-            key=lambda p: (
-                p.address in self._pauses,
-                p.data_hall != self._data_hall,
-            )
-        )
-        return [p.address for p in peers[:_MAX_PEERS]]
-
-    def _make_tunnel_opener(
-        self, endpoint: fleet.Endpoint, peer: str
-    ) -> connection_race.Opener:
-        async def open_tunnel() -> client.Connection:
-            try:
-                connection = await tunnels.connect(
-                    addresses.split_address(self._own_address)[0],
-                    addresses.split_address(peer),
-                    endpoint.name,
-                    _TUNNEL_TIMEOUT_SECONDS,
-                )
-            except (errors.PeerError, errors.NotSentError) as e:
-                self._note_no_tunnel(endpoint, peer, e)
-                raise
-            self._note_tunnel(endpoint, peer)
-            return connection
-
-        return open_tunnel
-
-    def _note_no_tunnel(
-        self, endpoint: fleet.Endpoint, peer: str, error: errors.WayslipError
-    ) -> None:
-        self._refusal_count += 1
-        if isinstance(error, errors.PeerError):
-            self._pauses[peer] = clock.now() + _PEER_PAUSE_SECONDS
-        self._metrics.count("tunnels", outcome=type(error).__name__)
-        logs.event(
-            _LOG,
-            "tunnel_not_opened",
-            endpoint=endpoint.name,
-            peer=peer,
-            reason=error.reason,
-        )
-
-    def _note_tunnel(self, endpoint: fleet.Endpoint, peer: str) -> None:
-        now = clock.now()
-        self._pauses.pop(peer, None)
         self._reached_by_peer_at = now
-        self._metrics.count("tunnels", outcome="opened")
-        logs.event(_LOG, "tunnel_opened", endpoint=endpoint.name, peer=peer)
-        if self._reachability.note_reached_by_peer(endpoint.name, now):
-            self._note_lost(endpoint.name)
+        if self._reachability.note_reached_by_peer(name, now):
+            self._note_lost(name)
 
     def _note_lost(self, name: str) -> None:
         self._metrics.count("paths_lost")
@@ -365,11 +302,11 @@
     async def _race(
         self,
         endpoint: fleet.Endpoint,
-        openers: Sequence[connection_race.Opener],
+        openers: Iterable[connection_race.Opener],
         request_id: str = "",
     ) -> client.Connection:
         began = clock.now()
-        refused = self._refusal_count
+        refused = self._helpers.refusals
         peer = ""
         try:
             connection = await connection_race.race(
@@ -380,7 +317,7 @@
             peer = connection.peer
             return connection
         finally:
-            if peer or self._refusal_count > refused:
+            if peer or self._helpers.refusals > refused:
                 self._log_search(
                     endpoint.name, request_id, peer, clock.now() - began
                 )
