Test that instances without links report no endpoint as ended

A peer is asked that has lost its links as well and has used one endpoint only, so that it isn't in doubt yet.

--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -96,7 +96,7 @@
         return gateway
 
     async def join_all(self, count, data_hall):
-        """Adds gateways to a data hall, as `join`; returns them."""
+        """Adds gateways to a data hall; returns them once they know all."""
         gateways = [
             self._launch(
                 make_options(f"{data_hall}-{n}", self.options.store, data_hall)
@@ -105,6 +105,8 @@
         ]
         for gateway in gateways:
             await self._until_in_contact(gateway)
+            peers = gateway._peer_broadcast.list_peers
+            await self.until(lambda p=peers: len(p()) == len(self._tasks))
         return gateways
 
     async def _until_in_contact(self, gateway):
--- a/tests/gateway/test_cut_halls.py
+++ b/tests/gateway/test_cut_halls.py
@@ -113,3 +113,37 @@
         await check_served(system, cut, state)
 
     check()
+
+
+async def hang(engine, request, connection):
+    """Answers nothing until the connection ends."""
+    if not await connection.reader.read(1):
+        raise ConnectionResetError
+
+
+@harness.run
+async def test_instances_without_links_report_no_ended_endpoints(system):
+    # Their peers don't know yet that they have lost their links too: they use
+    # one endpoint only.
+    engine = await system.add("p1", "plain", script=hang)
+    await system.add("e1", "models", ["m1"])
+    cut = [
+        gateway
+        for hall in ("hall-2", "hall-3")
+        for gateway in await system.join_all(8, hall)
+    ]
+    for gateway in cut:
+        await system.until(lambda g=gateway: len(g.view.tracked) == 2)
+        system.install_links(gateway)
+    asked = [
+        asyncio.create_task(system.ask("/once/a", f"r{n}", "POST", at=gateway))
+        for n, gateway in enumerate(cut)
+    ]
+    await system.until(lambda: len(engine.received) == len(cut))
+    for gateway in cut:
+        system.links[gateway].cut(links.State.RESET)
+    await asyncio.gather(*asked)
+    for gateway in cut:
+        await system.until(lambda g=gateway: not g._quarantine._broken_attempts)
+    ends = [g.metrics.value("endpoint_ends") for g in cut]
+    assert not sum(ends), ends
