Tell nothing of an endpoint that could not be reached before own links are proved

Callers of instances without links were refused, and a sound endpoint was reported as ended, because peers that had lost their links too confirmed it. They didn't know yet: a peer was in doubt of its links only after two endpoints had failed. Three such verdicts counted; for a crash report the own refused connection alone did, if nobody else had an opinion.

Change: prove_links connects to another endpoint, up to three within 0.15 s, those that don't fail first, before a peer's verdict or a crash report counts; a connection opened since the failure, 0.2 s old at most, is proof too.

--- a/src/wayslip/decisions/reachability.py
+++ b/src/wayslip/decisions/reachability.py
@@ -21,6 +21,8 @@
 # Paths that fail at the same time, from which the fault is at this end. One or
 # two endpoints end together where they share a host.
 _MIN_SHARED_FAILURES = 2
+# For how long a connection that was opened shows that the own links work.
+_PROOF_SECONDS = 0.2
 # A failure that wasn't repeated for this long no longer casts doubt.
 _DOUBT_SECONDS = 3.0
 
@@ -137,6 +139,18 @@
         ]
         return len(lost) >= _MIN_SHARED_FAILURES
 
+    def is_failing(self, endpoint: str) -> bool:
+        """Whether the last attempt to connect to an endpoint failed."""
+        path = self._paths.get(endpoint)
+        return path is not None and path.failed_at > path.opened_at
+
+    def has_proof(self, endpoint: str, now: float) -> bool:
+        """Whether another endpoint was reached since one began to fail."""
+        is_recent = now - self._opened_at < _PROOF_SECONDS
+        return (
+            is_recent and self._opened_at > self._find(endpoint).failing_since
+        )
+
     def is_in_doubt(self, now: float) -> bool:
         """Whether this instance's links may be what keeps it from endpoints."""
         failed = [
--- a/src/wayslip/gateway/daemon.py
+++ b/src/wayslip/gateway/daemon.py
@@ -205,6 +205,7 @@
             self._peer_broadcast.list_peers,
             self.metrics,
         )
+        self.paths.list_endpoints = self.view.list_endpoints
         self.leadership.is_impaired = lambda: self.paths.is_cut_off
         self._order_sender.on_unreachable = self.paths.note_unreachable
         self._link_watch = link_watch.LinkWatch(
--- a/src/wayslip/gateway/sharing/endpoint_paths.py
+++ b/src/wayslip/gateway/sharing/endpoint_paths.py
@@ -8,6 +8,7 @@
 in the background.
 """
 
+import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterable
@@ -34,6 +35,10 @@
 CONNECT_TIMEOUT_SECONDS = 0.4
 # Interval of questions to others about an endpoint that does not answer.
 _CHECK_PERIOD_SECONDS = 1.0
+# Limits for connections that are to show that the own links work: others may
+# have ended too, and a peer waits for the answer.
+_MAX_PROOFS = 3
+_PROOF_TIMEOUT_SECONDS = 0.15
 # What others reached this long ago says that they do now.
 _MAX_WITNESS_AGE_SECONDS = 1.5
 
@@ -45,6 +50,7 @@
 
     Attributes:
         dial: Opens a direct connection, see `client.connect`.
+        list_endpoints: Returns all known endpoints.
         on_found: Gets a connection that was opened over a path that had been
             lost, with the endpoint's name.
     """
@@ -75,7 +81,9 @@
         self._next_checks: dict[str, float] = {}
         self._rng = random.Random()
         self._tasks = background.BackgroundTasks("path_trial_failed")
+        self._proof: asyncio.Task[bool] | None = None
         self.dial: Dial = client.connect
+        self.list_endpoints: Callable[[], Iterable[fleet.Endpoint]] = list
         self.on_found: Callable[[str, client.Connection], None] = (
             lambda name, connection: connection.close()
         )
@@ -149,6 +157,48 @@
             await self._ask_others(endpoint)
         return self.is_lost(endpoint.name)
 
+    async def prove_links(self, name: str) -> bool:
+        """Returns whether this instance reaches endpoints other than one.
+
+        A failure to connect says something about an endpoint only if the own
+        links work.
+
+        Args:
+            name: The endpoint that could not be reached.
+        """
+        if self._reachability.has_proof(name, clock.now()):
+            return True
+        others = [
+            e
+            for e in self.list_endpoints()
+            if e.name != name and not e.is_leaving
+        ]
+        if not others:
+            # There is nothing to compare with.
+            return True
+        if self._proof is None or self._proof.done():
+            self._proof = asyncio.create_task(self._prove_links(others))
+        return await asyncio.shield(self._proof)
+
+    async def _prove_links(self, endpoints: list[fleet.Endpoint]) -> bool:
+        """Returns whether one of some endpoints can be reached."""
+        self._rng.shuffle(endpoints)
+        endpoints.sort(key=lambda e: self._reachability.is_failing(e.name))
+        end = clock.now() + _PROOF_TIMEOUT_SECONDS
+        reasons = []
+        for endpoint in endpoints[:_MAX_PROOFS]:
+            try:
+                connection = await self._open_directly(
+                    endpoint, max(end - clock.now(), 0.0)
+                )
+            except errors.NotSentError as e:
+                reasons.append(f"{endpoint.name}: {e.reason}")
+                continue
+            self.on_found(endpoint.name, connection)
+            return True
+        logs.event(_LOG, "links_not_proved", reason="; ".join(reasons))
+        return False
+
     def _is_check_due(self, name: str) -> bool:
         now = clock.now()
         if now < self._next_checks.get(name, 0.0):
@@ -190,6 +240,8 @@
     def close(self) -> None:
         """Cancels attempts in the background."""
         self._tasks.cancel()
+        if self._proof is not None:
+            self._proof.cancel()
 
     # Opening
 
@@ -249,7 +301,7 @@
         try:
             connection = await self.open(endpoint)
         except errors.NobodyListensError as e:
-            if self.is_cut_off:
+            if self.is_cut_off or not await self.prove_links(endpoint.name):
                 raise errors.NotSentError(
                     f"this instance reaches no endpoint, {endpoint.name} too",
                     "see path_lost in its log",
@@ -258,12 +310,14 @@
         connection.close()
 
     async def _open_directly(
-        self, endpoint: fleet.Endpoint
+        self,
+        endpoint: fleet.Endpoint,
+        seconds: float = CONNECT_TIMEOUT_SECONDS,
     ) -> client.Connection:
         name = endpoint.name
         address = addresses.split_address(endpoint.address)
         try:
-            connection = await self.dial(address, CONNECT_TIMEOUT_SECONDS)
+            connection = await self.dial(address, seconds)
         except errors.NotSentError as e:
             self.note_failed(name, not isinstance(e, errors.NobodyListensError))
             raise
--- a/src/wayslip/gateway/sharing/tunnel_service.py
+++ b/src/wayslip/gateway/sharing/tunnel_service.py
@@ -113,7 +113,7 @@
         self._log(source, endpoint, reason)
         return tunnels.Outcome(status, reason)
 
-    def _note_outcome(
+    async def _note_outcome(
         self, source: str, endpoint: str, status: tunnels.Status
     ) -> tunnels.Outcome:
         """Records what connecting showed; returns the answer."""
@@ -122,7 +122,9 @@
             self._log(source, endpoint, "opened")
             return tunnels.Outcome(status)
         self._paths.note_failed(endpoint, status is tunnels.Status.SILENT)
-        if self._paths.is_in_doubt:
+        if self._paths.is_in_doubt or not await self._paths.prove_links(
+            endpoint
+        ):
             # The fault may be at this instance, so that this tells nothing.
             return self._refuse(
                 source, endpoint, tunnels.Status.BUSY, "path_in_doubt"
--- a/src/wayslip/gateway/sharing/view.py
+++ b/src/wayslip/gateway/sharing/view.py
@@ -105,6 +105,10 @@
 
     # The list
 
+    def list_endpoints(self) -> list[fleet.Endpoint]:
+        """Returns all known endpoints."""
+        return [t.endpoint for t in self.tracked.values()]
+
     def apply_entry(self, endpoint: fleet.Endpoint) -> None:
         """Applies an endpoint's entry, unless a newer one is known."""
         if endpoint.is_leaving:
--- a/src/wayslip/http1/tunnels.py
+++ b/src/wayslip/http1/tunnels.py
@@ -181,7 +181,7 @@
 Judge = Callable[[str, str], tuple[str, int] | Outcome]
 # Told what an attempt to connect for a tunnel showed: source IP, endpoint,
 # status. Returns the answer.
-Observer = Callable[[str, str, Status], Outcome]
+Observer = Callable[[str, str, Status], Awaitable[Outcome]]
 # Connects a protocol to an address; raises OSError if that fails.
 Connector = Callable[[asyncio.Protocol, tuple[str, int]], Awaitable[None]]
 
@@ -269,7 +269,7 @@
             status = Status.REFUSED
         except (OSError, TimeoutError):
             status = Status.SILENT
-        return self._observe(source, endpoint, status)
+        return await self._observe(source, endpoint, status)
 
 
 def _format_outcome(outcome: Outcome) -> bytes:
--- a/tests/decisions/test_reachability.py
+++ b/tests/decisions/test_reachability.py
@@ -125,3 +125,23 @@
     paths = make_cut_off()
     paths.forget("e1")
     assert not paths.is_cut_off
+
+
+def test_connection_opened_before_a_failure_proves_nothing():
+    # The links may have been cut in between.
+    paths = reachability.Reachability()
+    paths.note_opened("e1", 1.0)
+    paths.note_failed("e2", False, 1.05)
+    assert not paths.has_proof("e2", 1.06)
+    paths.note_opened("e1", 1.07)
+    assert paths.has_proof("e2", 1.08)
+    assert not paths.has_proof("e2", 1.3)
+
+
+def test_endpoint_fails_until_it_is_reached_again():
+    paths = reachability.Reachability()
+    assert not paths.is_failing("e1")
+    paths.note_failed("e1", True, 1.0)
+    assert paths.is_failing("e1")
+    paths.note_opened("e1", 2.0)
+    assert not paths.is_failing("e1")
--- a/tests/http1/test_tunnels.py
+++ b/tests/http1/test_tunnels.py
@@ -48,7 +48,7 @@
 
         return handle
 
-    def _observe(self, source, endpoint, status):
+    async def _observe(self, source, endpoint, status):
         self.seen.append((source, endpoint, status))
         return tunnels.Outcome(status)
 
@@ -216,12 +216,16 @@
     return handle
 
 
+async def tell_status(source, endpoint, status):
+    return tunnels.Outcome(status)
+
+
 def serve(peer, address):
     async def run():
         server = tunnels.Server(
             peer,
             lambda source, name: address,
-            lambda source, name, status: tunnels.Outcome(status),
+            tell_status,
             1.0,
         )
         await server.start()
