--- a/tests/gateway/test_path_soak.py
+++ b/tests/gateway/test_path_soak.py
@@ -2,8 +2,8 @@
 
 Run more or other seeds by hand:
 
-    PATH_SOAK_SEEDS=50 PATH_SOAK_FIRST=100 python -m pytest \
-        tests/gateway/test_path_soak.py
+    PATH_SOAK_SEEDS=50 PATH_SOAK_FIRST=100 PATH_SOAK_GATEWAYS=20 \
+        python -m pytest tests/gateway/test_path_soak.py
 """
 
 import asyncio
@@ -18,8 +18,9 @@
 from tests.gateway import harness
 
 SECONDS = 6.0
-GATEWAYS = 4
-CLIENTS_PER_GATEWAY = 3
+GATEWAYS = int(os.environ.get("PATH_SOAK_GATEWAYS", "6"))
+HALLS = ("hall-1", "hall-2")
+CLIENTS_PER_GATEWAY = 2
 MODELS = ("m1", "m2", "m3")
 FIRST = int(os.environ.get("PATH_SOAK_FIRST", "3"))
 SEEDS = range(FIRST, FIRST + int(os.environ.get("PATH_SOAK_SEEDS", "2")))
@@ -51,8 +52,10 @@
             await self.system.add(f"p{model}", "plain")
             await self.system.add(f"e{model}", "models", [model])
         self.gateways = [self.system.gateway]
-        for n in range(2, GATEWAYS + 1):
-            self.gateways.append(await self.system.join(f"g{n}"))
+        self.gateways += await self.system.join_all(GATEWAYS // 2 - 1, HALLS[0])
+        self.gateways += await self.system.join_all(
+            GATEWAYS - GATEWAYS // 2, HALLS[1]
+        )
         for gateway in self.gateways:
             await self._prepare(gateway)
 
@@ -67,7 +70,7 @@
         ]
         loop = asyncio.get_running_loop()
         end = loop.time() + SECONDS
-        actions = (self.cut, self.cut, self.heal, self.restart)
+        actions = (self.cut, self.cut_hall, self.heal, self.restart)
         while loop.time() < end:
             await self.rng.choice(actions)()
             await asyncio.sleep(self.rng.uniform(*PAUSE_SECONDS))
@@ -95,6 +98,18 @@
         for gateway in self.rng.sample(whole, count):
             self._set(gateway, state)
 
+    async def cut_hall(self):
+        """Cuts a data hall off from all endpoints, if others are whole."""
+        hall = self.rng.choice(HALLS)
+        inside = [g for g in self.gateways if g._options.data_hall == hall]
+        others = [g for g in self.gateways if g not in inside]
+        if all(g in self.cut_since for g in others):
+            return
+        state = self.rng.choice([s for s in links.State if s.value != "whole"])
+        for gateway in inside:
+            if gateway not in self.cut_since:
+                self._set(gateway, state)
+
     async def heal(self):
         cut = [g for g in self.gateways if g in self.cut_since]
         for gateway in self.rng.sample(cut, self.rng.randint(0, len(cut))):
@@ -109,7 +124,9 @@
         self.cut_since.pop(gateway, None)
         await self.system.kill(gateway)
         name = f"g{gateway._options.name}{self.rng.randrange(1000)}"
-        options = harness.make_options(name, self.system.options.store)
+        options = harness.make_options(
+            name, self.system.options.store, gateway._options.data_hall
+        )
         started = self.system._launch(options)
         await self.system.until(started.is_ready)
         await self._prepare(started)
