--- a/src/wayslip/gateway/dialect.py
+++ b/src/wayslip/gateway/dialect.py
@@ -57,6 +57,14 @@
     version: str | None = None
     key: bytes | None = None
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Ids of the parts that other requests may have too.
+
+        The last part belongs to the request itself.
+        """
+        return tuple(p.id for p in self.parts[:-1])
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SendParameters:
--- a/src/wayslip/gateway/serving/attempts.py
+++ b/src/wayslip/gateway/serving/attempts.py
@@ -92,6 +92,7 @@
         """Sends a request to an endpoint; returns None once it is answered."""
         job.endpoint = choice.name
         job.lacked_room = False
+        job.written_since = None
         tracked = self._view.tracked[choice.name]
         active = self._view.begin(choice.name, job.traits, job.rank)
         depth = self._find_depth(job)
@@ -178,6 +179,8 @@
             request=job.traits.request_id,
             endpoint=job.endpoint,
             content=job.content.hex(),
+            parts=",".join(job.traits.shared_parts),
+            written_for=job.format_written(),
             reused=reused_after is not None,
             idle=f"{reused_after or 0.0:.3f}",
             seconds=f"{clock.now() - active.began:.3f}",
--- a/src/wayslip/gateway/serving/forwarding.py
+++ b/src/wayslip/gateway/serving/forwarding.py
@@ -118,6 +118,8 @@
             whole = job.splitter.feed(part)
             if not whole:
                 continue
+            if job.written_since is None:
+                job.written_since = clock.now()
             if not job.relayed:
                 await self._stream_versions.begin(job, active.tracked.endpoint)
             self._start_stream(job, head)
--- a/src/wayslip/gateway/serving/jobs.py
+++ b/src/wayslip/gateway/serving/jobs.py
@@ -77,6 +77,8 @@
         lacked_room: Whether its last attempt was refused for lack of room.
         room_wait: Seconds until a brittle endpoint is expected to have room.
         ending: How the end of the forwarded answer was told.
+        written_since: When the first event of its last attempt arrived, steady
+            seconds; None before it.
     """
 
     exchange: server.Exchange
@@ -110,6 +112,13 @@
     lacked_room: bool = False
     room_wait: float = 0.0
     ending: messages.BodyEnd | None = None
+    written_since: float | None = None
+
+    def format_written(self) -> str:
+        """Returns for how long the last attempt has sent events, for logs."""
+        if self.written_since is None:
+            return ""
+        return f"{clock.now() - self.written_since:.3f}"
 
     @functools.cached_property
     def content(self) -> bytes:
