Keep evidence about parts of prompts, not only about whole requests

Cause: crash records were kept by the digest of the whole request. No two of these requests were alike, so each digest met one end.

Change: a part of a prompt, all but the last, is a suspect as a content is, in the same table, datagrams, store and commands. It is blocked after three ends that no single content explains. Another part that met the same ends is its companion: only requests with both are refused until one of them was answered or met an end alone, or five ends have come. An answer clears the parts of its prompt; parts answered here within 10 s are not recorded, and streams that had been written for 0.3 s don't count. A blocked part is tried once by the lease's holder 20 s after the last end, and after twice as long with each further one. Callers get 503 at once, with that time.

--- a/src/wayslip/decisions/suspicion.py
+++ b/src/wayslip/decisions/suspicion.py
@@ -7,17 +7,27 @@
 crash records are cleared. Records and clearings are merged by union, so
 instances that received the same ones agree, whatever the order or repeats.
 
-Two criteria count against a content. The first is its suspicion depth: a
+A suspect is a whole content, or a part of prompts that different contents have
+in common; both are called contents here, and are in one table.
+
+Two criteria count against a whole content. The first is its suspicion depth: a
 record is one deeper than the depth that its sender knew when it sent the
 request, so the depth counts consecutive retries that ended in a crash. The
 second is the number of attempts that were aborted by crashes, concurrent or
 not. The second does not apply to contents that endpoints answered before: a
 common content is in flight to every endpoint that crashes.
+
+A part is blocked after several crashes that no single content explains. Another
+part that was in flight at all of these, its companion, may be the cause as
+well; then only requests that have both are refused, until a request with one of
+them has told which it is. A request that had been written to for a while does
+not count: an endpoint crashes as it begins to write.
 """
 
 from collections.abc import Iterable
 import dataclasses
 
+from wayslip.decisions import contents
 from wayslip.decisions import fleet
 
 # A content is blocked after this number of attempts aborted by crashes, or at
@@ -26,6 +36,17 @@
 _BLOCKING_ATTEMPTS = 3
 _BLOCKING_DEPTH = 3
 _SOLE_SUSPECT_DEPTH = 2
+# Crashed endpoints after which a part is blocked, and from which on it is
+# blocked without its companions.
+_BLOCKING_ENDS = 3
+_SURE_ENDS = 5
+# Pause between the last crash under a part that was just blocked and a probe;
+# it doubles with each further crash.
+_PART_PROBE_SECONDS = 20.0
+# Contents that a record of a part names, for each reporter, and the bytes of
+# each.
+_MAX_NAMED_CONTENTS = 4
+_NAME_BYTES = 8
 # A content blocked at depth 1 may be probed after this time, multiplied by the
 # factor for each further depth. This bounds how long a harmless content is
 # refused that was in flight to crashing endpoints before any answered it.
@@ -52,6 +73,8 @@
         reporter: The instance that sent the request.
         attempts: Attempts of that instance that this crash aborted; 0 if the
             instance saw the content answered before.
+        within: Of a part of prompts: the beginnings of the contents that had
+            it. Empty for a whole content.
     """
 
     content: bytes
@@ -60,6 +83,23 @@
     depth: int = 0
     reporter: str = ""
     attempts: int = 1
+    within: tuple[bytes, ...] = ()
+
+    @property
+    def is_part(self) -> bool:
+        """Whether it is the record of a part of prompts."""
+        return bool(self.within)
+
+    def merge(self, other: "CrashRecord") -> "CrashRecord":
+        """Returns what two records of the same reporter tell together."""
+        return dataclasses.replace(
+            self,
+            depth=max(self.depth, other.depth),
+            attempts=max(self.attempts, other.attempts),
+            within=tuple(sorted({*self.within, *other.within}))[
+                :_MAX_NAMED_CONTENTS
+            ],
+        )
 
     @property
     def start(self) -> fleet.Incarnation:
@@ -67,27 +107,61 @@
         return fleet.Incarnation(self.endpoint, self.born)
 
 
+def make_part_record(
+    part: bytes, content: bytes, start: fleet.Incarnation, reporter: str
+) -> CrashRecord:
+    """Returns the record of an aborted attempt for a part of its prompt."""
+    return CrashRecord(
+        part,
+        start.endpoint,
+        start.born,
+        reporter=reporter,
+        within=(content[:_NAME_BYTES],),
+    )
+
+
 @dataclasses.dataclass
 class _Suspect:
     """The state of one content.
 
     Attributes:
         since: When its first crash record was received.
+        last_at: When the record of a further crash was last received.
         crash_records: Records by crashed incarnation and reporter.
     """
 
     since: float
+    last_at: float = 0.0
     crash_records: dict[fleet.Incarnation, dict[str, CrashRecord]] = (
         dataclasses.field(default_factory=dict)
     )
 
     @property
     def depth(self) -> int:
-        """Length of the longest chain of attempts that each met a crash."""
+        """Length of the longest chain of attempts that each met a crash.
+
+        Different requests with a part make no chain; each crash counts there.
+        """
+        if self.is_part:
+            return len(self.crash_records)
         deepest = max((m.depth for m in self.list_crash_records()), default=-1)
         # The depth of a record may count records that were cleared since.
         return min(1 + deepest, len(self.crash_records))
 
+    @property
+    def is_part(self) -> bool:
+        """Whether it is a part of prompts."""
+        return any(m.is_part for m in self.list_crash_records())
+
+    @property
+    def is_explained(self) -> bool:
+        """Whether a single content was in flight at all of its crashes."""
+        by_end = [
+            {name for record in by_reporter.values() for name in record.within}
+            for by_reporter in self.crash_records.values()
+        ]
+        return bool(set.intersection(*by_end))
+
     @property
     def attempts(self) -> int:
         """Number of attempts that were aborted by crashes."""
@@ -106,11 +180,7 @@
         by_reporter = self.crash_records.setdefault(record.start, {})
         known = by_reporter.get(record.reporter)
         if known is not None:
-            record = dataclasses.replace(
-                record,
-                depth=max(record.depth, known.depth),
-                attempts=max(record.attempts, known.attempts),
-            )
+            record = record.merge(known)
         by_reporter[record.reporter] = record
         return record != known
 
@@ -140,11 +210,41 @@
         suspect = self._suspects.get(content)
         return suspect.depth if suspect else 0
 
+    def find_block(self, identity: contents.Identity) -> bytes | None:
+        """Returns why a request should not be sent to any endpoint.
+
+        Returns:
+            Its content or a part of its prompt, whichever is blocked; None if
+            it may be sent.
+        """
+        if self.is_blocked(identity.content):
+            return identity.content
+        for part in identity.parts:
+            if self.is_blocked(part) and self._find_companions(part).issubset(
+                identity.parts
+            ):
+                return part
+        return None
+
+    def _find_companions(self, part: bytes) -> set[bytes]:
+        """Returns other parts that may have caused all crashes of one."""
+        ends = self._suspects[part].crash_records
+        if len(ends) >= _SURE_ENDS:
+            return set()
+        common = set.intersection(*(self._at_start[start] for start in ends))
+        return {c for c in common if c != part and self._suspects[c].is_part}
+
     def is_blocked(self, content: bytes) -> bool:
-        """Whether a content should not be sent to any endpoint."""
+        """Whether a content should not be sent to any endpoint.
+
+        For a part of prompts, see also `find_block`.
+        """
         suspect = self._suspects.get(content)
         if suspect is None:
             return False
+        if suspect.is_part:
+            is_frequent = len(suspect.crash_records) >= _BLOCKING_ENDS
+            return is_frequent and not suspect.is_explained
         is_exempt = content in self._exempt
         if suspect.attempts >= _BLOCKING_ATTEMPTS and not is_exempt:
             return True
@@ -160,6 +260,7 @@
             for start in self._suspects[content].crash_records
             for other in self._at_start[start]
             if self.find_depth(other) >= _SOLE_SUSPECT_DEPTH
+            and not self._suspects[other].is_part
         }
         return rivals == {content}
 
@@ -172,6 +273,8 @@
         suspect = self._suspects.get(content)
         if suspect is None:
             return False
+        if suspect.is_part:
+            return now >= _find_next_probe(suspect)
         pause = _PROBE_SECONDS * _PROBE_FACTOR ** (suspect.depth - 1)
         return now - suspect.since >= pause
 
@@ -208,10 +311,15 @@
         return [CrashRecord(c, s.endpoint, s.born) for c, s in self._cleared]
 
     def find_left(self, content: bytes, now: float) -> float:
-        """Returns the seconds until the records of a content expire."""
+        """Returns the seconds until the records of a content expire.
+
+        For a part of prompts, until a request with it may be sent as a probe.
+        """
         suspect = self._suspects.get(content)
         if suspect is None:
             return 0.0
+        if suspect.is_part:
+            return max(_find_next_probe(suspect) - now, 0.0)
         return max(suspect.since + RETENTION_SECONDS - now, 0.0)
 
     # Updates
@@ -225,6 +333,8 @@
             if (record.content, record.start) in self._cleared:
                 continue
             suspect = self._suspects.setdefault(record.content, _Suspect(now))
+            if record.start not in suspect.crash_records:
+                suspect.last_at = now
             if suspect.add(record):
                 self._at_start.setdefault(record.start, set()).add(
                     record.content
@@ -308,3 +418,9 @@
             del self._cleared[next(iter(self._cleared))]
         while len(self._exempt) > _MAX_CONTENTS:
             del self._exempt[next(iter(self._exempt))]
+
+
+def _find_next_probe(part: _Suspect) -> float:
+    """Returns when a request with a blocked part may be sent as a probe."""
+    further = max(len(part.crash_records) - _BLOCKING_ENDS, 0)
+    return part.last_at + _PART_PROBE_SECONDS * 2**further
--- a/src/wayslip/gateway/serving/attempts.py
+++ b/src/wayslip/gateway/serving/attempts.py
@@ -27,6 +27,8 @@
 from wayslip.http1 import messages
 from wayslip.http1 import pool as pool_module
 
+# Statuses from this one on are no answer to a prompt.
+_FIRST_REDIRECT = 300
 _LOG = logging.getLogger(__name__)
 # After this time without an acknowledgement of a request, its path is verified.
 # A lost packet is retransmitted after a few hundred milliseconds.
@@ -180,7 +182,7 @@
             endpoint=job.endpoint,
             content=job.content.hex(),
             parts=",".join(job.traits.shared_parts),
-            written_for=job.format_written(),
+            written_for=f"{job.written_seconds:.3f}",
             reused=reused_after is not None,
             idle=f"{reused_after or 0.0:.3f}",
             seconds=f"{clock.now() - active.began:.3f}",
@@ -189,7 +191,11 @@
         self._metrics.count("failed_attempts", kind="unclear")
         job.broken_attempts += 1
         self._quarantine.note_broken_attempt(
-            active.tracked.endpoint, job.content, depth, self._paths.probe
+            active.tracked.endpoint,
+            job.identity,
+            depth,
+            self._paths.probe,
+            job.written_seconds,
         )
 
     def _log_tunnel(self, job: jobs.Job, connection: client.Connection) -> None:
@@ -294,7 +300,9 @@
             )
         if failure is None:
             self._return_to_pool(endpoint, connection, head)
-        self._quarantine.note_answer(job.content)
+        self._quarantine.note_answer(
+            job.identity, failure is None and head.status < _FIRST_REDIRECT
+        )
         return failure
 
     def _check_sent(
--- a/src/wayslip/gateway/serving/jobs.py
+++ b/src/wayslip/gateway/serving/jobs.py
@@ -22,6 +22,9 @@
 # Lower bound of Retry-After: a few round trips, so that the cause of a refusal
 # can have changed.
 MIN_RETRY_AFTER_SECONDS = 0.1
+# Parts of a prompt that can come under suspicion; limits what a crash of an
+# endpoint is announced with.
+_MAX_PARTS = 16
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -114,11 +117,12 @@
     ending: messages.BodyEnd | None = None
     written_since: float | None = None
 
-    def format_written(self) -> str:
-        """Returns for how long the last attempt has sent events, for logs."""
+    @property
+    def written_seconds(self) -> float:
+        """For how long the endpoint of the last attempt has sent events."""
         if self.written_since is None:
-            return ""
-        return f"{clock.now() - self.written_since:.3f}"
+            return 0.0
+        return clock.now() - self.written_since
 
     @functools.cached_property
     def content(self) -> bytes:
@@ -133,6 +137,14 @@
             request.body,
         )
 
+    @functools.cached_property
+    def identity(self) -> contents.Identity:
+        """What this request has in common with others."""
+        parts = contents.make_part_digests(
+            self.service.name, self.traits.shared_parts[:_MAX_PARTS]
+        )
+        return contents.Identity(self.content, parts)
+
 
 class Responder:
     """Answers requests and logs how each of them ended."""
@@ -197,12 +209,16 @@
         )
         job.exchange.answer(status, headers, b"not run, come back later\n")
 
-    def refuse_content(self, job: Job, wait: float) -> None:
-        """Refuses a request because its content crashed endpoints."""
+    def refuse_content(self, job: Job, blocked: bytes, wait: float) -> None:
+        """Refuses a request because endpoints crashed under such requests.
+
+        Args:
+            job: The request.
+            blocked: Its content, or the part of its prompt that is blocked.
+            wait: Seconds until it may be tried again.
+        """
         reason = "ends_endpoints"
-        self.record_job_outcome(
-            job, reason, 503, f"{wait:.2f}", job.content.hex()
-        )
+        self.record_job_outcome(job, reason, 503, f"{wait:.2f}", blocked.hex())
         self._metrics.count("refused", reason=reason)
         headers = self._dialect.make_retry_after(wait)
         job.exchange.answer(503, headers, b"not run: engines ended under it\n")
--- a/src/wayslip/gateway/serving/requests.py
+++ b/src/wayslip/gateway/serving/requests.py
@@ -297,7 +297,7 @@
         return False
 
     def _check_content(self, job: jobs.Job) -> bool:
-        """Refuses a request whose content is blocked for crashing endpoints.
+        """Refuses a request that is blocked for crashing endpoints.
 
         Runs before each attempt, because another crash may be announced while
         a request waits. A crash aborts all other requests at the endpoint, so
@@ -306,16 +306,17 @@
         """
         if not self._quarantine:
             return True
-        if not self._quarantine.is_blocked(job.content):
+        blocked = self._quarantine.find_block(job.identity)
+        if blocked is None:
             return True
-        job.is_probe = job.is_probe or self._quarantine.begin_probe(job.content)
+        job.is_probe = job.is_probe or self._quarantine.begin_probe(blocked)
         if job.is_probe and not job.progress.attempts:
             return True
         if job.relayed or job.progress.may_have_run:
             self._responder.answer_verdict(job, retry.Verdict.UNKNOWN)
             return False
-        wait = self._quarantine.find_left(job.content)
-        self._responder.refuse_content(job, wait)
+        wait = self._quarantine.find_left(blocked)
+        self._responder.refuse_content(job, blocked, wait)
         return False
 
     def _budget(self, service: str) -> budget_module.Budget:
--- a/src/wayslip/gateway/sharing/quarantine.py
+++ b/src/wayslip/gateway/sharing/quarantine.py
@@ -2,8 +2,9 @@
 
 An instance whose attempt broke off checks whether the endpoint has crashed: no
 process listens at its address then. If so, it announces the contents that were
-in progress there to all instances; `decisions.suspicion` decides which are
-blocked. An isolated instance, which knows no other one, holds such contents
+in progress there to all instances, and the parts of their prompts, which other
+contents may have too; `decisions.suspicion` decides which are blocked. An
+isolated instance, which knows no other one, holds such contents
 back until it has contact; see `decisions.isolation`. The lease holder repeats
 what is known periodically, for instances that start or were disconnected, and
 stores the blocked contents, so that they survive a crash of all instances.
@@ -22,6 +23,7 @@
 from wayslip import errors
 from wayslip import logs
 from wayslip import metrics as metrics_module
+from wayslip.decisions import contents
 from wayslip.decisions import fleet
 from wayslip.decisions import isolation
 from wayslip.decisions import suspicion
@@ -48,6 +50,14 @@
 # remembered so that a common content in progress at a crash counts no more than
 # others.
 _MAX_ANSWERED = 2000
+# Parts of prompts that were answered this recently count as sound; a common
+# part is answered somewhere all the time.
+_SOUND_SECONDS = 10.0
+# From this long after its first event on, a stream can't have crashed its
+# endpoint, which crashes as it begins to write.
+_WRITTEN_SECONDS = 0.3
+# Maximum number of parts remembered as answered, at 100 bytes each.
+_MAX_SOUND_PARTS = 4000
 # Maximum random delay before an exemption is announced, so that one of the
 # instances that saw the content answered announces it instead of all.
 _EXEMPT_JITTER_SECONDS = 0.05
@@ -118,6 +128,10 @@
         self._answered: collections.OrderedDict[bytes, None] = (
             collections.OrderedDict()
         )
+        # When parts of prompts were last answered here.
+        self._sound_parts: collections.OrderedDict[bytes, float] = (
+            collections.OrderedDict()
+        )
         self._broken_attempts: dict[fleet.Incarnation, _BrokenAttempts] = {}
         self._background_tasks = background.BackgroundTasks("quarantine_failed")
         self._blocked_contents = blocked_contents_module.BlockedContents(
@@ -185,11 +199,15 @@
         """Returns the depth of suspicion of a content."""
         return self._suspicion.find_depth(content)
 
-    def is_blocked(self, content: bytes) -> bool:
-        """Whether a content must not be sent to any endpoint."""
-        if self._suspicion.is_blocked(content):
-            return True
-        return self._held.is_held(content, clock.now())
+    def find_block(self, identity: contents.Identity) -> bytes | None:
+        """Returns why a request must not be sent to any endpoint.
+
+        Returns:
+            Its content or a part of its prompt; None if it may be sent.
+        """
+        if self._held.is_held(identity.content, clock.now()):
+            return identity.content
+        return self._suspicion.find_block(identity)
 
     def begin_probe(self, content: bytes) -> bool:
         """Returns whether a blocked content is to be sent as a probe now.
@@ -217,14 +235,42 @@
             return self._suspicion.find_left(content, now)
         return max(self._held.find_left(content, now), _MIN_HELD_RETRY_SECONDS)
 
-    def note_answer(self, content: bytes) -> None:
-        """Records that an endpoint answered a content, which clears it."""
+    def note_answer(
+        self, identity: contents.Identity, is_success: bool = True
+    ) -> None:
+        """Records that an endpoint answered a request, which clears it.
+
+        Args:
+            identity: What the request has in common with others.
+            is_success: Whether the endpoint wrote an answer to the prompt,
+                which clears its parts too.
+        """
+        content = identity.content
         self._answered[content] = None
         self._answered.move_to_end(content)
         if len(self._answered) > _MAX_ANSWERED:
             self._answered.popitem(last=False)
         if self._suspicion:
             self.lift(content, "answered")
+        if is_success:
+            self._note_sound_parts(identity.parts)
+
+    def _note_sound_parts(self, parts: Iterable[bytes]) -> None:
+        now = clock.now()
+        for part in parts:
+            self._sound_parts[part] = now
+            self._sound_parts.move_to_end(part)
+            if self._suspicion:
+                self.lift(part, "answered")
+        while len(self._sound_parts) > _MAX_SOUND_PARTS:
+            self._sound_parts.popitem(last=False)
+
+    def _is_sound(self, part: bytes) -> bool:
+        answered_at = self._sound_parts.get(part)
+        return (
+            answered_at is not None
+            and clock.now() - answered_at < _SOUND_SECONDS
+        )
 
     def lift(self, content: bytes, reason: str) -> bool:
         """Clears a content; returns whether it was suspect."""
@@ -247,17 +293,19 @@
     def note_broken_attempt(
         self,
         endpoint: fleet.Endpoint,
-        content: bytes,
+        identity: contents.Identity,
         depth: int,
         probe: Probe,
+        written_seconds: float = 0.0,
     ) -> None:
         """Records that an attempt broke off at an endpoint.
 
         Args:
             endpoint: Where it was sent.
-            content: The digest of the request's content.
+            identity: What the request has in common with others.
             depth: The content's depth of suspicion when it was sent.
             probe: Finds out whether the endpoint's process has ended.
+            written_seconds: For how long the endpoint had written an answer.
         """
         if endpoint.is_leaving:
             # Its process ends as planned, whatever requests are in progress.
@@ -270,6 +318,7 @@
             )
             broken = _BrokenAttempts(clock.now(), look)
             self._broken_attempts[start] = broken
+        content = identity.content
         known = broken.crash_records.get(content)
         attempts = 0 if content in self._answered else 1
         broken.crash_records[content] = suspicion.CrashRecord(
@@ -280,6 +329,26 @@
             self._reporter,
             attempts if known is None else attempts + known.attempts,
         )
+        if written_seconds < _WRITTEN_SECONDS:
+            self._note_broken_parts(broken, identity, start)
+
+    def _note_broken_parts(
+        self,
+        broken: _BrokenAttempts,
+        identity: contents.Identity,
+        start: fleet.Incarnation,
+    ) -> None:
+        """Records the parts of a prompt that may have crashed an endpoint."""
+        for part in identity.parts:
+            if self._is_sound(part):
+                continue
+            record = suspicion.make_part_record(
+                part, identity.content, start, self._reporter
+            )
+            known = broken.crash_records.get(part)
+            broken.crash_records[part] = (
+                record if known is None else record.merge(known)
+            )
 
     async def _probe_endpoint(
         self,
@@ -323,16 +392,19 @@
         self._update_blocked()
         if changed:
             self._announce(facts.Suspects(tuple(changed)))
-        # Contents that were answered before crash no endpoint.
-        contents = [m.content for m in crash_records if m.attempts]
+        # Contents that were answered before crash no endpoint. Parts aren't
+        # held: most of them are in all requests.
+        held = [
+            m.content for m in crash_records if m.attempts and not m.is_part
+        ]
         if self._peer_broadcast.is_isolated:
-            self._hold(contents, "no other instance is known")
+            self._hold(held, "no other instance is known")
         elif self._peer_broadcast.awaits_first_reports:
-            self._hold(contents, "others may not have reported yet")
+            self._hold(held, "others may not have reported yet")
 
-    def _hold(self, contents: list[bytes], reason: str) -> None:
+    def _hold(self, held: list[bytes], reason: str) -> None:
         """Holds contents back until other instances know of the crash."""
-        if not contents:
+        if not held:
             return
         if self._contact_task is None or self._contact_task.done():
             self._contact_task = self._background_tasks.start(
@@ -340,12 +412,12 @@
                 if self._peer_broadcast.is_isolated
                 else self._release_after_reports()
             )
-        self._held.note_crash(contents, clock.now())
+        self._held.note_crash(held, clock.now())
         logs.event(
             _LOG,
             "contents_held",
             reason=reason,
-            contents=",".join(c.hex()[:8] for c in contents),
+            contents=",".join(c.hex()[:8] for c in held),
         )
 
     async def _release_after_reports(self) -> None:
@@ -356,14 +428,14 @@
             # What the others recorded is still on its way.
             await self._announce_on_contact()
             return
-        contents = self._held.list_untold()
-        for content in contents:
+        untold = self._held.list_untold()
+        for content in untold:
             self._held.release(content)
         logs.event(
             _LOG,
             "held_contents_released",
             reason="no other instance reported",
-            contents=len(contents),
+            contents=len(untold),
         )
 
     async def _announce_on_contact(self) -> None:
@@ -381,25 +453,25 @@
                 self._announce(self._list_suspects(self._held.list_untold()))
             await asyncio.sleep(_CONTACT_POLL_SECONDS)
         now = clock.now()
-        contents = self._held.note_contact(now)
+        told = self._held.note_contact(now)
         logs.event(
             _LOG,
             "held_contents_announced",
-            contents=len(contents),
+            contents=len(told),
             seconds=f"{now - began:.3f}",
         )
-        self._announce(self._list_suspects(contents))
+        self._announce(self._list_suspects(told))
 
     async def _look_up_holder(self) -> None:
         """Reads who holds the lease, to have somebody to tell."""
         await self._leadership.look_up()
         await asyncio.sleep(self._find_pause(_LOOK_UP_SECONDS))
 
-    def _list_suspects(self, contents: Iterable[bytes]) -> facts.Suspects:
+    def _list_suspects(self, suspects: Iterable[bytes]) -> facts.Suspects:
         return facts.Suspects(
             tuple(
                 record
-                for content in contents
+                for content in suspects
                 for record in self._suspicion.list_crash_records(content)
             )
         )
@@ -417,6 +489,7 @@
                 ends=",".join(sorted({m.endpoint for m in crash_records})),
                 attempts=sum(m.attempts for m in crash_records),
                 depth=self._suspicion.find_depth(content),
+                is_part=crash_records[0].is_part,
             )
             self._metrics.count("contents", outcome="condemned")
             if content in self._answered:
@@ -449,8 +522,23 @@
             # Has the lease holder repeat it at once, for instances that the
             # sender does not know.
             self._announced_at = 0.0
+        sound = [
+            m.content
+            for m in message.crash_records
+            if m.is_part and self._is_sound(m.content)
+        ]
+        if sound:
+            self._background_tasks.start(self._clear_sound_parts(sound))
         self._update_blocked()
 
+    async def _clear_sound_parts(self, parts: list[bytes]) -> None:
+        """Clears parts that were answered here, unless others did."""
+        await asyncio.sleep(
+            random.uniform(0, self._find_pause(_EXEMPT_JITTER_SECONDS))
+        )
+        for part in parts:
+            self.lift(part, "answered lately")
+
     def _announce(self, message: facts.Suspects) -> None:
         self._background_tasks.start(self._announce_repeatedly(message))
 
@@ -479,10 +567,9 @@
         if now - self._announced_at < _REANNOUNCE_PERIOD_SECONDS:
             return
         self._announced_at = now
-        contents = self._suspicion.list_to_share(
-            now - _REANNOUNCE_WINDOW_SECONDS
+        suspects = self._list_suspects(
+            self._suspicion.list_to_share(now - _REANNOUNCE_WINDOW_SECONDS)
         )
-        suspects = self._list_suspects(contents)
         cleared = self._suspicion.list_cleared()[-_MAX_RECORDS_PER_DATAGRAM:]
         if suspects.crash_records or cleared:
             self._broadcast(
@@ -550,6 +637,7 @@
             found.append(
                 {
                     "content": content.hex(),
+                    "is_part": crash_records[0].is_part,
                     "is_condemned": content in self._blocked,
                     "depth": self._suspicion.find_depth(content),
                     "ends": sorted({m.endpoint for m in crash_records}),
--- a/src/wayslip/gateway/sharing/records.py
+++ b/src/wayslip/gateway/sharing/records.py
@@ -64,12 +64,13 @@
 
 
 def _encode_suspect(value: Suspect) -> Any:
-    return {
-        "ends": [
-            [m.endpoint, m.born, m.depth, m.reporter, m.attempts]
-            for m in value.crash_records
-        ]
-    }
+    ends = []
+    for m in value.crash_records:
+        end = [m.endpoint, m.born, m.depth, m.reporter, m.attempts]
+        if m.is_part:
+            end.append([name.hex() for name in m.within])
+        ends.append(end)
+    return {"ends": ends}
 
 
 def _decode_suspect(name: str, spec: Any) -> Suspect:
@@ -83,8 +84,9 @@
                 int(depth),
                 str(name),
                 int(count),
+                tuple(bytes.fromhex(one) for one in (within or [[]])[0]),
             )
-            for endpoint, born, depth, name, count in spec["ends"]
+            for endpoint, born, depth, name, count, *within in spec["ends"]
         )
     except (KeyError, TypeError, ValueError) as e:
         raise _malformed(name, e) from e
--- a/tests/decisions/test_contents.py
+++ b/tests/decisions/test_contents.py
@@ -1,5 +1,6 @@
 from wayslip.decisions import contents
 
+PROMPT = ("f1", "s2", "f1")
 PARTS = ("org", "host", b"POST", b"/a?x=1", "m/a", b"body")
 
 
@@ -19,3 +20,10 @@
     first = contents.make_digest("a", "bc", b"", b"", "", b"")
     second = contents.make_digest("ab", "c", b"", b"", "", b"")
     assert first != second
+
+
+def test_parts_of_a_prompt_count_once_and_by_service():
+    digests = contents.make_part_digests("models", PROMPT)
+    assert len(set(digests)) == len(digests) == 2
+    assert not {*digests} & {*contents.make_part_digests("others", PROMPT)}
+    assert digests == contents.make_part_digests("models", PROMPT[:2])
--- a/tests/gateway/test_deadly_parts.py
+++ b/tests/gateway/test_deadly_parts.py
@@ -153,7 +153,7 @@
     engines, gateways = await make_fleet(system)
     await send_mixed(system, gateways, lambda n: [FIRST, BAD])
     ends = count_ends(engines)
-    late = (await system.join_all(1, "hall-1"))[0]
+    late = await system.join("late")
     answer = await ask(system, late, "late", [FIRST, BAD])
     assert answer.status == 503
     assert count_ends(engines) == ends
--- a/tests/gateway/test_deadly_requests.py
+++ b/tests/gateway/test_deadly_requests.py
@@ -15,12 +15,14 @@
 from tests import test_cli
 from tests.gateway import harness
 from wayslip import clock
+from wayslip.decisions import contents
 from wayslip.decisions import suspicion
 from wayslip.gateway.sharing import datagrams
 from wayslip.gateway.sharing import facts
 from wayslip.gateway.sharing import records
 
 POISON = b"deadly"
+CONTENT = contents.Identity(b"c")
 # Maximum number of engines that a poison request may crash.
 MAX_CRASHES = 3
 
@@ -150,7 +152,7 @@
     system.store.put("servers", "e1", leaving)
     await system.until(lambda: tracked.endpoint.is_leaving)
     system.gateway._quarantine.note_broken_attempt(
-        tracked.endpoint, b"c", 0, system.gateway.paths.probe
+        tracked.endpoint, CONTENT, 0, system.gateway.paths.probe
     )
     engine.crash()
     await asyncio.sleep(0.1)
@@ -321,13 +323,13 @@
 @harness.run
 async def test_instance_that_saw_an_answer_exempts_the_content(system):
     quarantine = system.gateway._quarantine
-    quarantine.note_answer(b"c")
+    quarantine.note_answer(CONTENT)
     quarantine.apply(
         facts.Suspects(
             (suspicion.CrashRecord(b"c", "e1", reporter="g2", attempts=3),)
         )
     )
-    await system.until(lambda: not quarantine.is_blocked(b"c"))
+    await system.until(lambda: quarantine.find_block(CONTENT) is None)
 
 
 @harness.run
@@ -343,4 +345,4 @@
     crash_records = [suspicion.CrashRecord(b"c", "e1", attempts=3)]
     with mock.patch.object(announcer._peer_broadcast._members, "peers", list):
         announcer._quarantine._announce(facts.Suspects(tuple(crash_records)))
-        await system.until(lambda: follower._quarantine.is_blocked(b"c"))
+        await system.until(lambda: follower._quarantine.find_block(CONTENT))
--- a/tests/gateway/test_isolated_start.py
+++ b/tests/gateway/test_isolated_start.py
@@ -9,11 +9,14 @@
 from tests.gateway import test_deadly_requests as deadly
 from wayslip import errors
 from wayslip import logs
+from wayslip.decisions import contents
 from wayslip.decisions import isolation
 from wayslip.gateway.sharing import facts
 from wayslip.gateway.sharing import members
 from wayslip.gateway.sharing import peer_broadcast
 
+COMMON = contents.Identity(b"common")
+
 
 @contextlib.contextmanager
 def isolated():
@@ -93,9 +96,9 @@
         raise errors.NobodyListensError("refused", "start the endpoint")
 
     with isolated():
-        quarantine.note_broken_attempt = lambda e, c, d, _: (
+        quarantine.note_broken_attempt = lambda e, c, d, _, written: (
             content.append(c),
-            note(e, c, d, look),
+            note(e, c, d, look, written),
         )
         first = asyncio.create_task(
             deadly.ask(system, system.gateway, "r1", deadly.POISON, "/get/a")
@@ -160,7 +163,9 @@
     with mock.patch.object(logs, "event", wraps=logs.event) as event:
         with isolated():
             for content in (b"first", b"second"):
-                quarantine.note_broken_attempt(endpoint, content, 0, look)
+                quarantine.note_broken_attempt(
+                    endpoint, contents.Identity(content), 0, look
+                )
                 await system.until(lambda: is_any_held(system.gateway))
                 if content == b"first":
                     quarantine.lift(content, "test")
@@ -177,13 +182,13 @@
 async def test_answered_content_is_not_held(system):
     await system.add("e1", "plain", script=deadly.hang)
     quarantine = system.gateway._quarantine
-    quarantine.note_answer(b"common")
+    quarantine.note_answer(COMMON)
     endpoint = system.gateway.view.tracked["e1"].endpoint
     with isolated():
-        quarantine.note_broken_attempt(endpoint, b"common", 0, None)
-        assert not quarantine.is_blocked(b"common")
+        quarantine.note_broken_attempt(endpoint, COMMON, 0, None)
+        assert quarantine.find_block(COMMON) is None
         quarantine._record_crash(endpoint.incarnation)
-        assert not quarantine.is_blocked(b"common")
+        assert quarantine.find_block(COMMON) is None
 
 
 @harness.run
--- a/tests/stateful/suspect_world.py
+++ b/tests/stateful/suspect_world.py
@@ -11,9 +11,15 @@
 from tests.stateful import order_world
 from tests.stateful import simulated_loop
 from wayslip import errors
+from wayslip.decisions import contents
 from wayslip.decisions import fleet
 
 POISON = (b"deadly-1", b"deadly-2")
+# A part of prompts that crashes engines, and parts that don't: one is in all
+# requests, the others in one of some requests each.
+POISON_PART = b"deadly part"
+FIRST_PART = b"first part"
+OTHER_PARTS = tuple(b"part-%d" % n for n in range(30))
 ANSWERED = b"common"
 # An instance is in contact once it has been free of faults for this time.
 CONTACT_SECONDS = 3.0
@@ -33,10 +39,18 @@
 class Sent:
     """A request in flight to an engine."""
 
-    content: bytes
+    identity: contents.Identity
     instance: object
     depth: int
 
+    @property
+    def content(self):
+        return self.identity.content
+
+    @property
+    def is_deadly(self):
+        return self.content in POISON or POISON_PART in self.identity.parts
+
 
 class Engine:
     """One engine; each incarnation of it is a separate endpoint."""
@@ -72,22 +86,24 @@
     sends: list = dataclasses.field(default_factory=list)
     refused: list = dataclasses.field(default_factory=list)
 
-    def list_sends(self, seconds):
-        """Returns the sends more than `seconds` after the third crash."""
-        if len(self.crashes) < 3:
+    def list_sends(self, seconds, crashes=3):
+        """Returns the sends more than `seconds` after some crashes."""
+        if len(self.crashes) < crashes:
             return []
-        return [at for at in self.sends if at > self.crashes[2] + seconds]
+        known_at = self.crashes[crashes - 1] + seconds
+        return [at for at in self.sends if at > known_at]
 
 
 class Simulation:
     """The requests and faults drawn from one seed."""
 
-    def __init__(self, seed, engines=5, instances=5):
+    def __init__(self, seed, engines=5, instances=5, has_parts=False):
         self.world = order_world.World(
             seed, engines=2, instances=instances, rate=1.0
         )
         self.rng = self.world.rng
         self.engines = [Engine(n) for n in range(engines)]
+        self.has_parts = has_parts
         self.records = {}
         # Times of engine crashes.
         self.crashes = []
@@ -171,24 +187,44 @@
         self._number += 1
         return b"%d" % self._number
 
+    def _draw_identity(self):
+        """Returns a content, or one that has parts in common with others."""
+        if not self.has_parts:
+            return contents.Identity(self._draw_content())
+        self._number += 1
+        parts = [FIRST_PART, self.rng.choice(OTHER_PARTS)]
+        if self.rng.random() < 0.08:
+            parts.append(POISON_PART)
+        return contents.Identity(b"%d" % self._number, tuple(parts))
+
+    def _find_record(self, identity):
+        name = identity.content
+        if POISON_PART in identity.parts:
+            name = POISON_PART
+        elif identity.parts:
+            name = FIRST_PART
+        return self.records.setdefault(name, ContentRecord())
+
     def _send_request(self, content=None, wait=None):
         instances = list(self.world.instances.values())
         engines = [e for e in self.engines if e.is_alive]
         if not instances or not engines:
             return
         instance = self.rng.choice(instances)
-        content = content or self._draw_content()
-        record = self.records.setdefault(content, ContentRecord())
+        identity = (
+            contents.Identity(content) if content else self._draw_identity()
+        )
+        record = self._find_record(identity)
         quarantine = instance.gateway._quarantine
-        if quarantine.is_blocked(content) and not quarantine.begin_probe(
-            content
-        ):
+        blocked = quarantine.find_block(identity)
+        if blocked and not quarantine.begin_probe(blocked):
             record.refused.append(self.world.now)
             return
         if self._is_in_contact(instance):
             record.sends.append(self.world.now)
         engine = self.rng.choice(engines)
-        sent = Sent(content, instance, quarantine.find_depth(content))
+        depth = quarantine.find_depth(identity.content)
+        sent = Sent(identity, instance, depth)
         engine.sent.append(sent)
         wait = wait or self.rng.uniform(0.02, 1.2)
         self.world.call_later(
@@ -198,7 +234,7 @@
     def _finish(self, engine, expected_incarnation, sent):
         if not engine.is_alive or engine.incarnation != expected_incarnation:
             return
-        if sent.content not in POISON:
+        if not sent.is_deadly:
             engine.sent.remove(sent)
             self._answer(sent)
             return
@@ -206,31 +242,34 @@
         self.crashes.append(self.world.now)
         broken, engine.sent = engine.sent, []
         for one in broken:
-            if one.content in POISON:
-                self.records[one.content].crashes.append(self.world.now)
+            if one.is_deadly:
+                self._find_record(one.identity).crashes.append(self.world.now)
             if one.instance in self.world.instances.values():
                 one.instance.gateway._quarantine.note_broken_attempt(
-                    engine.endpoint, one.content, one.depth, _refuse
+                    engine.endpoint, one.identity, one.depth, _refuse
                 )
         self.world.call_later(self.rng.uniform(0.3, 3.0), engine.restart)
 
     def _answer(self, sent):
         quarantine = sent.instance.gateway._quarantine
         if sent.instance in self.world.instances.values():
-            quarantine.note_answer(sent.content)
+            quarantine.note_answer(sent.identity)
 
 
-def simulate(seed, seconds=60.0, fault_rate=0.0):
+def simulate(seed, seconds=60.0, fault_rate=0.0, has_parts=False):
     """Runs the simulation of a seed and returns it.
 
     Args:
         seed: Seeds all random draws.
         seconds: For how long requests arrive.
         fault_rate: Faults per second.
+        has_parts: Whether a part of prompts crashes engines instead of whole
+            contents.
     """
 
     async def body():
-        return await Simulation(seed).run(seconds, fault_rate)
+        simulation = Simulation(seed, has_parts=has_parts)
+        return await simulation.run(seconds, fault_rate)
 
     return simulated_loop.run(body())
 
--- a/tests/stateful/test_suspects.py
+++ b/tests/stateful/test_suspects.py
@@ -69,3 +69,34 @@
 @pytest.mark.parametrize("seed", range(12))
 def test_limit_on_late_sends_holds_under_faults(seed):
     check(suspect_world.simulate(seed, fault_rate=0.4))
+
+
+# Crashes after which a part of prompts must be known, from the platform's rule.
+PART_CRASHES = 5
+
+
+def check_part(result):
+    """Checks a world in which a part of prompts crashes engines."""
+    poison = result.records[suspect_world.POISON_PART]
+    seconds = suspect_world.CONTACT_SECONDS
+    late = poison.list_sends(seconds, PART_CRASHES)
+    assert len(late) <= MAX_LATE_SENDS
+    # The rule wants half of what sound requests with the same first part get
+    # otherwise.
+    sound = result.records[suspect_world.FIRST_PART]
+    assert len(sound.refused) <= len(sound.sends) / 2
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_part_of_prompts_is_blocked_at_all_instances(seed):
+    result = suspect_world.simulate(seed, has_parts=True)
+    check_part(result)
+    poison = result.records[suspect_world.POISON_PART]
+    assert poison.refused
+    late = poison.list_sends(NOTICE_SECONDS, PART_CRASHES)
+    assert len(late) <= MAX_PROBES
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_limit_on_sends_with_a_part_holds_under_faults(seed):
+    check_part(suspect_world.simulate(seed, fault_rate=0.4, has_parts=True))
