Repeat no request before it is known why its attempt broke off

A request that ends an engine and may be repeated was sent on by ourselves at once, before the look at the first endpoint (some ms) had told that it ended: each such request ended two engines, 4 where 3 are allowed (test_deadly_parts.py, /gen/a). Class: acting again on evidence that is milliseconds away.

Change: a repeat waits for the look at its own broken attempt, 0.05 s at most, and only for a content that wasn't answered before. Isolated instances waited already.

--- a/src/wayslip/gateway/serving/requests.py
+++ b/src/wayslip/gateway/serving/requests.py
@@ -379,6 +379,7 @@
                 job.is_sent = job.progress.may_have_run
             if not self._retry_or_answer(job, choice.name, failure):
                 return
+            await self._quarantine.wait_for_own_look(job.content)
             await self._wait_for_looks(job)
 
     def _may_detour(
--- a/src/wayslip/gateway/sharing/quarantine.py
+++ b/src/wayslip/gateway/sharing/quarantine.py
@@ -58,6 +58,9 @@
 _WRITTEN_SECONDS = 0.3
 # Maximum number of parts remembered as answered, at 100 bytes each.
 _MAX_SOUND_PARTS = 4000
+# Limit of the wait for a look before a request is repeated; a look at an
+# endpoint that crashed takes some milliseconds.
+_OWN_LOOK_SECONDS = 0.05
 # Maximum random delay before an exemption is announced, so that one of the
 # instances that saw the content answered announces it instead of all.
 _EXEMPT_JITTER_SECONDS = 0.05
@@ -176,6 +179,15 @@
             await asyncio.sleep(_CONTACT_POLL_SECONDS)
         return has_waited
 
+    async def wait_for_own_look(self, content: bytes) -> None:
+        """Waits, for a moment, until it is known why an attempt broke off.
+
+        Each repeat of a request that crashes endpoints may crash another one.
+        """
+        looks = self._list_looks(content)
+        if looks:
+            await asyncio.wait(looks, timeout=_OWN_LOOK_SECONDS)
+
     def _awaits_reports_of(self, content: bytes) -> bool:
         return (
             self._peer_broadcast.awaits_first_reports
