Close new connections unread while the event loop can't keep up with a surge

Nothing bounded them: 512 waited in the queue of the listener, all were read, and connections to endpoints ran out of time or descriptors.

--- a/src/wayslip/gateway/daemon.py
+++ b/src/wayslip/gateway/daemon.py
@@ -14,6 +14,7 @@
 from wayslip.decisions import fleet
 from wayslip.decisions import manifest
 from wayslip.decisions import retry_pacing
+from wayslip.gateway import admission
 from wayslip.gateway import dialect as dialect_module
 from wayslip.gateway import lag
 from wayslip.gateway import options as options_module
@@ -270,10 +271,12 @@
             self.metrics,
             self.holder.names_service,
         )
+        self._admission = admission.Admission(options.descriptors, self.metrics)
         self._callers = server.Server(
             addresses.split_address(options.callers),
             self._requests.serve,
             lambda: self.holder.limits,
+            self._admission.admit,
         )
         self._readiness = server.Server(
             addresses.split_address(options.readiness),
@@ -354,7 +357,7 @@
             self._share_accounts.run(),
             self._link_watch.run(),
             self._requests.stream_versions.run(),
-            lag.observe(self.metrics),
+            lag.observe(self.metrics, self._admission.note_lag),
         ):
             self._start_task(work)
         logs.event(
--- a/src/wayslip/gateway/lag.py
+++ b/src/wayslip/gateway/lag.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 import logging
 
 from wayslip import clock
@@ -20,14 +21,23 @@
 NAME = "loop_lag"
 
 
-async def observe(metrics: metrics_module.Metrics) -> None:
-    """Records lag and suspensions until cancelled."""
+async def observe(
+    metrics: metrics_module.Metrics, on_lag: Callable[[float], None]
+) -> None:
+    """Records lag and suspensions until cancelled.
+
+    Args:
+        metrics: Where they are recorded.
+        on_lag: Called with each sample of the lag, seconds.
+    """
     latency = metrics.latency(NAME)
     previous = clock.find_suspended()
     while True:
         due = clock.now() + _SAMPLE_INTERVAL_SECONDS
         await asyncio.sleep(_SAMPLE_INTERVAL_SECONDS)
-        latency.observe(max(clock.now() - due, 0.0))
+        late = max(clock.now() - due, 0.0)
+        latency.observe(late)
+        on_lag(late)
         suspended = clock.find_suspended()
         if suspended - previous > _MIN_SUSPENSION_SECONDS:
             logs.event(
--- a/src/wayslip/gateway/options.py
+++ b/src/wayslip/gateway/options.py
@@ -78,6 +78,7 @@
         cores: Processor time available to the instance, in cores of usual
             speed.
         bytes_per_s: Bandwidth of the instance's link.
+        descriptors: Descriptors that its process may have open, 0 if unknown.
         urgency: How priorities are combined; see `decisions.urgency`.
         max_wait: How long requests wait for models; see
             `decisions.wait_policies`.
@@ -94,5 +95,6 @@
     bounds: Bounds = Bounds()
     cores: float = 1.0
     bytes_per_s: float = 125e6
+    descriptors: int = 0
     urgency: str = "both"
     max_wait: str = "target"
--- a/src/wayslip/http1/server.py
+++ b/src/wayslip/http1/server.py
@@ -15,6 +15,8 @@
 
 import httptools
 
+from wayslip import clock
+from wayslip.decisions import connection_gate
 from wayslip.decisions import manifest
 from wayslip.http1 import closing
 from wayslip.http1 import messages
@@ -148,20 +150,30 @@
 
 
 Application = Callable[[Exchange], Awaitable[None]]
+# Given the number of open connections, returns why a new one is not served;
+# None if it is.
+Admit = Callable[[int], connection_gate.Refusal | None]
 
 
 class Server:
-    """A listener on one address that counts and drains its connections."""
+    """A listener on one address that counts and drains its connections.
+
+    Attributes:
+        admit: Decides on each new connection; one that isn't served is closed
+            before anything of it is read.
+    """
 
     def __init__(
         self,
         address: tuple[str, int],
         application: Application,
         limits: Callable[[], manifest.Limits],
+        admit: Admit = lambda count: None,
     ) -> None:
         self._address = address
         self.application = application
         self.limits = limits
+        self.admit = admit
         self.connections: set[Connection] = set()
         self.is_draining = False
         self.stalled = stalls.StalledConnections()
@@ -202,6 +214,12 @@
         for connection in list(self.connections):
             connection.close_if_idle()
 
+    def close_longest_idle(self) -> None:
+        """Closes the connection that has rested longest, if one rests."""
+        idle = [c for c in self.connections if c.idle_since is not None]
+        if idle:
+            min(idle, key=lambda c: c.idle_since or 0.0).close_if_idle()
+
     def abort_all(self) -> None:
         """Aborts all connections."""
         for connection in list(self.connections):
@@ -209,7 +227,12 @@
 
 
 class Connection(asyncio.Protocol):
-    """A connection from a client."""
+    """A connection from a client.
+
+    Attributes:
+        idle_since: Since when it waits for a request, steady seconds; None
+            while one is received or in progress.
+    """
 
     def __init__(self, server: Server) -> None:
         self._server = server
@@ -222,6 +245,7 @@
         self._can_write.set()
         self._timer: asyncio.TimerHandle | None = None
         self._is_closing = False
+        self.idle_since: float | None = clock.now()
         # Set while a body without a marked end is sent.
         self._guarded: closing.GuardedTransport | None = None
         self._reset_message()
@@ -232,6 +256,12 @@
         """Registers the connection and configures its socket."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        refusal = self._server.admit(len(self._server.connections))
+        if refusal is not None:
+            self.abort()
+            if refusal.is_full:
+                self._server.close_longest_idle()
+            return
         transport.set_write_buffer_limits(high=_WRITE_BUFFER_BYTES)
         sock = transport.get_extra_info("socket")
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -285,6 +315,7 @@
 
     def on_message_begin(self) -> None:
         """Starts a request."""
+        self.idle_since = None
         self._reset_message()
         self._set_timer(
             self._server.limits().header_seconds, self._on_header_timeout
@@ -373,6 +404,8 @@
             elif self._transport is not None:
                 self._transport.close()
             return
+        if not self._queue:
+            self.idle_since = clock.now()
         self._set_timer(
             self._server.limits().idle_seconds, self._on_idle_timeout
         )
--- a/src/wayslip/platform/settings.py
+++ b/src/wayslip/platform/settings.py
@@ -59,6 +59,7 @@
         bounds=_decode_bounds(values.get("bounds") or {}),
         cores=_decode_cores(values.get("limits") or {}),
         bytes_per_s=_decode_bandwidth(values.get("limits") or {}),
+        descriptors=int((values.get("limits") or {}).get("max_fds", 0)),
     )
 
 
