--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -14,6 +14,9 @@
 LEASE_SECONDS = 1.0
 # A request whose body begins with this crashes the endpoint that runs it.
 POISON = b"deadly"
+# A prompt with a part whose id begins with this crashes the engine that begins
+# to write an answer to it.
+POISON_PART = "deadly-part"
 # What a crash for lack of room counts as.
 FALL = b"lack of room"
 # The pool's memory and adapter slots in the manifest.
@@ -231,9 +234,24 @@
         await connection.answer(request, b"", 421, Wayslip_Server_Seal="")
         return
     engine.record_run(request)
+    part = _find_poison_part(request)
+    if part:
+        await asyncio.sleep(_EVENT_INTERVAL_SECONDS)
+        engine.on_crash(engine, part.encode())
+        return
     await engine.stream(request, connection)
 
 
+def _find_poison_part(request: platform_engine.ReceivedRequest) -> str:
+    """Returns the part of a prompt that crashes engines, empty if none does.
+
+    The last part belongs to the request itself and never does.
+    """
+    prefix = request.headers.get("wayslip-prompt-prefix", "")
+    parts = [item.partition(":")[0] for item in prefix.split(",")]
+    return next((p for p in parts[:-1] if p.startswith(POISON_PART)), "")
+
+
 async def _run_large(
     engine: Endpoint,
     request: platform_engine.ReceivedRequest,
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -252,11 +252,64 @@
         )
 
 
+# Maximum number of engines that requests with one part may crash, one more for
+# each gateway that starts meanwhile, and the requests that are sent.
+_MAX_PART_CRASHES = 5
+_PART_REQUESTS = 14
+
+
+@register
+async def send_deadly_part(
+    world: world_module.World, rng: random.Random
+) -> None:
+    """Sends different requests with a part that crashes engines."""
+    part = f"{endpoints.POISON_PART}-{rng.randrange(1_000_000)}"
+    gateway_starts = world.gateway_starts
+    for number in range(_PART_REQUESTS):
+        name = f"{part}-{number}"
+        headers = {
+            **world.conditions.make_headers(0),
+            "Wayslip_Model": f"m{rng.randint(1, 3)}",
+            "Wayslip_Token_Count": "400,20",
+            "Wayslip_Prompt_Prefix": f"f1:100,{part}:100,own-{number}:200",
+        }
+        await _send_once(
+            _pick_gateway(world, rng), name, name.encode(), headers, "/live/d"
+        )
+        await asyncio.sleep(0.1)
+    crashes = world.poison_crashes[part.encode()]
+    allowed = _MAX_PART_CRASHES + world.gateway_starts - gateway_starts
+    if crashes > allowed:
+        world.oracle.report_violation(f"BUDGET {crashes} crashed on {part}")
+
+
+_STORM_CONNECTIONS = 150
+_STORM_ROUNDS = 4
+
+
+@register
+async def send_storm(world: world_module.World, rng: random.Random) -> None:
+    """Hands many new connections at once to one gateway, some without use."""
+    gateway = _pick_gateway(world, rng)
+    headers = world.conditions.make_headers(0)
+    name = f"storm-{rng.randrange(1_000_000)}"
+    for step in range(_STORM_ROUNDS):
+        await asyncio.gather(
+            *(
+                _send_once(
+                    gateway, f"{name}-{step}-{n}", b"", headers, "/get/s"
+                )
+                for n in range(_STORM_CONNECTIONS)
+            )
+        )
+
+
 async def _send_once(
     gateway: world_module.Gateway,
     request: str,
     body: bytes,
     headers: dict[str, str],
+    path: str = "/once/d",
 ) -> None:
     host, _, port = gateway.callers.rpartition(":")
     try:
@@ -265,9 +318,7 @@
                 *await asyncio.open_connection(host, int(port))
             )
             try:
-                await client.send(
-                    "/once/d", request, "POST", body, 3000, **headers
-                )
+                await client.send(path, request, "POST", body, 3000, **headers)
                 await client.read()
             finally:
                 client.close()
