--- a/src/wayslip/cli/ctl.py
+++ b/src/wayslip/cli/ctl.py
@@ -371,10 +371,13 @@
             s["depth"],
             ",".join(s["ends"]),
             f"{s['seconds_left']:.0f}",
+            "part" if s.get("is_part") else "content",
         )
         for s in suspects
     ]
-    _print_table(("", "CONTENT", "DEPTH", "ENDED", "SECONDS LEFT"), rows)
+    _print_table(
+        ("", "CONTENT", "DEPTH", "ENDED", "SECONDS LEFT", "KIND"), rows
+    )
 
 
 def _print_status(value: Any) -> None:
