Take a holder that has answered before for late, not for one that grants no places

A holder that answered before counts as late for 5 s. The new test fails before (Admission(is_granted=True)); the test of a holder of the release before is unchanged and passes.

--- a/src/wayslip/gateway/sharing/place_broker.py
+++ b/src/wayslip/gateway/sharing/place_broker.py
@@ -31,6 +31,8 @@
 _SHARE_RETRY_SECONDS = 0.5
 # A holder that is heard and answers no question for this long grants no places.
 _MAX_UNANSWERED_SECONDS = 1.0
+# The same for one that answered before; it may be late under load.
+_MAX_LATE_SECONDS = 5.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -78,6 +80,8 @@
         self._held: dict[fleet.Incarnation, int] = {}
         # Since when the lease holder answered no question, infinite if it did.
         self._unanswered_since = math.inf
+        # The holder that last answered one, by its address.
+        self._answered_by: str | None = None
         # Where the answers to other instances' questions go.
         self._askers: dict[str, hub_module.Address] = {}
         # Requests of this instance that wait while it holds the lease.
@@ -226,6 +230,7 @@
         response = await self._ask(start, question, max_wait)
         if response is not None:
             self._unanswered_since = math.inf
+            self._answered_by = self._leadership.holder_address
             verdict = place_ledger.Verdict(response.is_granted, response.wait)
             return _Decision(verdict, "holder", response.number)
         self._unanswered_since = min(self._unanswered_since, clock.now())
@@ -314,9 +319,17 @@
 
     @property
     def _grants_nothing(self) -> bool:
-        """Whether the holder answers no questions, as a release before."""
+        """Whether the holder answers no questions, as a release before.
+
+        One that has answered before is more likely late, and grants places
+        meanwhile.
+        """
+        holder = self._leadership.holder_address
+        has_answered = holder is not None and holder == self._answered_by
         silence = clock.now() - self._unanswered_since
-        return silence > _MAX_UNANSWERED_SECONDS
+        return silence > (
+            _MAX_LATE_SECONDS if has_answered else _MAX_UNANSWERED_SECONDS
+        )
 
     def give_back(self, place: held_places.Place, is_refused: bool) -> None:
         """Gives a place back.
--- a/tests/gateway/test_brittle_engines.py
+++ b/tests/gateway/test_brittle_engines.py
@@ -8,6 +8,7 @@
 from unittest import mock
 
 from tests.gateway import harness
+from wayslip.gateway.sharing import place_broker
 
 SLOTS = 8
 
@@ -134,3 +135,26 @@
         while not answers or answers[-1].status != 200:
             answers.append(await system.ask("/get/a", at=gateways[1]))
     assert len(answers) > 1
+
+
+@harness.run
+async def test_holder_that_has_answered_before_is_late_and_not_absent(system):
+    # A place of the own share beside those that the holder grants crashed an
+    # engine: its answers were late for over a second.
+    await add_brittle(system, 1)
+    gateways = await join(system, 2)
+    await learn(system, gateways)
+    asking = gateways[1]
+    endpoint = asking.view.tracked["e0"].endpoint
+    broker = asking._place_broker
+    first = await broker.take(endpoint, "r1", is_first=True, max_wait=1.0)
+    assert first.is_granted
+    with (
+        mock.patch.object(
+            asking._permit_broker, "ask_holder", return_value=None
+        ),
+        mock.patch.object(place_broker, "_MAX_UNANSWERED_SECONDS", -1.0),
+    ):
+        verdict = await broker.take(endpoint, "r2", is_first=True)
+    assert asking._permit_broker.has_holder_contact()
+    assert not verdict.is_granted
