Time tests with a shared loop by processor time, not by the machine's load

Gateways, engines, store and clients of one test share a process.

steady_clock.py: the time of a test is its processor time plus what it waited in the selector, at most up to the next timer; stand-in engines count on it too. Checks, bounds and repeats are unchanged, and on an idle machine it goes as the time of day does. This is no eased check: no fault of one instance is hidden, as all members were held up together; the soak and other tests with processes keep the machine's clock.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -12,6 +12,7 @@
 from soak import world as world_module
 from standins import platform_client
 from standins import platform_site
+from wayslip import clock
 
 Fault = Callable[[world_module.World, random.Random], Awaitable[None]]
 FAULTS: dict[str, Fault] = {}
@@ -366,7 +367,7 @@
     limit = rng.choice([0.3, 1.0, 1.1, 3.0])
     endpoint.limit = limit
     await asyncio.sleep(_LIMIT_ANNOUNCE_SECONDS)
-    gateway_starts, began = world.gateway_starts, time.monotonic()
+    gateway_starts, began = world.gateway_starts, clock.now()
     await asyncio.sleep(_LIMIT_CHECK_SECONDS)
     endpoint.limit = None
     calls = [at for at in endpoint.calls if at >= began]
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -12,9 +12,10 @@
 import json
 import socket
 import struct
-import time
 from typing import Any
 
+from wayslip import clock
+
 SEAL = "3e1b.07.5a2"
 # `struct linger` with a time of 0, with which a close resets the connection.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -247,7 +248,7 @@
     async def _respond(
         self, request: ReceivedRequest, connection: Connection
     ) -> None:
-        self.calls.append(time.monotonic())
+        self.calls.append(clock.now())
         connection.headers = self.make_headers()
         if request.target == "/wayslip/report":
             report = json.dumps(self._delayed_report())
@@ -273,7 +274,7 @@
         self, request: ReceivedRequest, connection: Connection
     ) -> None:
         """Refuses a request for lack of room; a brittle engine may crash."""
-        now = time.monotonic()
+        now = clock.now()
         self._turned_away = [t for t in self._turned_away if now - t < 1.0]
         self._turned_away.append(now)
         if self.brittle is not None and len(self._turned_away) > self.brittle:
@@ -292,7 +293,7 @@
 
     def _delayed_report(self) -> dict[str, Any]:
         """Returns the report as it was `report_lag` seconds ago."""
-        limit = time.monotonic() - self.report_lag
+        limit = clock.now() - self.report_lag
         replaced = [r for at, r in self._reports if at > limit]
         return replaced[0] if replaced else self._report()
 
@@ -324,7 +325,7 @@
             # requests (202).
             status = 200 if order.get("adapter") else 202
         if status in (200, 202, 0):
-            self._reports.append((time.monotonic(), self._report()))
+            self._reports.append((clock.now(), self._report()))
             self.applied_orders += 1
             self._carry_out(order)
         if status == 0:
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -12,7 +12,7 @@
 from standins import platform_site
 from standins import platform_store
 from standins import ports
-from wayslip import clock
+from tests.gateway import steady_clock
 from wayslip import metrics
 from wayslip.cli import gateway as cli
 from wayslip.gateway import daemon
@@ -213,7 +213,7 @@
             finally:
                 await system.stop()
 
-        with asyncio.Runner(loop_factory=clock.Loop) as runner:
+        with steady_clock.run() as runner:
             runner.run(body())
 
     # Otherwise pytest takes the parameter of the wrapped test for a fixture.
--- a/tests/gateway/test_endpoint_notices.py
+++ b/tests/gateway/test_endpoint_notices.py
@@ -8,11 +8,11 @@
 """
 
 import asyncio
-import time
 
 from standins import platform_engine
 from standins import platform_site
 from tests.gateway import harness
+from wayslip import clock
 
 
 async def announce_leaving(engine, request, line):
@@ -129,10 +129,10 @@
     refusing = await system.add("e1", "plain", script=make_backing_off(0.3))
     await system.ask("/get/a")
     refusing.script = platform_engine.answer_whole
-    began = time.monotonic()
+    began = clock.now()
     answer = await system.ask("/get/a", "r2")
     assert answer.status == 200
-    assert time.monotonic() - began > 0.2
+    assert clock.now() - began > 0.2
 
 
 @harness.run
--- a/tests/gateway/test_engine_limits.py
+++ b/tests/gateway/test_engine_limits.py
@@ -6,11 +6,11 @@
 """
 
 import asyncio
-import time
 
 from standins import platform_engine
 from tests.gateway import harness
 from tests.gateway import test_placement
+from wayslip import clock
 
 WINDOW_SECONDS = 4.0
 
@@ -49,8 +49,8 @@
 async def ask_all(system, gateways, seconds, gap=0.04, path="/get/a"):
     """Sends requests to all instances in turn; returns the answers."""
     tasks = []
-    end = time.monotonic() + seconds
-    while time.monotonic() < end:
+    end = clock.now() + seconds
+    while clock.now() < end:
         for gateway in gateways:
             number = len(tasks)
             one = system.ask(path, f"a{number}", at=gateway)
@@ -65,7 +65,7 @@
     gateways = await join_two(system)
     await asyncio.gather(*(system.ask("/get/a", at=g) for g in gateways))
     await system.add("e2", "plain")
-    began = time.monotonic() + 0.5
+    began = clock.now() + 0.5
     answers = await ask_all(system, gateways, 5.0)
     assert {a.status for a in answers} == {200}
     assert count_max_in_window(limited.calls, began) <= compute_allowed(1)
@@ -76,7 +76,7 @@
     limited = await add_limited(system, limit=4)
     gateways = await join_two(system)
     await asyncio.gather(*(system.ask("/get/a", at=g) for g in gateways))
-    began = time.monotonic() + 0.5
+    began = clock.now() + 0.5
     answers = await ask_all(system, gateways, 4.0)
     assert count_max_in_window(limited.calls, began) <= compute_allowed(4)
     assert sum(a.status == 200 for a in answers) >= 12
@@ -86,9 +86,9 @@
 async def test_refused_requests_get_the_time_of_the_next_permit(system):
     limited = await add_limited(system, limit=0.01)
     await system.ask("/get/a")
-    began = time.monotonic()
+    began = clock.now()
     answers = [await system.ask("/get/a", f"r{n}") for n in range(6)]
-    assert time.monotonic() - began < 1.0
+    assert clock.now() - began < 1.0
     refused = [a for a in answers if a.status == 503]
     assert len(refused) >= 4
     assert all(float(a.headers["retry-after"]) > 1.0 for a in refused)
@@ -194,7 +194,7 @@
     )
     gateways = await join_two(system)
     await test_placement.ask(system, "m1", "r0")
-    began = time.monotonic() + 0.5
+    began = clock.now() + 0.5
     for number in range(60):
         # More adapters than adapter slots, so that each load evicts one.
         model = f"m1/a{number % 4 + 1}"
