--- a/src/wayslip/decisions/suspicion.py
+++ b/src/wayslip/decisions/suspicion.py
@@ -8,7 +8,7 @@
 instances that received the same ones agree, whatever the order or repeats.
 
 A suspect is a whole content, or a part of prompts that different contents have
-in common; both are called contents here, and are in one table.
+in common; the methods call both of them contents, and one table holds them.
 
 Two criteria count against a whole content. The first is its suspicion depth: a
 record is one deeper than the depth that its sender knew when it sent the
@@ -358,7 +358,7 @@
         self._enforce_limits()
         return added
 
-    def exempt(self, contents: Iterable[bytes], now: float) -> list[bytes]:
+    def exempt(self, answered: Iterable[bytes], now: float) -> list[bytes]:
         """Records contents that endpoints answered before.
 
         They are blocked by their suspicion depth only, not by the number of
@@ -367,7 +367,7 @@
         Returns:
             The contents that were not exempt yet.
         """
-        added = [c for c in contents if c not in self._exempt]
+        added = [c for c in answered if c not in self._exempt]
         self._exempt.update(dict.fromkeys(added, now))
         self._enforce_limits()
         return added
@@ -400,9 +400,9 @@
             self._unlink(content, start)
 
     def _unlink(self, content: bytes, start: fleet.Incarnation) -> None:
-        contents = self._at_start[start]
-        contents.discard(content)
-        if not contents:
+        suspects = self._at_start[start]
+        suspects.discard(content)
+        if not suspects:
             del self._at_start[start]
 
     def _enforce_limits(self) -> None:
--- a/src/wayslip/gateway/sharing/quarantine.py
+++ b/src/wayslip/gateway/sharing/quarantine.py
@@ -4,10 +4,10 @@
 process listens at its address then. If so, it announces the contents that were
 in progress there to all instances, and the parts of their prompts, which other
 contents may have too; `decisions.suspicion` decides which are blocked. An
-isolated instance, which knows no other one, holds such contents
-back until it has contact; see `decisions.isolation`. The lease holder repeats
-what is known periodically, for instances that start or were disconnected, and
-stores the blocked contents, so that they survive a crash of all instances.
+isolated instance, which knows no other one, holds such contents back until it
+has contact; see `decisions.isolation`. The lease holder repeats what is known
+periodically, for instances that start or were disconnected, and stores the
+blocked contents, so that they survive a crash of all instances.
 """
 
 import asyncio
@@ -26,6 +26,7 @@
 from wayslip.decisions import contents
 from wayslip.decisions import fleet
 from wayslip.decisions import isolation
+from wayslip.decisions import sound_parts
 from wayslip.decisions import suspicion
 from wayslip.gateway import background
 from wayslip.gateway import store as store_module
@@ -50,14 +51,9 @@
 # remembered so that a common content in progress at a crash counts no more than
 # others.
 _MAX_ANSWERED = 2000
-# Parts of prompts that were answered this recently count as sound; a common
-# part is answered somewhere all the time.
-_SOUND_SECONDS = 10.0
 # From this long after its first event on, a stream can't have crashed its
 # endpoint, which crashes as it begins to write.
 _WRITTEN_SECONDS = 0.3
-# Maximum number of parts remembered as answered, at 100 bytes each.
-_MAX_SOUND_PARTS = 4000
 # Limit of the wait for a look before a request is repeated; a look at an
 # endpoint that crashed takes some milliseconds.
 _OWN_LOOK_SECONDS = 0.05
@@ -131,10 +127,7 @@
         self._answered: collections.OrderedDict[bytes, None] = (
             collections.OrderedDict()
         )
-        # When parts of prompts were last answered here.
-        self._sound_parts: collections.OrderedDict[bytes, float] = (
-            collections.OrderedDict()
-        )
+        self._sound_parts = sound_parts.SoundParts()
         self._broken_attempts: dict[fleet.Incarnation, _BrokenAttempts] = {}
         self._background_tasks = background.BackgroundTasks("quarantine_failed")
         self._blocked_contents = blocked_contents_module.BlockedContents(
@@ -268,21 +261,11 @@
             self._note_sound_parts(identity.parts)
 
     def _note_sound_parts(self, parts: Iterable[bytes]) -> None:
-        now = clock.now()
+        self._sound_parts.note_answer(parts, clock.now())
+        if not self._suspicion:
+            return
         for part in parts:
-            self._sound_parts[part] = now
-            self._sound_parts.move_to_end(part)
-            if self._suspicion:
-                self.lift(part, "answered")
-        while len(self._sound_parts) > _MAX_SOUND_PARTS:
-            self._sound_parts.popitem(last=False)
-
-    def _is_sound(self, part: bytes) -> bool:
-        answered_at = self._sound_parts.get(part)
-        return (
-            answered_at is not None
-            and clock.now() - answered_at < _SOUND_SECONDS
-        )
+            self.lift(part, "answered")
 
     def lift(self, content: bytes, reason: str) -> bool:
         """Clears a content; returns whether it was suspect."""
@@ -351,8 +334,9 @@
         start: fleet.Incarnation,
     ) -> None:
         """Records the parts of a prompt that may have crashed an endpoint."""
+        now = clock.now()
         for part in identity.parts:
-            if self._is_sound(part):
+            if self._sound_parts.is_sound(part, now):
                 continue
             record = suspicion.make_part_record(
                 part, identity.content, start, self._reporter
@@ -537,7 +521,7 @@
         sound = [
             m.content
             for m in message.crash_records
-            if m.is_part and self._is_sound(m.content)
+            if m.is_part and self._sound_parts.is_sound(m.content, now)
         ]
         if sound:
             self._background_tasks.start(self._clear_sound_parts(sound))
