--- a/tests/gateway/test_connection_race.py
+++ b/tests/gateway/test_connection_race.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from tests.gateway import steady_clock
 from wayslip import errors
 from wayslip.gateway.sharing import connection_race
 
@@ -35,7 +36,8 @@
         await asyncio.sleep(0.6)
         return winner
 
-    return asyncio.run(body()), kept
+    with steady_clock.run() as runner:
+        return runner.run(body()), kept
 
 
 def test_first_opener_that_succeeds_wins():
