Name the reasons of refused tunnels in one place

Both sides of a tunnel spelled them out; a word that differs would have made a refusal hold for one endpoint only. The words sent are the same.

--- a/src/wayslip/decisions/helpers.py
+++ b/src/wayslip/decisions/helpers.py
@@ -13,13 +13,45 @@
 from collections.abc import Iterable
 from collections.abc import Sequence
 import dataclasses
+import enum
 import random
 
 from wayslip.decisions import fanout
 
-# Reasons of a refusal that hold for all endpoints, not only the one asked for.
-INSTANCE_REASONS = frozenset(
-    ("cut_off", "path_in_doubt", "stopping", "too_many", "unknown_instance")
+
+class Reason(enum.StrEnum):
+    """Why an instance opens no tunnel; the values are sent between instances.
+
+    Attributes:
+        CUT_OFF: It reaches no endpoint itself.
+        IN_DOUBT: It failed to connect, perhaps for lack of links of its own.
+        STOPPING: It shuts down.
+        TOO_MANY: It serves as many tunnels as it may.
+        UNKNOWN_INSTANCE: It does not know who asks.
+        PATH_LOST: It does not reach the endpoint, and others do.
+        UNKNOWN_ENDPOINT: It does not know the endpoint.
+        ENDPOINT_LEAVES: The endpoint takes no new work.
+    """
+
+    CUT_OFF = "cut_off"
+    IN_DOUBT = "path_in_doubt"
+    STOPPING = "stopping"
+    TOO_MANY = "too_many"
+    UNKNOWN_INSTANCE = "unknown_instance"
+    PATH_LOST = "path_lost"
+    UNKNOWN_ENDPOINT = "unknown_endpoint"
+    ENDPOINT_LEAVES = "endpoint_leaves"
+
+
+# Reasons that hold for all endpoints, not only for the one asked for.
+_INSTANCE_REASONS = frozenset(
+    (
+        Reason.CUT_OFF,
+        Reason.IN_DOUBT,
+        Reason.STOPPING,
+        Reason.TOO_MANY,
+        Reason.UNKNOWN_INSTANCE,
+    )
 )
 _MIN_PAUSE_SECONDS = 1.0
 _MAX_PAUSE_SECONDS = 4.0
@@ -78,7 +110,7 @@
             reason: Its reason, empty if it told none.
             now: Steady seconds.
         """
-        if reason in INSTANCE_REASONS:
+        if reason in _INSTANCE_REASONS:
             self.note_unanswered(peer, now)
         else:
             self._pause((peer, endpoint), now)
--- a/src/wayslip/gateway/sharing/tunnel_service.py
+++ b/src/wayslip/gateway/sharing/tunnel_service.py
@@ -7,6 +7,7 @@
 from wayslip import logs
 from wayslip import metrics as metrics_module
 from wayslip.decisions import fanout
+from wayslip.decisions import helpers
 from wayslip.gateway.sharing import endpoint_paths
 from wayslip.gateway.sharing import view as view_module
 from wayslip.http1 import tunnels
@@ -81,7 +82,10 @@
             for p in self._list_peers()
         ):
             return self._refuse(
-                source, endpoint, tunnels.Status.FORBIDDEN, "unknown_instance"
+                source,
+                endpoint,
+                tunnels.Status.FORBIDDEN,
+                helpers.Reason.UNKNOWN_INSTANCE,
             )
         reason = self._find_obstacle(endpoint)
         if reason:
@@ -93,18 +97,18 @@
     def _find_obstacle(self, endpoint: str) -> str:
         """Returns why no tunnel is opened, empty if nothing is in the way."""
         if self.is_draining:
-            return "stopping"
+            return helpers.Reason.STOPPING
         if len(self._server) > _MAX_TUNNELS:
-            return "too_many"
+            return helpers.Reason.TOO_MANY
         tracked = self._view.tracked.get(endpoint)
         if tracked is None:
-            return "unknown_endpoint"
+            return helpers.Reason.UNKNOWN_ENDPOINT
         if tracked.endpoint.is_leaving:
-            return "endpoint_leaves"
+            return helpers.Reason.ENDPOINT_LEAVES
         if self._paths.is_cut_off:
-            return "cut_off"
+            return helpers.Reason.CUT_OFF
         if self._paths.is_lost(endpoint):
-            return "path_lost"
+            return helpers.Reason.PATH_LOST
         return ""
 
     def _refuse(
@@ -127,7 +131,7 @@
         ):
             # The fault may be at this instance, so that this tells nothing.
             return self._refuse(
-                source, endpoint, tunnels.Status.BUSY, "path_in_doubt"
+                source, endpoint, tunnels.Status.BUSY, helpers.Reason.IN_DOUBT
             )
         self._log(source, endpoint, status.name.lower())
         return tunnels.Outcome(status)
