Close no new connections below 100 a second

Its log: connections_closed_unread reason=lag limit=50. Three gateways that share a process got 80 connections a second each, and one sample of the lag was 0.1 s: that was taken for a surge, as the rate that any instance bears was said to be 20. One of a full core bears 1,500 and more, the smallest machines have 0.39 of one.

--- a/src/wayslip/decisions/connection_gate.py
+++ b/src/wayslip/decisions/connection_gate.py
@@ -33,7 +33,7 @@
 # Rate, as a multiple of the usual one, that no quiet instance sees.
 _SURGE_FACTOR = 2.0
 # Rate that any instance bears, connections a second.
-_MIN_RATE = 20.0
+_MIN_RATE = 100.0
 # Steps by which the admitted rate changes, at most once in each period.
 _LOWER_FACTOR = 0.7
 _RAISE_FACTOR = 1.15
