--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 plays the same without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 export PYTHONDONTWRITEBYTECODE=1
-PYTHONPATH=target/deps:. exec python3 review/1/case.py
+PYTHONPATH=target/deps:. exec python3 review/2/case.py
