--- a/review/build.sh
+++ b/review/build.sh
@@ -5,4 +5,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 export PYTHONDONTWRITEBYTECODE=1
-PYTHONPATH=target/deps:. python3 -c 'import review.rig'
+PYTHONPATH=target/deps:. python3 -c 'import review.links, review.rig'
--- a/review/rig.py
+++ b/review/rig.py
@@ -9,6 +9,7 @@
 import contextlib
 import os
 import pathlib
+import shutil
 import signal
 import subprocess
 import sys
@@ -245,6 +246,7 @@
         for engine in self.engines:
             engine.stop()
         self.store.stop()
+        shutil.rmtree(self.folder, ignore_errors=True)
         self._record.write("ended all processes")
 
 
@@ -276,7 +278,8 @@
 
     try:
         code = asyncio.run(play())
-    except (NotRunError, OSError, TimeoutError) as e:
+    except Exception as e:
+        # Python's own exit code for an error would say that the rule is broken.
         record.write(f"the case could not run: {type(e).__name__} {e}")
         code = NOT_RUN
     record.write(f"exit {code}")
