Refuse text that no encoder takes where foreign data comes in

Cause: the decoder checked that a field is a string, not that the encoders behind it can take it. The lease holder announces each change of the list as CBOR, UnicodeEncodeError ended the task that follows the list, and with it the process; the next holder read the same entry. Evidence: `loop_ended` in the log of each process names that error, in each of the processes that ended.

Change: `fields.check_text` refuses such text, for all fields, kinds of objects and reports; `fields` moves out of the adapter, since the gateway's own records use it too. The name of an endpoint must fit the header that requests name it in; it can't reach `gone` of an announcement either. An error of a decoder refuses its object. A list goes on after the last name that can be sent. What still gets past costs the part of the message, logged, or that message; an error of the program (a value of an unknown type) still ends the loop.

Why it works: what passes the decoder can be encoded, and what can't costs itself.

The tests failed before: 19 of test_foreign_entries.py and test_datagrams.py, and test_half_a_surrogate_pair_in_an_entry_stops_no_gateway.

--- a/src/wayslip/platform/fields.py
+++ b/src/wayslip/fields.py
@@ -12,6 +12,8 @@
 from typing import Any
 from typing import TypeVar
 
+from wayslip import texts
+
 T = TypeVar("T")
 # Longer than any name or address in use.
 _MAX_TEXT_CHARS = 512
@@ -50,20 +52,38 @@
     return raw
 
 
+def read_string(raw: Mapping[str, Any], name: str) -> str:
+    """Returns a field that must be a string, of any length and content."""
+    value = raw.get(name)
+    if not isinstance(value, str):
+        raise FieldError(name, "is not a string")
+    return value
+
+
 def read_text(raw: Mapping[str, Any], name: str) -> str:
-    """Returns a field that must be a non-empty string."""
+    """Returns a field that must be a non-empty string; see `check_text`."""
     return check_text(raw.get(name), name)
 
 
 def check_text(value: Any, name: str) -> str:
-    """Returns a value that must be a non-empty string."""
+    """Returns a value that must be a non-empty string and can be encoded."""
     if not isinstance(value, str) or not 0 < len(value) <= _MAX_TEXT_CHARS:
         raise FieldError(
             name, f"is not a string of 1 to {_MAX_TEXT_CHARS} characters"
         )
+    if not texts.is_encodable(value):
+        raise FieldError(name, f"{value!a} holds half of a surrogate pair")
     return value
 
 
+def check_header_text(value: Any, name: str) -> str:
+    """Returns a value that can be sent as one word of an HTTP header."""
+    text = check_text(value, name)
+    if not text.isascii() or not text.isprintable() or " " in text:
+        raise FieldError(name, f"{text!a} holds more than printable ASCII")
+    return text
+
+
 def read_int(
     raw: Mapping[str, Any], name: str, minimum: int, default: int | None = None
 ) -> int:
--- a/src/wayslip/gateway/sharing/datagrams.py
+++ b/src/wayslip/gateway/sharing/datagrams.py
@@ -11,17 +11,22 @@
 """
 
 import dataclasses
+import logging
 from typing import Any
 
 import cbor2
 
 from wayslip import errors
+from wayslip import logs
 from wayslip.decisions import suspicion
 from wayslip.gateway.sharing import facts
 
+_LOG = logging.getLogger(__name__)
 # Senders split larger messages; the hub drops longer datagrams. The limit stays
 # below the size at which fragments are often lost, and within a receive buffer.
 DATAGRAM_LIMIT = 30_000
+# Part of a value that a log line shows.
+_MAX_LOGGED_CHARS = 200
 _KINDS: dict[int, type] = {
     1: facts.Report,
     2: facts.ItemRequest,
@@ -106,7 +111,56 @@
 
 
 def encode(message: facts.Message) -> bytes:
-    """Returns a message as a datagram."""
+    """Returns a message as a datagram.
+
+    Parts with text that can not be encoded are left out, since the rest of the
+    message may concern other endpoints.
+
+    Raises:
+        FrameError: Such text is in a field that can not be left out.
+    """
+    content = _list_content(message)
+    try:
+        return cbor2.dumps(content)
+    except UnicodeEncodeError:
+        kind = type(message).__name__
+        return cbor2.dumps([_drop_unencodable(kind, v) for v in content])
+
+
+def _drop_unencodable(kind: str, value: Any) -> Any:
+    """Returns a field without the parts that can not be encoded."""
+    if _is_encodable(value):
+        return value
+    if not isinstance(value, list | tuple):
+        raise errors.FrameError(
+            f"a {kind} holds text that can not be encoded ({value!a})",
+            "find the writer of this text; it should have been refused",
+        )
+    kept = []
+    for part in value:
+        if _is_encodable(part):
+            kept.append(part)
+            continue
+        logs.event(
+            _LOG,
+            "part_not_encoded",
+            logging.ERROR,
+            message=kind,
+            part=ascii(part)[:_MAX_LOGGED_CHARS],
+        )
+    return kept
+
+
+def _is_encodable(value: Any) -> bool:
+    try:
+        cbor2.dumps(value)
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
+def _list_content(message: facts.Message) -> list[Any]:
+    """Returns the number of a message's kind, and its fields."""
     fields = []
     for field in dataclasses.fields(message):
         value = getattr(message, field.name)
@@ -115,7 +169,7 @@
         elif field.name in _SINGLE:
             value = _list_fields(value)
         fields.append(value)
-    return cbor2.dumps([_NUMBERS[type(message)], *_trim(message, fields)])
+    return [_NUMBERS[type(message)], *_trim(message, fields)]
 
 
 def decode(data: bytes) -> facts.Message:
--- a/src/wayslip/gateway/sharing/hub.py
+++ b/src/wayslip/gateway/sharing/hub.py
@@ -68,19 +68,31 @@
 
     def send(self, message: facts.Message, address: Address) -> None:
         """Sends a message; the datagram may be lost."""
-        self._send(datagrams.encode(message), address)
+        data = self._encode(message)
+        if data is not None:
+            self._send(data, address)
 
     def broadcast(
         self, message: facts.Message, peers: Iterable[fanout.Peer]
     ) -> None:
         """Sends a message to many peers, encoded once; any copy may be lost."""
-        payload = datagrams.encode(message)
+        payload = self._encode(message)
+        if payload is None:
+            return
         for branch in fanout.plan(peers, self._rng):
             data = payload
             if branch.recipients:
                 data = datagrams.encode(facts.Relay(branch.recipients, payload))
             self._send(data, addresses.split_address(branch.relay))
 
+    def _encode(self, message: facts.Message) -> bytes | None:
+        """Returns a message as a datagram, None if it can not be encoded."""
+        try:
+            return datagrams.encode(message)
+        except errors.FrameError as e:
+            logs.event(_LOG, "message_not_sent", logging.ERROR, reason=e.reason)
+            return None
+
     def _send(self, data: bytes, address: Address) -> None:
         if self._transport is None or self._transport.is_closing():
             return
--- a/src/wayslip/gateway/sharing/records.py
+++ b/src/wayslip/gateway/sharing/records.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from wayslip import errors
+from wayslip import fields
 from wayslip.decisions import lease
 from wayslip.decisions import suspicion
 from wayslip.gateway import store
@@ -30,8 +31,8 @@
 def _decode_lease(name: str, spec: Any) -> lease.Lease:
     try:
         return lease.Lease(
-            holder=spec["holder"],
-            address=spec["address"],
+            holder=fields.read_text(spec, "holder"),
+            address=fields.read_address(spec, "address"),
             term=int(spec["term"]),
             beat=int(spec["beat"]),
             is_released=bool(spec["released"]),
@@ -56,9 +57,14 @@
         if spec["pending"]:
             orders, action, model, adapter = spec["pending"]
             pending = lease.Pending(
-                name, int(orders), lease.Action(action), model, adapter
+                name,
+                int(orders),
+                lease.Action(action),
+                fields.check_text(model, "model"),
+                adapter and fields.check_text(adapter, "adapter"),
             )
-        return lease.Claim(name, spec["holder"], int(spec["token"]), pending)
+        holder = fields.read_text(spec, "holder")
+        return lease.Claim(name, holder, int(spec["token"]), pending)
     except (KeyError, TypeError, ValueError) as e:
         raise _malformed(name, e) from e
 
@@ -79,14 +85,14 @@
         crash_records = tuple(
             suspicion.CrashRecord(
                 content,
-                str(endpoint),
+                fields.check_text(endpoint, "endpoint"),
                 int(born),
                 int(depth),
-                str(name),
+                fields.check_text(reporter, "reporter"),
                 int(count),
                 tuple(bytes.fromhex(one) for one in (within or [[]])[0]),
             )
-            for endpoint, born, depth, name, count, *within in spec["ends"]
+            for endpoint, born, depth, reporter, count, *within in spec["ends"]
         )
     except (KeyError, TypeError, ValueError) as e:
         raise _malformed(name, e) from e
--- a/src/wayslip/platform/decoding.py
+++ b/src/wayslip/platform/decoding.py
@@ -4,10 +4,10 @@
 from typing import Any
 
 from wayslip import errors
+from wayslip import fields
 from wayslip.decisions import fleet
 from wayslip.decisions import manifest
 from wayslip.decisions import organisations
-from wayslip.platform import fields
 
 _REQUEST_KINDS = {
     "idempotent": manifest.RequestKind.IDEMPOTENT,
@@ -163,7 +163,8 @@
             in_memory = _read_names(at_hand, "in_memory")
             on_disk = _read_names(at_hand, "on_disk")
         return fleet.Endpoint(
-            name=name,
+            # Requests name the endpoint in a header.
+            name=fields.check_header_text(name, "name"),
             service=fields.read_text(raw, "service"),
             address=fields.read_address(raw, "address"),
             data_hall=fields.read_text(raw, "zone"),
--- a/src/wayslip/platform/store.py
+++ b/src/wayslip/platform/store.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Mapping
+from collections.abc import Sequence
+import contextlib
 import dataclasses
 import json
 import logging
@@ -13,6 +15,7 @@
 
 from wayslip import clock
 from wayslip import errors
+from wayslip import fields
 from wayslip import logs
 from wayslip.decisions import position
 from wayslip.gateway import store
@@ -143,7 +146,7 @@
                     first.asked_at,
                     tuple(f for f in found if isinstance(f, store.Refused)),
                 )
-            parameters["after"] = page[-1].name
+            parameters["after"] = _find_last_name(page)
 
     async def watch(
         self, kind: store.Kind[T], revision: int, wait: float
@@ -465,27 +468,53 @@
         return store.Refused(name, revision, field, e.reason)
 
 
+def _find_last_name(page: Sequence[_ReadResult[Any]]) -> str:
+    """Returns the last name on a page from which a list can continue.
+
+    Objects after it, whose names can not be sent, are on the next page again.
+
+    Raises:
+        ObjectUnavailableError: No name can be sent.
+    """
+    names = [one.name for one in page if one.name]
+    if not names:
+        raise errors.ObjectUnavailableError(
+            "no object of a page has a name that can be read",
+            "inspect the store's objects",
+        )
+    return names[-1]
+
+
 def _identify(raw: Any) -> tuple[str, int]:
     """Returns an object's name and revision, "" and 0 if unreadable."""
     metadata = raw.get("metadata") if isinstance(raw, Mapping) else None
     if not isinstance(metadata, Mapping):
         return "", 0
-    name, revision = metadata.get("name"), metadata.get("revision")
-    return (
-        name if isinstance(name, str) else "",
-        revision if isinstance(revision, int) else 0,
-    )
+    name, revision = "", 0
+    with contextlib.suppress(fields.FieldError):
+        name = fields.read_text(metadata, "name")
+    with contextlib.suppress(fields.FieldError):
+        revision = fields.read_int(metadata, "revision", 0)
+    return name, revision
 
 
 def _decode(kind: store.Kind[T], raw: Any, era: int) -> store.Stored[T]:
+    """Returns an object of the store.
+
+    Raises:
+        ObjectError: It is malformed.
+    """
     try:
-        metadata = raw["metadata"]
-        name = metadata["name"]
-        revision = position.make(era, int(metadata["revision"]))
-        spec = raw.get("spec")
-    except (KeyError, TypeError, ValueError, AttributeError) as e:
+        metadata = fields.read_object(raw["metadata"], "metadata")
+        name = fields.read_text(metadata, "name")
+        revision = position.make(era, fields.read_int(metadata, "revision", 0))
+        value = kind.decode(name, raw.get("spec"))
+    except errors.ObjectError:
+        raise
+    except Exception as e:
+        # Nothing but the object can be the cause, so it alone is refused.
         raise errors.ObjectError(
-            f"an object of {kind.name} is malformed ({e})",
+            f"an object of {kind.name} is malformed ({type(e).__name__}: {e})",
             "inspect it in the store",
         ) from e
-    return store.Stored(name, revision, kind.decode(name, spec))
+    return store.Stored(name, revision, value)
--- a/tests/gateway/test_datagrams.py
+++ b/tests/gateway/test_datagrams.py
@@ -1,9 +1,14 @@
+import dataclasses
+
 import cbor2
 import pytest
 
 from wayslip import errors
+from wayslip import metrics
+from wayslip.decisions import fanout
 from wayslip.gateway.sharing import datagrams
 from wayslip.gateway.sharing import facts
+from wayslip.gateway.sharing import hub
 
 STATE = facts.State(
     1,
@@ -69,3 +74,31 @@
 )
 def test_message_is_decoded_as_encoded(message):
     assert datagrams.decode(datagrams.encode(message)) == message
+
+
+def test_part_that_can_not_be_encoded_is_left_out():
+    # Guards against one entry that keeps all changes from the instances, or
+    # ends the task that announces them.
+    good = facts.Listed("e1", "s", "127.0.0.1:9", "h", 1, False, ())
+    odd = dataclasses.replace(good, endpoint="e2", service="kiosk-\ud83d")
+    changes = facts.Changes(1, 2, 3, (odd, good), ("e3", "e\ud83d"))
+    found = datagrams.decode(datagrams.encode(changes))
+    assert found == facts.Changes(1, 2, 3, (good,), ("e3",))
+
+
+def test_message_that_can_not_be_encoded_is_not_sent():
+    sent = []
+    peers = hub.Hub(lambda message, source: None, metrics.Metrics())
+    peers._send = lambda data, address: sent.append(data)
+    odd = facts.Leaving("e\ud83d", 1)
+    peers.send(odd, ("127.0.0.1", 9))
+    peers.broadcast(odd, [fanout.Peer("127.0.0.1:9", "h")])
+    assert sent == []
+    peers.send(facts.Leaving("e1", 1), ("127.0.0.1", 9))
+    assert len(sent) == 1
+
+
+def test_value_of_an_unknown_type_is_an_error_of_the_program():
+    # Guards against hiding such an error among those of foreign text.
+    with pytest.raises(cbor2.CBOREncodeError):
+        datagrams.encode(facts.Leaving(object(), 1))
--- a/tests/platform/test_foreign_entries.py
+++ b/tests/platform/test_foreign_entries.py
@@ -19,13 +19,23 @@
 from wayslip import addresses
 from wayslip import errors
 from wayslip.decisions import position
+from wayslip.gateway import store as gateway_store
 from wayslip.platform import decoding
 from wayslip.platform import kinds
 from wayslip.platform import store
 
 _GOOD = platform_site.entry("models", "127.0.0.1:9", ["m1"])
+# The first half of a surrogate pair, as an escape in JSON may name it.
+_HALF_PAIR = "kiosk-\ud83d"
 # A field of an entry, and an invalid value for it.
 _WRONG = [
+    ("service", _HALF_PAIR),
+    ("zone", _HALF_PAIR),
+    ("version", _HALF_PAIR),
+    ("models", [{"name": _HALF_PAIR}]),
+    ("models", [{"name": "m1", "adapters": [_HALF_PAIR]}]),
+    ("at_hand", {"in_memory": [_HALF_PAIR]}),
+    ("at_hand", {"on_disk": [_HALF_PAIR]}),
     ("service", None),
     ("service", 7),
     ("service", ""),
@@ -99,6 +109,8 @@
         ("seq", -1),
         ("busy", "no"),
         ("models", {}),
+        ("models", [{"name": _HALF_PAIR}]),
+        ("coming", [f"m1/{_HALF_PAIR}@1"]),
         ("coming", "m1/a1@1"),
         ("coming", [3]),
         ("born", "7"),
@@ -172,6 +184,40 @@
     asyncio.run(_read_mixed_entries(entries))
 
 
+@pytest.mark.parametrize("name", [_HALF_PAIR, "e 1", "e\r\n1", "e\u0416", 7])
+def test_entry_whose_name_fits_no_header_is_refused(name):
+    # Guards against requests that fail when the endpoint is named in them.
+    with pytest.raises(errors.ObjectError, match="name"):
+        decoding.decode_endpoint(name, _GOOD)
+
+
+@with_client
+async def _list_by_pages(standin, client):
+    standin.faults.page = 2
+    for name in ("e1", f"e2{_HALF_PAIR}", "e3", "e4", "e5"):
+        standin.put("servers", name, _GOOD)
+    listing = await client.list(kinds.ENDPOINTS)
+    assert [i.name for i in listing.items] == ["e1", "e3", "e4", "e5"]
+    assert {r.name for r in listing.refused} == {""}
+
+
+def test_name_with_half_a_surrogate_pair_does_not_end_a_list():
+    # Guards against a list that can not go on after a name it can not send.
+    asyncio.run(_list_by_pages())
+
+
+def test_object_that_fails_its_decoder_is_refused_alone():
+    # Guards against an error of a decoder that ends the process.
+    def fail(name, spec):
+        raise RecursionError("too deep")
+
+    kind = gateway_store.Kind("things", fail, fail)
+    raw = {"metadata": {"name": "t1", "revision": 3}, "spec": {}}
+    found = store._read_object(kind, raw, 0)
+    assert (found.name, found.revision) == ("t1", 3)
+    assert "RecursionError" in found.reason
+
+
 def test_invalid_bytes_do_not_affect_other_fields():
     good = json.dumps({"metadata": {"name": "e1"}, "spec": "\u0001"}).encode()
     found = store.read_json(good.replace(b"\\u0001", b"\x01\xff\xc3"))
@@ -196,6 +242,20 @@
     assert metrics.value("refused_objects", kind="servers", field="service") > 0
 
 
+@harness.run
+async def test_half_a_surrogate_pair_in_an_entry_stops_no_gateway(system):
+    # Guards against the end of every gateway that announces such an entry.
+    await system.join("g2")
+    for number, (field, value) in enumerate(_WRONG):
+        spec = {**_GOOD, field: value}
+        system.store.put("servers", f"odd-{number}", spec)
+        system.store.put("servers", f"odd-{_HALF_PAIR}-{number}", _GOOD)
+    await system.add("e1", "plain")
+    assert all(g.is_ready() for g in system._tasks)
+    assert set(system.gateway.view.tracked) == {"e1"}
+    assert (await system.ask("/get/a")).status == 200
+
+
 @harness.run
 async def test_malformed_overwrite_removes_the_engine(system):
     await system.add("e1", "plain")
