Read a page of the store although one of its values can't be parsed

Cause: a page was parsed as one document. RecursionError is no ValueError and ended the task that follows the list; the ValueError of a long integer counted as a store that doesn't answer. An engine's report had the same parser.

Change: `documents.parse` puts a marker in place of such a value; no check of a field takes it, so it costs its object. Integers above 64 bits are refused. What the store itself writes into an answer is checked.

Why it works: nothing in one object can make another unreadable, and a document without such values is parsed as before.

--- a/src/wayslip/fields.py
+++ b/src/wayslip/fields.py
@@ -20,6 +20,8 @@
 # Far more models, adapters or copies than fit on an engine.
 _MAX_LIST_ITEMS = 10_000
 _MAX_PORT = 65_535
+# Of 64 bits: arithmetic with larger ones may fail, as in conversions to float.
+_MAX_INT = 2**63 - 1
 
 
 class FieldError(ValueError):
@@ -98,8 +100,10 @@
     value = raw.get(name)
     if value is None and default is not None:
         return default
-    if type(value) is not int or value < minimum:
-        raise FieldError(name, f"is not an integer of {minimum} or more")
+    if type(value) is not int or not minimum <= value <= _MAX_INT:
+        raise FieldError(
+            name, f"is not an integer from {minimum} to {_MAX_INT}"
+        )
     return value
 
 
--- a/src/wayslip/platform/engines.py
+++ b/src/wayslip/platform/engines.py
@@ -3,6 +3,7 @@
 import json
 
 from wayslip import addresses
+from wayslip import documents
 from wayslip import errors
 from wayslip.decisions import fleet
 from wayslip.decisions import lease
@@ -53,7 +54,7 @@
                 "see the engine's log",
             )
         try:
-            return decoding.decode_state(json.loads(data))
+            return decoding.decode_state(documents.parse(data))
         except ValueError as e:
             raise errors.EndpointError(
                 f"the report of {endpoint.name} is not valid JSON",
--- a/src/wayslip/platform/store.py
+++ b/src/wayslip/platform/store.py
@@ -14,6 +14,7 @@
 import zlib
 
 from wayslip import clock
+from wayslip import documents
 from wayslip import errors
 from wayslip import fields
 from wayslip import logs
@@ -131,7 +132,7 @@
             first = first or response
             page = [
                 _read_object(kind, raw, response.era)
-                for raw in response.body["items"]
+                for raw in _read_envelope(response.body, "items", list)
             ]
             found += page
             if not response.body.get("has_more") or not page:
@@ -142,7 +143,9 @@
                     )
                 return store.Listing(
                     tuple(f for f in found if isinstance(f, store.Stored)),
-                    position.make(first.era, int(first.body["as_of"])),
+                    position.make(
+                        first.era, _read_envelope(first.body, "as_of", int)
+                    ),
                     first.asked_at,
                     tuple(f for f in found if isinstance(f, store.Refused)),
                 )
@@ -180,8 +183,8 @@
         _expect_status(response.status, 200)
         changes: list[store.Change[T]] = []
         refused = []
-        for event in response.body.get("events") or ():
-            found = _read_object(kind, event["object"], response.era)
+        for event in _read_envelope(response.body, "events", list):
+            found = _read_object(kind, event.get("object"), response.era)
             if event.get("removed"):
                 changes.append(store.Change(found.name, None))
             elif isinstance(found, store.Refused):
@@ -191,7 +194,9 @@
                 changes.append(store.Change(found.name, found.value))
         return store.Changes(
             tuple(changes),
-            position.make(response.era, int(response.body["as_of"])),
+            position.make(
+                response.era, _read_envelope(response.body, "as_of", int)
+            ),
             response.head_received_at,
             tuple(refused),
             response.asked_at,
@@ -406,7 +411,7 @@
         )
         head, data = await reader.read(connection, max_wait)
         era = self._observe_era(head)
-        body = read_json(data) if data else {}
+        body = documents.parse(data) if data else {}
         return _Response(
             head.status, body, asked_at, reader.head_received_at, era
         )
@@ -443,16 +448,18 @@
         )
 
 
-def read_json(data: bytes) -> Any:
-    """Returns the JSON value of a response body.
-
-    Objects of other writers may hold invalid UTF-8 or control characters.
-    These must not make the other objects of the response unreadable.
+def _read_envelope(body: Any, name: str, kind: type[T]) -> T:
+    """Returns a field that the store itself writes into an answer.
 
     Raises:
-        ValueError: The body is not JSON.
+        ObjectUnavailableError: The answer does not have it.
     """
-    return json.loads(data.decode("utf-8", "replace"), strict=False)
+    value = body.get(name) if isinstance(body, Mapping) else None
+    if not isinstance(value, kind):
+        raise errors.ObjectUnavailableError(
+            f"an answer of the store has no {name}", "see the store's log"
+        )
+    return value
 
 
 _ReadResult = store.Stored[T] | store.Refused
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -163,6 +163,7 @@
             and reset the connection.
         applied_orders: Number of orders applied.
         report_lag: Age of the state that reports show, in seconds.
+        report_text: JSON text that is sent in place of reports, if any.
         limit: Requests per second that its answers announce as its limit,
             None to announce no limit.
         brittle: Requests that it may turn away for lack of room in a second,
@@ -184,6 +185,7 @@
     order_status: int = 202
     applied_orders: int = 0
     report_lag: float = 0.0
+    report_text: str = ""
     limit: float | None = None
     brittle: int | None = None
     room: int | None = None
@@ -251,7 +253,7 @@
         self.calls.append(clock.now())
         connection.headers = self.make_headers()
         if request.target == "/wayslip/report":
-            report = json.dumps(self._delayed_report())
+            report = self.report_text or json.dumps(self._delayed_report())
             await connection.answer(request, report.encode())
             return
         if request.target == "/wayslip/order":
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -63,6 +63,8 @@
         # Increases each time that the store is restored from a backup.
         self.era = 1
         self._backup: tuple[_Objects, int] | None = None
+        # JSON texts by the strings that stand for them in objects.
+        self._texts: dict[str, str] = {}
         # Objects and revision that stale reads return, None for the newest.
         self._stale_state: tuple[_Objects, int] | None = None
         self._server = server.Server(
@@ -103,6 +105,12 @@
         self.history.append((self.revision, kind, False, value))
         return self.revision
 
+    def put_text(self, kind: str, name: str, text: str) -> int:
+        """Writes an object whose content is a JSON text of another encoder."""
+        placeholder = f"text-{len(self._texts)}-of-{name}"
+        self._texts[json.dumps(placeholder)] = text
+        return self.put(kind, name, placeholder)
+
     def remove(self, kind: str, name: str) -> None:
         """Removes an object."""
         value = self.objects[kind].pop(name)
@@ -160,7 +168,10 @@
             if status == 200 and self.faults.mutes_writes:
                 self.faults.mutes_writes -= 1
                 await asyncio.Event().wait()
-        body = json.dumps(value).encode()
+        content = json.dumps(value)
+        for placeholder, text in self._texts.items():
+            content = content.replace(placeholder, text)
+        body = content.encode()
         if self.faults.bytes_per_s is None:
             exchange.answer(status, self._headers(), body)
         else:
--- a/tests/platform/test_foreign_entries.py
+++ b/tests/platform/test_foreign_entries.py
@@ -17,10 +17,14 @@
 from standins import platform_store
 from tests.gateway import harness
 from wayslip import addresses
+from wayslip import documents
 from wayslip import errors
 from wayslip.decisions import position
 from wayslip.gateway import store as gateway_store
+from wayslip.gateway.sharing import datagrams
+from wayslip.gateway.sharing import facts
 from wayslip.platform import decoding
+from wayslip.platform import engines
 from wayslip.platform import kinds
 from wayslip.platform import store
 
@@ -218,9 +222,126 @@
     assert "RecursionError" in found.reason
 
 
+def nest(depth):
+    return "[" * depth + "]" * depth
+
+
+# JSON texts that Python's parser or an encoder behind it can not take.
+_ODD_TEXTS = (
+    nest(1_200),
+    nest(100_000),
+    '{"a":' * 1_200 + "1" + "}" * 1_200,
+    "9" * 5_000,
+    "-" + "9" * 5_000,
+    "9" * 30,
+    "1e999",
+    "-1",
+    "NaN",
+    "Infinity",
+    '"\\ud83d"',
+    '"\\udc31\\ud83d"',
+    '"' + "x" * 100_000 + '"',
+    '["\\ud83d"]',
+    '[{"name": "\\ud83d"}]',
+    '{"in_memory": ["\\ud83d"]}',
+    "null",
+)
+_FIELD_TEXTS = strategies.sampled_from(_ODD_TEXTS) | _VALUES.map(json.dumps)
+
+
+def format_entry(changes):
+    """Returns the JSON text of an entry, with JSON texts for some fields."""
+    texts = {name: json.dumps(value) for name, value in _GOOD.items()} | changes
+    return "{" + ",".join(f'"{n}":{t}' for n, t in texts.items()) + "}"
+
+
+_ODD_ENTRIES = strategies.dictionaries(
+    strategies.sampled_from([*_GOOD, "born", "at_hand", "unheard-of"]),
+    _FIELD_TEXTS,
+    min_size=1,
+    max_size=3,
+).map(format_entry)
+
+
+@with_client
+async def _read_beside(standin, client, entries):
+    """Reads a good entry before and one after each of some odd ones."""
+    revision = (await client.list(kinds.ENDPOINTS)).revision
+    good = {f"e{n}" for n in range(len(entries) + 1)}
+    for name in good:
+        standin.put("servers", name, _GOOD)
+    for number, entry in enumerate(entries):
+        standin.put_text("servers", f"e{number}-odd", entry)
+    listing = await client.list(kinds.ENDPOINTS)
+    seen = [i.value for i in listing.items]
+    assert good <= {e.name for e in seen}
+    assert len(seen) + len(listing.refused) == 2 * len(entries) + 1
+    changes = await client.watch(kinds.ENDPOINTS, revision, 0.1)
+    seen += [c.value for c in changes.items if c.value is not None]
+    assert good <= {c.name for c in changes.items if c.value is not None}
+    listed = tuple(facts.Listed.of(e) for e in seen)
+    told = datagrams.decode(datagrams.encode(facts.Changes(1, 2, 3, listed)))
+    assert told.listed == listed
+
+
+@hypothesis.settings(max_examples=60, deadline=None)
+@hypothesis.given(strategies.lists(_ODD_ENTRIES, max_size=4))
+def test_good_entries_beside_odd_ones_are_seen_and_announced(entries):
+    # Guards against one entry that hides others, or that no message can carry.
+    asyncio.run(_read_beside(entries))
+
+
+@pytest.mark.parametrize("text", _ODD_TEXTS)
+def test_entry_that_can_not_be_parsed_hides_no_other(text):
+    # Guards against a page of the list that is lost for one value in it.
+    asyncio.run(_read_beside([text, format_entry({"unheard-of": text})]))
+
+
+@hypothesis.given(
+    strategies.dictionaries(
+        strategies.sampled_from(["seq", "busy", "models", "coming", "born"]),
+        _FIELD_TEXTS,
+        max_size=3,
+    )
+)
+def test_odd_report_raises_only_its_own_error(changes):
+    good = {"seq": "3", "busy": "false", "models": "[]"}
+    text = ",".join(f'"{n}":{t}' for n, t in {**good, **changes}.items())
+    try:
+        decoding.decode_state(documents.parse(f"{{{text}}}".encode()))
+    except errors.EndpointError:
+        pass
+
+
+@harness.run
+async def test_report_that_can_not_be_parsed_is_a_failed_report(system):
+    # Guards against an error that ends the task which asks for reports.
+    engine = await system.add("e1", "models")
+    endpoint = system.gateway.view.tracked["e1"].endpoint
+    for text in (nest(1_200), "[" * 5_000, "9" * 5_000):
+        engine.report_text = text
+        with pytest.raises(errors.EndpointError):
+            await engines.PlatformEngines().report(endpoint)
+
+
+@harness.run
+async def test_nested_values_and_long_integers_stop_no_gateway(system):
+    # Guards against the end of every gateway that reads such an entry.
+    await system.join("g2")
+    for number, text in enumerate(_ODD_TEXTS):
+        system.store.put_text("servers", f"odd-{number}", text)
+        entry = format_entry({"models": text, "unheard-of": text})
+        system.store.put_text("servers", f"odder-{number}", entry)
+    await system.add("e1", "plain")
+    assert (await system.ask("/get/a")).status == 200
+    assert all(g.is_ready() for g in system._tasks)
+    third = await system.join("g3")
+    assert "e1" in third.view.tracked
+
+
 def test_invalid_bytes_do_not_affect_other_fields():
     good = json.dumps({"metadata": {"name": "e1"}, "spec": "\u0001"}).encode()
-    found = store.read_json(good.replace(b"\\u0001", b"\x01\xff\xc3"))
+    found = documents.parse(good.replace(b"\\u0001", b"\x01\xff\xc3"))
     assert found["metadata"] == {"name": "e1"}
 
 
