Read what the own interface gets as the gateway reads the store

What callers saw: a body that is nested 1,200 deep, or a prompt with half of a surrogate pair, got a 500 that leaves open whether the request ran. A list of the object API was lost for one value in one object.

Change: bodies must be readable as a whole, 400 and not run otherwise; prompts are hashed with their surrogates; objects, reports of services and answers to cancellations go through `documents`, names and versions of objects are checked.

Why it works: RecursionError becomes the ValueError that is handled there, and the hash takes whatever JSON can hold.

Failed before: test_body_that_can_not_be_parsed_is_refused[prompt0], test_prompt_with_half_a_surrogate_pair_is_served, test_object_that_can_not_be_parsed_hides_no_other.

--- a/src/wayslip/decisions/routing.py
+++ b/src/wayslip/decisions/routing.py
@@ -290,7 +290,9 @@
     whole = min(len(text) // BLOCK_CHARS, MAX_BLOCKS)
     for index in range(whole):
         block = text[index * BLOCK_CHARS : (index + 1) * BLOCK_CHARS]
-        previous = xxhash.xxh64_intdigest(block.encode(), seed=previous)
+        # A caller's JSON may hold half of a surrogate pair.
+        data = block.encode("utf-8", "surrogatepass")
+        previous = xxhash.xxh64_intdigest(data, seed=previous)
         hashes.append(previous)
     return tuple(hashes)
 
--- a/src/wayslip/endpoints/engine.py
+++ b/src/wayslip/endpoints/engine.py
@@ -7,11 +7,11 @@
 
 import dataclasses
 import enum
-import json
 from typing import Protocol
 
 import pydantic
 
+from wayslip import documents
 from wayslip import errors
 from wayslip import registry
 from wayslip.decisions import ledger
@@ -168,7 +168,13 @@
         """Cancels a request; returns whether it had started."""
         path = f"/v1/streams/{request_id}"
         data = _fetch(address, "DELETE", path, b"", timeout)
-        return bool(json.loads(data).get("started", True))
+        try:
+            return bool(documents.parse_whole(data).get("started", True))
+        except (ValueError, AttributeError) as e:
+            raise errors.EndpointUnclearError(
+                f"{address} sent a malformed answer to a cancellation",
+                "check that the engine uses this dialect",
+            ) from e
 
 
 DIALECTS.register("openai")(OpenAiDialect())
--- a/src/wayslip/endpoints/service.py
+++ b/src/wayslip/endpoints/service.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Mapping
 import dataclasses
-import json
 
+from wayslip import documents
 from wayslip import errors
 from wayslip.endpoints import exchange
 
@@ -34,7 +34,7 @@
     answer = exchange.begin(call)
     data = answer.read(_MAX_REPORT_BYTES)
     try:
-        return json.loads(data).get("state") == "serving"
+        return bool(documents.parse(data).get("state") == "serving")
     except (ValueError, AttributeError) as e:
         raise errors.EndpointUnclearError(
             f"{address} sent a malformed report", "check the service's /report"
--- a/src/wayslip/objects/client.py
+++ b/src/wayslip/objects/client.py
@@ -19,7 +19,9 @@
 
 import urllib3
 
+from wayslip import documents
 from wayslip import errors
+from wayslip import fields
 from wayslip import metrics as metrics_module
 from wayslip import refusals
 from wayslip import settings
@@ -134,7 +136,7 @@
             )
             _raise_for_status(response.status, "watch")
             for line in _iterate_lines(response):
-                yield self._parse_event(kind, json.loads(line))
+                yield self._parse_event(kind, documents.parse(line))
         except (urllib3.exceptions.HTTPError, OSError, ValueError) as e:
             raise _unavailable("watch", e) from e
 
@@ -227,7 +229,7 @@
                 headers=self._headers(),
             )
             _raise_for_status(response.status, f"{method} {path}")
-            return json.loads(response.data)
+            return documents.parse(response.data)
         except (urllib3.exceptions.HTTPError, OSError, ValueError) as e:
             self._metrics.count("object_failures", method=method)
             raise _unavailable(f"{method} {path}", e) from e
@@ -240,11 +242,11 @@
 
     def _parse(self, kind: kinds.Kind[T], raw: Any) -> Stored[T]:
         try:
-            metadata = raw["metadata"]
-            name = metadata["name"]
-            version = metadata["resourceVersion"]
+            metadata = fields.read_object(raw["metadata"], "metadata")
+            name = fields.read_text(metadata, "name")
+            version = fields.read_text(metadata, "resourceVersion")
             spec = raw["spec"]
-        except (KeyError, TypeError) as e:
+        except (KeyError, TypeError, fields.FieldError) as e:
             raise errors.ObjectError(
                 f"a {kind.name} object lacks its metadata or spec",
                 "restore the object or delete it",
--- a/src/wayslip/web.py
+++ b/src/wayslip/web.py
@@ -21,6 +21,7 @@
 
 from wayslip import addresses
 from wayslip import clock
+from wayslip import documents
 from wayslip import errors
 from wayslip import settings as settings_module
 
@@ -109,7 +110,7 @@
             BadRequestError: It is too long, truncated or not a JSON object.
         """
         try:
-            value = json.loads(self.read())
+            value = documents.parse_whole(self.read())
         except ValueError as e:
             raise errors.BadRequestError(
                 f"the body is not JSON: {e}", "send a JSON object"
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -61,7 +61,8 @@
 
 def make_words(model: str, prompt: str, count: int) -> list[str]:
     """Returns the words that answer a prompt; tests compare with them."""
-    seed = hashlib.blake2b(f"{model}\0{prompt}".encode()).hexdigest()
+    text = f"{model}\0{prompt}".encode("utf-8", "surrogatepass")
+    seed = hashlib.blake2b(text).hexdigest()
     return [f"{seed[i % 100 : i % 100 + 4]}{i} " for i in range(count)]
 
 
--- a/tests/entry/test_callers.py
+++ b/tests/entry/test_callers.py
@@ -165,6 +165,26 @@
     assert b"Wayslip-Outcome: not-run" in answer
 
 
+@pytest.mark.parametrize(
+    "prompt", ["[" * 1_200 + "]" * 1_200, "9" * 5_000, "[" * 9]
+)
+def test_body_that_can_not_be_parsed_is_refused(system, prompt):
+    # Guards against a 500 that leaves open whether the request ran.
+    body = f'{{"model": "m", "prompt": {prompt}}}'.encode()
+    address = system.callers_port()
+    reply = system_module.call(address, "POST", "/v1/completions", body)
+    assert reply.status == 400
+    assert reply.outcome == "not-run"
+
+
+def test_prompt_with_half_a_surrogate_pair_is_served(system):
+    # Guards against a prompt whose hash can not be computed.
+    body = {"model": "m", "prompt": "\ud83d" * 2_000, "max_tokens": 3}
+    address = system.callers_port()
+    reply = system_module.call(address, "POST", "/v1/completions", body)
+    assert reply.status == 200
+
+
 def test_slow_sender_is_disconnected():
     sections = {"limits": {"worker_threads": 4, "idle_seconds": 1}}
     with system_module.System(1, engines=1, sections=sections) as slow:
--- a/tests/objects/test_kinds.py
+++ b/tests/objects/test_kinds.py
@@ -75,6 +75,24 @@
         client.get(kinds.LEDGER, "bad")
 
 
+def test_object_that_can_not_be_parsed_hides_no_other(store):
+    # Guards against a list that is lost for one value in it.
+    api, client, _ = store
+    client.create(kinds.LEDGER, "e0", ledger.Ledger("e0", 5, True))
+    client.create(kinds.LEDGER, "e1", ledger.Ledger("e1", 5, True))
+    whole = client._http.request
+    deep = b"[" * 1_200 + b"]" * 1_200
+
+    def request(*args, **fields):
+        response = whole(*args, **fields)
+        response._body = response.data.replace(b'"e1", ', deep + b", ")
+        return response
+
+    assert api.address
+    client._http.request = request
+    assert [s.name for s in client.list(kinds.LEDGER).items] == ["e0"]
+
+
 def test_create_with_lost_answer_is_recovered(store):
     api, client, _ = store
     api.faults.lose = 1.0
