Keep the log going after text that its stream can't encode

What on-call saw: after one line with half of a surrogate pair the process wrote no log line any more.

Cause: UnicodeEncodeError is a ValueError, which the writer's thread takes for a stream whose reader is gone. Change: such text is written as escapes of the stream's encoding. Why it works: writing raises ValueError for a closed stream only. test_text_that_can_not_be_encoded_does_not_end_the_log failed before for all three encodings.

--- a/src/wayslip/logs.py
+++ b/src/wayslip/logs.py
@@ -13,6 +13,7 @@
 from typing import TextIO
 
 from wayslip import clock
+from wayslip import texts
 
 _SECRET_WORDS = ("key", "token", "secret", "authorization", "password")
 _MASK = "***"
@@ -125,12 +126,21 @@
             if not text:
                 continue
             try:
-                self._stream.write(text)
-                self._stream.flush()
+                self._write(text)
             except (OSError, ValueError):
                 # The reader is gone, and there is no other place to report it.
                 self._is_closed = True
 
+    def _write(self, text: str) -> None:
+        """Writes text, with escapes for what the stream can't encode.
+
+        Raises:
+            OSError, ValueError: The stream is closed.
+        """
+        encoding = getattr(self._stream, "encoding", None) or "utf-8"
+        self._stream.write(texts.escape(text, encoding))
+        self._stream.flush()
+
     def close(self) -> None:
         """Writes the buffered lines, unless the reader is blocked for long."""
         self._is_closed = True
@@ -140,8 +150,7 @@
             return
         text = self._take()
         if text:
-            self._stream.write(text)
-            self._stream.flush()
+            self._write(text)
 
 
 class LineHandler(logging.Handler):
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -1,6 +1,9 @@
 import io
 import logging
 import threading
+import time
+
+import pytest
 
 from wayslip import logs
 
@@ -49,6 +52,23 @@
         logs.event(logger, f"event-{number % 50}", level, number=number)
 
 
+@pytest.mark.parametrize("encoding", ["utf-8", "latin-1", "ascii"])
+def test_text_that_can_not_be_encoded_does_not_end_the_log(encoding):
+    # Guards against a writer that takes such text for a reader that is gone.
+    data = io.BytesIO()
+    writer = logs.LineWriter(io.TextIOWrapper(data, encoding=encoding))
+    logger = logging.Logger("test")
+    logger.addHandler(logs.LineHandler(writer))
+    logs.event(logger, "odd", service="kiosk-\ud83d", sign="\u2192")
+    deadline = time.monotonic() + 10
+    while b"odd" not in data.getvalue() and time.monotonic() < deadline:
+        time.sleep(0.01)
+    logs.event(logger, "next")
+    writer.close()
+    assert b"service=kiosk-\\ud83d" in data.getvalue()
+    assert b"event=next" in data.getvalue()
+
+
 def test_blocked_reader_never_blocks_logging_and_drops_are_counted():
     stream = BlockedStream()
     writer = logs.LineWriter(stream, limit=100)
