Keep the metrics page readable whatever a label holds

Cause: the page is encoded in one piece, and half of a surrogate pair in one label made it fail as a whole. No such label was seen; labels come from names of fields and routes. Change: labels are escaped when they are counted. test_label_that_can_not_be_encoded_leaves_the_page_readable failed before.

--- a/src/wayslip/metrics.py
+++ b/src/wayslip/metrics.py
@@ -11,6 +11,8 @@
 import prometheus_client
 from prometheus_client import core
 
+from wayslip import texts
+
 _LOWEST_US = 1
 _HIGHEST_US = 600_000_000
 _SIGNIFICANT_DIGITS = 2
@@ -83,7 +85,11 @@
                     registry=self._registry,
                 )
                 self._counters[name] = counter
-        (counter.labels(**labels) if labels else counter).inc(amount)
+        if labels:
+            counter = counter.labels(
+                **{name: texts.escape(text) for name, text in labels.items()}
+            )
+        counter.inc(amount)
 
     def set_gauge(self, name: str, value: float) -> None:
         """Sets a gauge, created on first use."""
