Hand a configuration on whatever its names hold

What was seen: a configuration with half of a surrogate pair in a name could not be copied between instances, so that an instance without the store kept the one before.

Cause: names were taken as they are, and a copy is CBOR, whose text is UTF-8. Copies, datagrams and frames of odd forms (a list that contains itself, an infinite or huge number, a record without fields) raised errors that their receivers don't handle as malformed.

Change: names of a configuration are escaped when they are read, as the store accepts valid ones only and such a one has to be in force; decoders of copies, datagrams and frames turn these errors into FrameError.

Why it works: what is in force can be encoded, and what arrives is a message or a malformed frame.

--- a/src/wayslip/gateway/sharing/datagrams.py
+++ b/src/wayslip/gateway/sharing/datagrams.py
@@ -191,7 +191,13 @@
                 value = _make_part(_SINGLE[field.name], value)
             named[field.name] = _freeze(value)
         return kind(**named)  # type: ignore[no-any-return]
-    except (cbor2.CBORDecodeError, ValueError, TypeError, KeyError) as e:
+    except (
+        cbor2.CBORDecodeError,
+        ValueError,
+        TypeError,
+        LookupError,
+        RecursionError,
+    ) as e:
         raise errors.FrameError(
             f"a datagram is malformed ({e})",
             "run the same release on all instances",
--- a/src/wayslip/gateway/sharing/snapshots.py
+++ b/src/wayslip/gateway/sharing/snapshots.py
@@ -75,6 +75,9 @@
         ValueError,
         TypeError,
         AttributeError,
+        LookupError,
+        OverflowError,
+        RecursionError,
     ) as e:
         raise errors.FrameError(
             f"a copy of the configuration is malformed ({e})",
--- a/src/wayslip/peers/frames.py
+++ b/src/wayslip/peers/frames.py
@@ -42,7 +42,12 @@
     try:
         stamp, plain = cbor2.loads(data)
         return float(stamp), plain
-    except (cbor2.CBORDecodeError, ValueError, TypeError) as e:
+    except (
+        cbor2.CBORDecodeError,
+        ValueError,
+        TypeError,
+        OverflowError,
+    ) as e:
         raise errors.FrameError(
             "a frame is not a CBOR pair",
             "run the same release on all instances",
--- a/src/wayslip/platform/decoding.py
+++ b/src/wayslip/platform/decoding.py
@@ -5,6 +5,7 @@
 
 from wayslip import errors
 from wayslip import fields
+from wayslip import texts
 from wayslip.decisions import fleet
 from wayslip.decisions import manifest
 from wayslip.decisions import organisations
@@ -48,18 +49,27 @@
         ) from e
 
 
+def _read_name(raw: Mapping[str, Any], name: str) -> str:
+    """Returns a name of the configuration in a form that can be encoded.
+
+    The store has accepted the configuration, so that it has to be in force
+    with such a name too.
+    """
+    return texts.escape(fields.read_string(raw, name))
+
+
 def _decode_route(raw: Mapping[str, Any]) -> manifest.Route:
     splits = tuple(
-        manifest.Split(s["service"], float(s["weight"]))
+        manifest.Split(_read_name(s, "service"), float(s["weight"]))
         for s in raw.get("traffic_split") or ()
     )
     if not splits:
-        splits = (manifest.Split(raw["service"], 1.0),)
+        splits = (manifest.Split(_read_name(raw, "service"), 1.0),)
     timeout = float(raw["timeout_ms"]) / 1000
     return manifest.Route(
-        name=raw["name"],
-        host=raw["host"].lower(),
-        prefix=raw["path_prefix"],
+        name=_read_name(raw, "name"),
+        host=_read_name(raw, "host").lower(),
+        prefix=_read_name(raw, "path_prefix"),
         kind=_REQUEST_KINDS[raw["kind"]],
         timeout=timeout,
         target=float(raw.get("target_latency_ms") or 0) / 1000 or timeout,
@@ -76,7 +86,7 @@
 ) -> organisations.Organisation:
     priority = raw.get("priority")
     return organisations.Organisation(
-        name=fields.read_text(raw, "name"),
+        name=fields.check_text(_read_name(raw, "name"), "name"),
         keys=tuple(fields.read_list(raw, "api_keys", _read_key)),
         priority=None if priority is None else int(priority),
         quota=organisations.Quota(
@@ -91,13 +101,14 @@
 
 
 def _read_key(value: Any, name: str) -> bytes:
-    return organisations.hash_key(fields.check_text(value, name).encode())
+    text = texts.escape(value) if isinstance(value, str) else value
+    return organisations.hash_key(fields.check_text(text, name).encode())
 
 
 def _decode_service(raw: Mapping[str, Any]) -> manifest.Service:
     engine = raw.get("engine")
     return manifest.Service(
-        name=raw["name"],
+        name=_read_name(raw, "name"),
         max_connections=int(raw.get("max_conns") or 1_000_000),
         pool=_decode_pool(engine) if engine else None,
     )
@@ -118,7 +129,7 @@
 def _decode_model(raw: Mapping[str, Any]) -> manifest.Model:
     load_s = float(raw.get("load_s") or 10.0)
     return manifest.Model(
-        name=raw["name"],
+        name=_read_name(raw, "name"),
         weights_mb=float(raw["weights_mb"]),
         adapter_mb=float(raw.get("adapter_mb") or 0),
         # The field is a count; the adapters are named a1, a2 and so on.
--- a/tests/gateway/test_datagrams.py
+++ b/tests/gateway/test_datagrams.py
@@ -1,6 +1,8 @@
 import dataclasses
 
 import cbor2
+import hypothesis
+from hypothesis import strategies
 import pytest
 
 from wayslip import errors
@@ -63,6 +65,48 @@
         datagrams.decode(cbor2.dumps([999, 1]))
 
 
+_VALUES = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats()
+    | strategies.binary(max_size=8)
+    | strategies.text(max_size=8),
+    lambda inner: (
+        strategies.lists(inner, max_size=4)
+        | strategies.dictionaries(
+            strategies.text(max_size=8), inner, max_size=3
+        )
+    ),
+    max_leaves=12,
+)
+
+
+@hypothesis.given(
+    strategies.sampled_from(sorted(datagrams._KINDS)) | _VALUES,
+    strategies.lists(_VALUES, max_size=14),
+)
+def test_values_of_any_type_are_read_or_rejected(number, values):
+    # Guards against errors that the receiver of datagrams does not expect.
+    try:
+        datagrams.decode(cbor2.dumps([number, *values]))
+    except errors.FrameError:
+        pass
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"\x81" * 60_000 + b"\x01",
+        # A list that contains itself.
+        b"\x82\x08\xd8\x1c\x81\xd8\x1d\x00",
+    ],
+)
+def test_nested_datagram_is_rejected(data):
+    with pytest.raises(errors.FrameError):
+        datagrams.decode(data)
+
+
 @pytest.mark.parametrize(
     "message",
     [
--- a/tests/gateway/test_distribution.py
+++ b/tests/gateway/test_distribution.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from unittest import mock
+import zlib
 
 import hypothesis
 from hypothesis import strategies
@@ -70,6 +71,22 @@
         snapshots.decode(data)
 
 
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"\x86\x02" + b"\x81" * 300 + b"\x01" * 5,
+        # A list that contains itself.
+        b"\x86\x02\x01\xd8\x1c\x81\xd8\x1d\x00\x80\x80\x80",
+        b"\x86\x02\x01\x80\x81\x80\x80\x80",
+        b"\x86\x02\xf9\x7c\x00\x80\x80\x80\x80",
+    ],
+)
+def test_copy_of_an_odd_form_is_rejected(data):
+    # Guards against an error that ends the task which asks for copies.
+    with pytest.raises(errors.FrameError):
+        snapshots.decode(zlib.compress(data))
+
+
 @hypothesis.given(strategies.integers(0, len(_PLAIN) - 1))
 def test_corrupted_copy_is_rejected(at):
     with pytest.raises(errors.FrameError):
--- a/tests/peers/test_frames.py
+++ b/tests/peers/test_frames.py
@@ -62,6 +62,14 @@
         frames.open_datagram(KEY, frame, 100.0)
 
 
+@pytest.mark.parametrize("stamp", [10**400, [[]], "9" * 5_000])
+def test_authentic_stamp_of_an_odd_form_is_refused(stamp):
+    # Guards against an error that ends the thread which receives datagrams.
+    data = cbor2.dumps([stamp, messages.to_plain(PULL)])
+    with pytest.raises(errors.FrameError):
+        frames.open_datagram(KEY, frames._sign(KEY, data) + data, 100.0)
+
+
 def test_frame_of_a_connection_cannot_be_replayed():
     there, _ = frames.make_sessions(KEY, b"c" * 16, b"s" * 16)
     here, _ = frames.make_sessions(KEY, b"c" * 16, b"s" * 16)
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -1,3 +1,5 @@
+import json
+
 import pytest
 
 from standins import platform_site
@@ -19,6 +21,20 @@
     assert value.limits.header_seconds == 0.5
 
 
+def test_names_with_half_a_surrogate_pair_can_be_copied():
+    # Guards against a configuration that instances can not hand on.
+    text = json.dumps(platform_site.manifest())
+    for name in ("plain", "models", "m1", "get", "/get/"):
+        text = text.replace(f'"{name}', f'"\\ud83d{name}')
+    raw = json.loads(text)
+    raw["tenants"] = [{"name": "\ud83d", "api_keys": ["\ud83d"]}]
+    found = decoding.decode_manifest(raw)
+    assert snapshots.decode(snapshots.encode(found)) == found
+    services = {s for r in found.routes for s in (r.splits[0].service,)}
+    assert services == set(found.services)
+    assert [r.prefix for r in found.routes][1:] == ["/once/", "/gen/", "/live/"]
+
+
 def test_route_may_be_split():
     raw = platform_site.manifest()
     raw["routes"][0]["traffic_split"] = [
