Count an answer as ended when the socket has all of it

Cause: `Exchange` called an answer ended when it had handed it to the transport. `is_busy` was False then, the stop saw nothing active, and `abort_all` dropped what the transport held. The idle timer ran from the same moment, so that a connection was closed under a client that was still reading.

Change: an exchange completes once the write buffer is empty (its limit is set to 0 until then). Until then the connection is busy, isn't idle and counts among the stalled ones. The stop logs each answer that it cuts with the bytes that the socket lacked, `answer_cut`, and counts them.

Why it works: everything that waits for quiet asks `is_busy`, which now covers the bytes. A client that reads nothing doesn't hold the stop beyond the grace time.

Failed before: test_connection_is_busy_until_the_socket_has_the_answer (2), test_idle_time_begins_when_the_socket_has_the_answer, test_cut_answers_are_counted_and_logged, test_stop_waits_for_a_client_that_reads_its_answer, test_client_that_reads_nothing_does_not_hold_the_stop.

--- a/src/wayslip/gateway/daemon.py
+++ b/src/wayslip/gateway/daemon.py
@@ -410,11 +410,10 @@
         logs.event(
             _LOG,
             "stopped",
-            cut=self._callers.active,
+            cut=self._callers.abort_all(),
             tunnels=len(self._tunnels),
             seconds=f"{clock.now() - began:.1f}",
         )
-        self._callers.abort_all()
         self._requests.close()
         self._tunnels.close()
         self.paths.close()
--- a/src/wayslip/gateway/serving/requests.py
+++ b/src/wayslip/gateway/serving/requests.py
@@ -169,6 +169,7 @@
         if traits is None:
             exchange.answer(400, (), b"send a request id\n")
             return
+        exchange.name = traits.request_id
         route = manifest.resolve(traits.host, traits.path)
         if route is None:
             self._answer_unknown_route(exchange, traits.request_id, began)
--- a/src/wayslip/http1/closing.py
+++ b/src/wayslip/http1/closing.py
@@ -35,6 +35,11 @@
         self._closes_once_sent = False
         _set_linger(transport, _RESET)
 
+    def release(self) -> None:
+        """Has the connection close in order from now on."""
+        if not self._transport.is_closing():
+            _set_linger(self._transport, _IN_ORDER)
+
     def close(self) -> None:
         """Closes the connection in order, once all was handed to the kernel."""
         if self._transport.is_closing():
@@ -44,7 +49,7 @@
             # Has the protocol called once the buffer is empty.
             self._transport.set_write_buffer_limits(high=0)
             return
-        _set_linger(self._transport, _IN_ORDER)
+        self.release()
         self._transport.close()
 
     def note_sent(self) -> None:
--- a/src/wayslip/http1/server.py
+++ b/src/wayslip/http1/server.py
@@ -16,6 +16,7 @@
 import httptools
 
 from wayslip import clock
+from wayslip import logs
 from wayslip.decisions import connection_gate
 from wayslip.decisions import manifest
 from wayslip.http1 import closing
@@ -44,6 +45,8 @@
         self.request = request
         self.is_started = False
         self.is_finished = False
+        # Identifies the request in log lines.
+        self.name = ""
         self._is_chunked = False
         self._ending = messages.BodyEnd.MARKED
 
@@ -146,7 +149,7 @@
 
     def _finish(self) -> None:
         self.is_finished = True
-        self._connection.finish_exchange(self.request)
+        self._connection.finish_exchange(self)
 
 
 Application = Callable[[Exchange], Awaitable[None]]
@@ -201,7 +204,7 @@
 
     @property
     def active(self) -> int:
-        """The number of connections with a request in progress."""
+        """The number of connections that are busy; see `Connection.is_busy`."""
         return sum(1 for c in self.connections if c.is_busy)
 
     def stop_listening(self) -> None:
@@ -216,14 +219,24 @@
 
     def close_longest_idle(self) -> None:
         """Closes the connection that has rested longest, if one rests."""
-        idle = [c for c in self.connections if c.idle_since is not None]
+        idle = [
+            c
+            for c in self.connections
+            if c.idle_since is not None and not c.is_busy
+        ]
         if idle:
             min(idle, key=lambda c: c.idle_since or 0.0).close_if_idle()
 
-    def abort_all(self) -> None:
-        """Aborts all connections."""
+    def abort_all(self) -> int:
+        """Aborts all connections, and logs each answer that this cuts.
+
+        Returns:
+            The number of answers that were cut.
+        """
+        cut = sum(c.log_cut() for c in self.connections)
         for connection in list(self.connections):
             connection.abort()
+        return cut
 
 
 class Connection(asyncio.Protocol):
@@ -241,6 +254,8 @@
         self._queue: list[messages.Request] = []
         self._current: asyncio.Task[None] | None = None
         self._exchange: Exchange | None = None
+        # A finished exchange of whose answer the socket lacks a part.
+        self._unsent: Exchange | None = None
         self._can_write = asyncio.Event()
         self._can_write.set()
         self._timer: asyncio.TimerHandle | None = None
@@ -279,6 +294,7 @@
         self._server.stalled.discard(self)
         self._can_write.set()
         self._set_timer(0, None)
+        self._unsent = None
         self._is_closing = True
         if self._current is not None:
             self._current.cancel()
@@ -296,8 +312,8 @@
         """Marks the write buffer as writable again."""
         self._can_write.set()
         self._server.stalled.discard(self)
-        if self._guarded is not None:
-            self._guarded.note_sent()
+        if self._unsent is not None:
+            self._complete(self._unsent)
         self._serve_next()
 
     def data_received(self, data: bytes) -> None:
@@ -394,21 +410,23 @@
         if self._transport is not None and not self._transport.is_closing():
             self._guarded = closing.GuardedTransport(self._transport)
 
-    def finish_exchange(self, request: messages.Request) -> None:
-        """Closes the connection, or starts its idle timer."""
+    def finish_exchange(self, exchange: Exchange) -> None:
+        """Completes an exchange, now or once the socket has its whole answer.
+
+        Until then the connection is busy: what the socket lacks would be lost
+        with the process. TCP_USER_TIMEOUT and the limit on stalled connections
+        end the wait for a client that reads nothing.
+        """
         self._exchange = None
-        if not self.stays_open(request):
+        if not self.stays_open(exchange.request):
             self._is_closing = True
-            if self._guarded is not None:
-                self._guarded.close()
-            elif self._transport is not None:
-                self._transport.close()
+            self._queue.clear()
+        if not self.buffered_bytes or self._transport is None:
+            self._complete(exchange)
             return
-        if not self._queue:
-            self.idle_since = clock.now()
-        self._set_timer(
-            self._server.limits().idle_seconds, self._on_idle_timeout
-        )
+        self._unsent = exchange
+        # Has `resume_writing` called once the buffer is empty.
+        self._transport.set_write_buffer_limits(high=0)
 
     def abort(self) -> None:
         """Aborts the connection."""
@@ -416,8 +434,24 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def log_cut(self) -> bool:
+        """Logs the answer that an abort would cut; returns whether one is."""
+        exchange = self._exchange or self._unsent
+        if exchange is None:
+            return False
+        logs.event(
+            _LOG,
+            "answer_cut",
+            logging.WARNING,
+            request=exchange.name,
+            started=exchange.is_started,
+            finished=exchange.is_finished,
+            unsent_bytes=self.buffered_bytes,
+        )
+        return True
+
     def close_if_idle(self) -> None:
-        """Closes the connection if no request is in progress."""
+        """Closes the connection if it is not busy."""
         if self.is_busy:
             return
         self._is_closing = True
@@ -433,8 +467,15 @@
 
     @property
     def is_busy(self) -> bool:
-        """Whether a request is in progress or queued."""
-        return self._current is not None or bool(self._queue)
+        """Whether a request is in progress or queued, or an answer on its way.
+
+        An answer is on its way until the socket has all of it.
+        """
+        return (
+            self._current is not None
+            or bool(self._queue)
+            or self._unsent is not None
+        )
 
     # Private methods
 
@@ -460,13 +501,38 @@
         if self._is_closing:
             return
         self._is_closing = True
+        self._queue.clear()
         # A response in progress must not be mixed with this one.
         if self._current is None:
             framing = b"content-length: 0"
             self.write(messages.format_head(status, (), framing, False))
-        if self._transport is not None:
+            self._end()
+        elif self._transport is not None:
             self._transport.close()
 
+    def _complete(self, exchange: Exchange) -> None:
+        """Ends the connection, or starts its idle timer."""
+        self._unsent = None
+        if self._is_closing or not self.stays_open(exchange.request):
+            self._is_closing = True
+            self._end()
+            return
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.set_write_buffer_limits(high=_WRITE_BUFFER_BYTES)
+        if not self._queue:
+            self.idle_since = clock.now()
+        self._set_timer(
+            self._server.limits().idle_seconds, self._on_idle_timeout
+        )
+
+    def _end(self) -> None:
+        """Closes the connection in order."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        if self._guarded is not None:
+            self._guarded.release()
+        self._transport.close()
+
     def _serve_next(self) -> None:
         if self._current is not None or not self._queue or self._is_closing:
             return
