Read on after the last answer until the client closes

What callers saw: a client that had sent more than its last request could get only a part of the answer, and then a reset.

Cause: a socket that is closed with bytes of the client unread resets its connection, and the kernel drops what it still had to send.

Evidence: in test_bytes_after_the_last_request_cost_nothing_of_its_answer the socket has all 400,000 bytes when 21 more bytes of the client arrive.

Change: after the last answer on a connection, and after a refusal of a bad or too long request, only the sending side is closed; what arrives is read and dropped until the client has closed, for 1 s at most once all was sent.

Why it works: no byte is unread when the socket is closed, and the client's close shows that it has read the answer. The connection stays busy for that time, so that a planned stop waits for it too.

--- a/src/wayslip/http1/server.py
+++ b/src/wayslip/http1/server.py
@@ -24,6 +24,10 @@
 from wayslip.http1 import stalls
 
 _LOG = logging.getLogger(__name__)
+# After an answer, the wait for the client to close its side. Closing while
+# bytes of the client are unread resets the connection, and the client may lose
+# what it has not read yet.
+_LINGER_SECONDS = 1.0
 # Write buffer limit for a client that reads slowly.
 _WRITE_BUFFER_BYTES = 128 * 1024
 # TCP_USER_TIMEOUT, option 18 on Linux: a connection with bytes unacknowledged
@@ -256,6 +260,8 @@
         self._exchange: Exchange | None = None
         # A finished exchange of whose answer the socket lacks a part.
         self._unsent: Exchange | None = None
+        # Whether the answer was sent and the connection ends with the client.
+        self._is_ending = False
         self._can_write = asyncio.Event()
         self._can_write.set()
         self._timer: asyncio.TimerHandle | None = None
@@ -390,7 +396,9 @@
 
     def write(self, data: bytes) -> None:
         """Sends bytes, unless the connection is closed."""
-        if self._transport is not None and not self._transport.is_closing():
+        if self._transport is None or self._is_ending:
+            return
+        if not self._transport.is_closing():
             self._transport.write(data)
 
     async def drain(self) -> None:
@@ -469,12 +477,14 @@
     def is_busy(self) -> bool:
         """Whether a request is in progress or queued, or an answer on its way.
 
-        An answer is on its way until the socket has all of it.
+        It is on its way until the socket has it; if the connection ends with
+        it, until the client has closed its side or had time for that.
         """
         return (
             self._current is not None
             or bool(self._queue)
             or self._unsent is not None
+            or self._is_ending
         )
 
     # Private methods
@@ -526,12 +536,16 @@
         )
 
     def _end(self) -> None:
-        """Closes the connection in order."""
+        """Ends the connection as soon as the client has closed its side."""
         if self._transport is None or self._transport.is_closing():
             return
+        if self._is_ending:
+            return
+        self._is_ending = True
         if self._guarded is not None:
             self._guarded.release()
-        self._transport.close()
+        self._transport.write_eof()
+        self._set_timer(_LINGER_SECONDS, self._on_linger_timeout)
 
     def _serve_next(self) -> None:
         if self._current is not None or not self._queue or self._is_closing:
@@ -576,5 +590,11 @@
     def _on_idle_timeout(self) -> None:
         self.close_if_idle()
 
+    def _on_linger_timeout(self) -> None:
+        if self.buffered_bytes:
+            self._set_timer(_LINGER_SECONDS, self._on_linger_timeout)
+        elif self._transport is not None:
+            self._transport.close()
+
     def _on_header_timeout(self) -> None:
         self._refuse(408)
--- a/tests/http1/test_unsent_answers.py
+++ b/tests/http1/test_unsent_answers.py
@@ -13,9 +13,12 @@
 
 from tests.http1 import test_server
 from wayslip import logs
+from wayslip.http1 import server
 
 # More than the sockets of a connection with a small receive buffer take.
 BODY = bytes(range(256)) * 30_000
+# Less than that, more than the receive buffer.
+PART = BODY[:400_000]
 REQUEST = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
 LAST_REQUEST = b"GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
 RECEIVE_BUFFER_BYTES = 8192
@@ -26,10 +29,8 @@
     exchange.answer(200, (), BODY)
 
 
-async def answer_in_parts(exchange):
-    exchange.start(200, (), len(BODY))
-    await exchange.send(BODY)
-    exchange.finish()
+async def answer_with_a_part(exchange):
+    exchange.answer(200, (), PART)
 
 
 async def until(check):
@@ -50,8 +51,8 @@
         yield sock
 
 
-async def receive(sock):
-    """Returns the body of one answer."""
+async def receive(sock, expected=BODY):
+    """Returns the body of one answer, at most a part more than expected."""
     loop = asyncio.get_running_loop()
     data = b""
     while b"\r\n\r\n" not in data:
@@ -59,7 +60,7 @@
         assert part, "the connection was closed before an answer"
         data += part
     body = data.partition(b"\r\n\r\n")[2]
-    while len(body) < len(BODY):
+    while len(body) < len(expected):
         part = await loop.sock_recv(sock, 65536)
         if not part:
             break
@@ -118,3 +119,29 @@
         assert fields["request"] == "r1"
         assert fields["finished"]
         assert 0 < fields["unsent_bytes"] < len(BODY) + 1000
+
+
+@test_server.serve(answer_with_a_part)
+async def test_bytes_after_the_last_request_cost_nothing_of_its_answer(
+    http_server,
+):
+    # Guards against a reset by a socket that is closed with bytes unread.
+    async with connect(http_server) as sock:
+        await send(sock, LAST_REQUEST)
+        await until(lambda: http_server.connections)
+        # The socket takes the whole answer, the client nothing.
+        await asyncio.sleep(0.2)
+        await send(sock, b"more than the request")
+        await asyncio.sleep(0.2)
+        assert await receive(sock, PART) == PART
+        assert await asyncio.get_running_loop().sock_recv(sock, 1) == b""
+
+
+@test_server.serve(answer_at_once)
+async def test_client_that_does_not_close_is_closed_soon(http_server):
+    # Guards against connections that end with an answer and stay for ever.
+    with mock.patch.object(server, "_LINGER_SECONDS", 0.05):
+        async with connect(http_server) as sock:
+            await send(sock, LAST_REQUEST)
+            assert await receive(sock) == BODY
+            await until(lambda: not http_server.connections)
