Count a request of the own interface until its answer is written

What callers would see: a planned stop of an entry may end the process while a worker still writes an answer to a caller that reads slowly; cheroot gives its workers 1 s.

Change: the HTTP server of the own interface counts requests until the socket has their answers, and the stop waits for that count; its log line names what was unwritten at the limit. Streams were counted until their bytes were gone already.

--- a/src/wayslip/entry/daemon.py
+++ b/src/wayslip/entry/daemon.py
@@ -132,6 +132,7 @@
         time.sleep(self._settings.drain.balancer_seconds)
         self.routes.is_draining = True
         left = self._wait_for_requests()
+        unwritten = self._callers_port.active
         self._callers_port.stop()
         self.relay.stop()
         self.view.stop()
@@ -143,6 +144,7 @@
             instance=self._settings.instance.name,
             seconds=round(clock.now() - began, 3),
             cut=left,
+            unwritten=unwritten,
         )
 
     def _wait_for_requests(self) -> int:
@@ -153,7 +155,7 @@
         """
         limit = clock.now() + self._settings.drain.finish_seconds
         while clock.now() < limit:
-            running = self.routes.active + self.in_flight.total
+            running = self._callers_port.active + self.in_flight.total
             running += self.relay.active + self.keyed.active
             if not running:
                 return 0
--- a/src/wayslip/entry/routes.py
+++ b/src/wayslip/entry/routes.py
@@ -2,7 +2,6 @@
 
 import json
 import re
-import threading
 from typing import Any
 
 from wayslip import clock
@@ -46,20 +45,11 @@
         self._by_name = {c.name: c for c in settings.callers}
         self.keyed: keyed_module.Keyed | None = None
         self.is_draining = False
-        # Requests being answered now; the graceful stop waits for them.
-        self.active = 0
-        self._lock = threading.Lock()
 
     def answer(self, request: web.Request) -> web.Answer | None:
         """Answers a request; returns None if the relay streams the answer."""
         started = clock.now()
-        with self._lock:
-            self.active += 1
-        try:
-            answer = self._answer(request)
-        finally:
-            with self._lock:
-                self.active -= 1
+        answer = self._answer(request)
         if answer is not None:
             outcome = answer.headers.get(web.OUTCOME, "")
             self._metrics.count("answers", outcome=outcome)
--- a/src/wayslip/web.py
+++ b/src/wayslip/web.py
@@ -5,7 +5,9 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterator
 from collections.abc import Mapping
+import contextlib
 import dataclasses
 import http
 import json
@@ -265,11 +267,16 @@
         threads: int,
         security: settings_module.Security | None = None,
     ) -> None:
+        self._lock = threading.Lock()
+        self._active = 0
+        server = self
+
         class Gateway(cheroot_server.Gateway):
             """Passes cheroot's requests to the application."""
 
             def respond(self) -> None:
-                _respond(self.req, application, limits)
+                with server.count_request():
+                    _respond(self.req, application, limits)
 
         self._server = _Server(
             addresses.split_address(address),
@@ -293,6 +300,23 @@
             target=self._server.serve, name="http", daemon=True
         )
 
+    @property
+    def active(self) -> int:
+        """Requests whose answer the socket does not have yet."""
+        with self._lock:
+            return self._active
+
+    @contextlib.contextmanager
+    def count_request(self) -> Iterator[None]:
+        """Counts a request as active until its answer is written."""
+        with self._lock:
+            self._active += 1
+        try:
+            yield
+        finally:
+            with self._lock:
+                self._active -= 1
+
     @property
     def address(self) -> str:
         """The address it listens on, "IP:PORT"."""
