Soak: clients on narrow links around stops, entries of other writers

The soak's slow readers read slowly in parts of an answer only, and none was timed to a stop. The new fault stops a gateway while four clients read at 5 Mbit/s answers that end about when the stop would; whole bodies are compared byte by byte. Cuts count unless the gateway was killed, suspended, or stopped by the end of its grace time. A second fault writes entries that a parser or an encoder doesn't take.

--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -259,7 +259,9 @@
 ) -> None:
     if request.body != format_upload(request.id, len(request.body)):
         engine.oracle.report_violation(f"MIXED upload of {request.id}")
-    body = format_large(request.id)
+    seconds, size = _find_work(request.target)
+    await asyncio.sleep(seconds)
+    body = format_large(request.id, size)
     head = platform_engine.format_answer(
         request.id, b"", 200, Content_Length=str(len(body))
     )
@@ -314,9 +316,20 @@
     return _repeat(f"up {request_id}\n".encode(), size)
 
 
-def format_large(request_id: str) -> bytes:
+def format_large(request_id: str, size: int = _LARGE_BYTES) -> bytes:
     """Returns the whole answer to a slow reader."""
-    return _repeat(f"down {request_id}\n".encode(), _LARGE_BYTES)
+    return _repeat(f"down {request_id}\n".encode(), size)
+
+
+def _find_work(target: str) -> tuple[float, int]:
+    """Returns the seconds of work for an answer, and its size.
+
+    A path like "/large/2500/9000" names both: milliseconds, and bytes.
+    """
+    named = target.split("/")[2:]
+    if len(named) != 2:
+        return 0.0, _LARGE_BYTES
+    return int(named[0]) / 1000, int(named[1])
 
 
 def _repeat(text: bytes, size: int) -> bytes:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -3,12 +3,14 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import json
 import random
 import signal
 import time
 
 from soak import endpoints
 from soak import proxy
+from soak import readers
 from soak import world as world_module
 from standins import platform_client
 from standins import platform_site
@@ -55,6 +57,15 @@
     gateway = _pick_gateway(world, rng)
     if not gateway.is_up or gateway.is_stopping or gateway.is_paused:
         return
+    await _terminate(world, rng, gateway)
+
+
+async def _terminate(
+    world: world_module.World,
+    rng: random.Random,
+    gateway: world_module.Gateway,
+) -> None:
+    """Stops a gateway, and checks that it stops in time."""
     process = gateway.process
     assert process is not None
     gateway.is_stopping = True
@@ -73,6 +84,52 @@
         process.kill()
 
 
+_LINK_READERS = 4
+# Answers that a gateway sends once it has them whole.
+_LINK_ANSWER_BYTES = (60_000, 250_000)
+# Ends about when a stop without any request would.
+_LINK_WORK_SECONDS = (2.0, 3.2)
+# A stop that takes less was not ended by the grace time.
+_EARLY_STOP_SECONDS = world_module.GRACE_SECONDS - 0.8
+
+
+@register
+async def terminate_beside_readers(
+    world: world_module.World, rng: random.Random
+) -> None:
+    """Sends a gateway SIGTERM while clients on narrow links read answers."""
+    gateway = _pick_gateway(world, rng)
+    if not gateway.is_up or gateway.is_stopping or gateway.is_paused:
+        return
+    process, began = gateway.process, time.monotonic()
+    assert process is not None
+    name = f"link-{rng.randrange(1_000_000)}"
+    reads = [
+        asyncio.ensure_future(
+            readers.read_over_link(
+                gateway,
+                f"{name}-{number}",
+                rng.uniform(*_LINK_WORK_SECONDS),
+                rng.randint(*_LINK_ANSWER_BYTES),
+                world.conditions.make_headers(number),
+            )
+        )
+        for number in range(_LINK_READERS)
+    ]
+    await asyncio.sleep(rng.uniform(0.0, 0.6))
+    stopped_early = False
+    if gateway.process is process and gateway.is_up and not gateway.is_stopping:
+        signalled = time.monotonic()
+        await _terminate(world, rng, gateway)
+        seconds = time.monotonic() - signalled
+        stopped_early = seconds < _EARLY_STOP_SECONDS and process.poll() == 0
+    failures = [f for f in await asyncio.gather(*reads) if f]
+    # At the end of the grace time it may cut answers that came late.
+    if stopped_early and gateway.paused_at < began and world.is_own(gateway):
+        for failure in failures:
+            world.oracle.report_violation(f"LOST {failure}")
+
+
 @register
 async def pause(world: world_module.World, rng: random.Random) -> None:
     """Suspends a gateway for 0.2 to 4 s."""
@@ -80,6 +137,7 @@
     if not gateway.is_up or gateway.is_paused:
         return
     gateway.is_paused = True
+    gateway.paused_at = time.monotonic()
     process = gateway.process
     gateway.send(signal.SIGSTOP)
     await asyncio.sleep(rng.uniform(0.2, 4.0))
@@ -98,6 +156,40 @@
         await asyncio.sleep(0.1)
 
 
+# JSON of other writers that a parser, or an encoder behind it, does not take.
+_ODD_TEXTS = (
+    "[" * 1_200 + "]" * 1_200,
+    "9" * 5_000,
+    '"half-\\ud83d"',
+    "NaN",
+    "-1",
+    "{}",
+)
+_ODD_ENTRIES = 6
+
+
+@register
+async def write_odd_entries(
+    world: world_module.World, rng: random.Random
+) -> None:
+    """Lets another writer put entries into the list of endpoints."""
+    names = []
+    for _ in range(_ODD_ENTRIES):
+        entry = platform_site.entry("plain", "127.0.0.1:9")
+        texts = {field: json.dumps(value) for field, value in entry.items()}
+        texts[rng.choice([*texts, "born", "at_hand"])] = rng.choice(_ODD_TEXTS)
+        # No endpoint is to be found at the address, whatever the field is.
+        texts["service"] = rng.choice(['"kiosk"', '"kiosk-\\ud83d"'])
+        text = ",".join(f'"{field}":{t}' for field, t in texts.items())
+        names.append(f"odd-{rng.randrange(1_000_000)}")
+        world.store.put_text("servers", names[-1], f"{{{text}}}")
+        await asyncio.sleep(rng.uniform(0.0, 0.3))
+    await asyncio.sleep(rng.uniform(0.0, 3.0))
+    for name in names:
+        if name in world.store.objects["servers"]:
+            world.store.remove("servers", name)
+
+
 @register
 async def harm_store(world: world_module.World, rng: random.Random) -> None:
     """Disrupts the connections from one gateway to the store."""
--- a/soak/readers.py
+++ b/soak/readers.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import random
+import socket
 
 from soak import clients
 from soak import endpoints
 from soak import world as world_module
 from standins import platform_client
+from standins import platform_site
 
 # The slow part of an answer: longer than the bytes that sockets buffer last.
 _SLOW_SECONDS = 2.0
@@ -15,6 +17,12 @@
 _DEADLINE_MS = 7000
 _ANSWER_TIMEOUT_SECONDS = 9.0
 _UPLOAD_BYTES = 1_000_000
+# A client on a link of 5 Mbit/s: what it reads in a second and at a time, its
+# receive buffer, and its segments.
+_LINK_BYTES_PER_SECOND = 625_000
+_LINK_READ_BYTES = 4_000
+_LINK_BUFFER_BYTES = 8_192
+_LINK_SEGMENT_BYTES = 1_460
 
 
 class SlowReader:
@@ -94,3 +102,62 @@
             if loop.time() < slow_until:
                 await asyncio.sleep(_SLOW_PAUSE_SECONDS)
         return status, b"".join(parts)
+
+
+async def read_over_link(
+    gateway: world_module.Gateway,
+    request: str,
+    seconds: float,
+    size: int,
+    headers: dict[str, str],
+) -> str:
+    """Reads a whole answer at the speed of a link.
+
+    Args:
+        gateway: Where to send the request.
+        request: The request's id.
+        seconds: How long the endpoint is to work on the answer.
+        size: Size of the answer, bytes.
+        headers: Further headers.
+
+    Returns:
+        What is wrong with an answer whose head was received; empty if nothing
+        is or if there was none.
+    """
+    loop = asyncio.get_running_loop()
+    host, _, port = gateway.callers.rpartition(":")
+    named = {
+        "Host": platform_site.HOST,
+        "Wayslip-Request-Id": request,
+        "Wayslip-Deadline-Ms": str(_DEADLINE_MS),
+        "Content-Length": "0",
+        **{name.replace("_", "-"): text for name, text in headers.items()},
+    }
+    lines = [f"POST /large/{int(seconds * 1000)}/{size} HTTP/1.1"]
+    lines += [f"{name}: {text}" for name, text in named.items()]
+    data = b""
+    ending = "closed"
+    with socket.socket() as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _LINK_BUFFER_BYTES)
+        sock.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_MAXSEG, _LINK_SEGMENT_BYTES
+        )
+        sock.setblocking(False)
+        try:
+            async with asyncio.timeout(_ANSWER_TIMEOUT_SECONDS):
+                await loop.sock_connect(sock, (host, int(port)))
+                text = "\r\n".join(lines) + "\r\n\r\n"
+                await loop.sock_sendall(sock, text.encode())
+                while part := await loop.sock_recv(sock, _LINK_READ_BYTES):
+                    data += part
+                    if len(data.partition(b"\r\n\r\n")[2]) >= size:
+                        break
+                    await asyncio.sleep(len(part) / _LINK_BYTES_PER_SECOND)
+        except (OSError, TimeoutError) as e:
+            ending = type(e).__name__
+    head, separator, body = data.partition(b"\r\n\r\n")
+    if not separator or not head.startswith(b"HTTP/1.1 200 "):
+        return ""
+    if body == endpoints.format_large(request, size):
+        return ""
+    return f"{request} got {len(body)} of {size} bytes, {ending}"
--- a/soak/world.py
+++ b/soak/world.py
@@ -44,6 +44,7 @@
 
     Attributes:
         sources: Folder of the package of the release that it runs.
+        paused_at: When it was last suspended, monotonic seconds.
     """
 
     name: str
@@ -56,6 +57,7 @@
     started: float = 0.0
     is_stopping: bool = False
     is_paused: bool = False
+    paused_at: float = 0.0
 
     def start(self) -> None:
         """Starts the process."""
@@ -346,6 +348,10 @@
             Gateway(name, settings, callers, proxy, log, tree / "src")
         )
 
+    def is_own(self, gateway: Gateway) -> bool:
+        """Whether a gateway runs this checkout's release."""
+        return gateway.sources == _TREE / "src"
+
     def check_processes(self) -> None:
         """Restarts ended gateways; reports those that ended unexpectedly."""
         for gateway in self.gateways:
