Grant a holder that everybody left silently no detached operation

Cause: an instance that is silent for 6 s while the lease is renewed was forgotten, as if it would have taken the lease had it reached the store. It sees the lease renewed and waits. With nobody left, "all agree" held.

Evidence: `detachment_changed granted=True instances=0` before the successor takes the lease.

Change: forgotten instances are remembered for the term; a holder to which nobody reports and that has forgotten some is deserted and isn't granted.

Why it works: whoever took the lease behind the cut is among the forgotten.

test_deserted_holder_is_not_granted and test_holder_whose_peers_fell_silent_is_deserted fail before: there was no such state.

--- a/src/wayslip/decisions/detachment.py
+++ b/src/wayslip/decisions/detachment.py
@@ -89,6 +89,7 @@
         statuses: Iterable[PeerStatus],
         has_missing_instance: bool,
         now: float,
+        is_deserted: bool = False,
     ) -> "Detachment":
         """Returns the state that follows from all instances' last statuses.
 
@@ -101,9 +102,13 @@
             has_missing_instance: Whether one stopped reporting without
                 announcing that it stops.
             now: Seconds of the holder's monotonic clock.
+            is_deserted: Whether no other instance reports although some did
+                in this term, and did not announce that they stop. It is then
+                more likely that this instance is cut off from them than that
+                all have ended, and they may reach the store.
         """
         known = list(statuses)
-        if has_missing_instance:
+        if has_missing_instance or is_deserted:
             return NONE
         since = None
         if not all(w.is_disconnected for w in known):
--- a/src/wayslip/gateway/planning/detached_operation.py
+++ b/src/wayslip/gateway/planning/detached_operation.py
@@ -62,6 +62,7 @@
                 bool(self.list_missing()),
                 # At the resolution of the stamps in reports.
                 detachment.read_stamp(detachment.make_stamp(clock.now())),
+                self._members.is_deserted(self._own_address),
             )
         else:
             self._state = detachment.NONE
@@ -83,4 +84,5 @@
             oldest=f"{clock.now() - oldest:.2f}",
             cut_off=sum(w.is_disconnected for w in statuses),
             missing=",".join(p.address for p in self.list_missing()),
+            deserted=self._members.is_deserted(self._own_address),
         )
--- a/src/wayslip/gateway/sharing/members.py
+++ b/src/wayslip/gateway/sharing/members.py
@@ -74,6 +74,8 @@
         self._announced_peers: tuple[fanout.Peer, ...] = ()
         # Unresponsive instances that did not report a shutdown, and since when.
         self._missing: dict[fanout.Peer, float] = {}
+        # Addresses of those that no longer count as missing.
+        self._forgotten: set[str] = set()
         self._models: demand.Rates[tuple[str, str]] = demand.Rates(
             _DECAY_SECONDS
         )
@@ -117,6 +119,7 @@
             report.is_cut_off,
             report.is_leaving,
         )
+        self._forgotten.discard(self._members[report.instance].peer.address)
         for one in report.demands:
             key = (one.service, one.model)
             self._models.add(key, one.count, now)
@@ -327,13 +330,26 @@
         the store would have taken it within this time.
         """
         limit = clock.now() - detachment.MISSING_SECONDS
-        self._missing = {p: at for p, at in self._missing.items() if at > limit}
+        forgotten = [p for p, at in self._missing.items() if at <= limit]
+        for peer in forgotten:
+            del self._missing[peer]
+            self._forgotten.add(peer.address)
+
+    def is_deserted(self, own: str) -> bool:
+        """Whether only silent instances are known besides this one.
+
+        Args:
+            own: Address of this instance for its peers, "IP:PORT".
+        """
+        others = {m.peer.address for m in self._members.values()} - {own}
+        return not others and bool(self._forgotten - {own})
 
     def begin(self) -> None:
         """Begins a term: removes earlier reports and keeps the demand."""
         self._members.clear()
         self._term_began = clock.now()
         self._missing = dict.fromkeys(self._announced_peers, self._term_began)
+        self._forgotten.clear()
 
 
 def _make_peer(source: hub_module.Address, data_hall: str) -> fanout.Peer:
--- a/tests/decisions/test_detachment.py
+++ b/tests/decisions/test_detachment.py
@@ -62,6 +62,11 @@
     assert detachment.NONE.judge([], False, 10.0).is_granted
 
 
+def test_deserted_holder_is_not_granted():
+    # Guards against two holders that order an engine by turns.
+    assert GRANTED.judge([], False, 10.0, True) == detachment.NONE
+
+
 def test_connected_instance_withdraws_a_proposal():
     answer = PROPOSED.judge([connected()], False, 10.0)
     assert answer == detachment.NONE
--- a/tests/gateway/test_detached_operation.py
+++ b/tests/gateway/test_detached_operation.py
@@ -55,6 +55,39 @@
     assert not members.list_missing()
 
 
+def test_holder_whose_peers_fell_silent_is_deserted(monkeypatch):
+    # Guards against a holder that is cut off from all others, forgets them
+    # and then needs nobody's consent.
+    own = "10.0.0.1:1"
+    members = members_module.Members()
+    members.take(report("g1"), source(1), set())
+    assert not members.is_deserted(own)
+    members.take(report("g2"), source(2), set())
+    members.take(report("g3", is_leaving=True), source(3), set())
+    monkeypatch.setattr(members_module, "_SILENCE_SECONDS", 0.0)
+    monkeypatch.setattr(detachment, "MISSING_SECONDS", 0.0)
+    members.peers()
+    members.forget_missing()
+    assert members.is_deserted(own)
+    members.take(report("g2", process="later"), source(2), set())
+    assert not members.is_deserted(own)
+    members.peers()
+    members.forget_missing()
+    assert members.is_deserted(own)
+    members.begin()
+    assert not members.is_deserted(own)
+
+
+def test_only_instances_that_stop_in_order_desert_no_holder(monkeypatch):
+    members = members_module.Members()
+    members.take(report("g2", is_leaving=True), source(2), set())
+    monkeypatch.setattr(members_module, "_SILENCE_SECONDS", 0.0)
+    monkeypatch.setattr(detachment, "MISSING_SECONDS", 0.0)
+    members.peers()
+    members.forget_missing()
+    assert not members.is_deserted("10.0.0.1:1")
+
+
 def test_new_holder_lists_announced_peers_as_missing():
     # A missing instance may have taken the lease meanwhile, unnoticed.
     members = members_module.Members()
