Confirm no keys right after a start at a store that was restored

Cause: only an instance that sees the era of the store rise waits for what the store lost to be written again. One that starts later saw no change and took the copy's configuration for the newest.

Change: the first read of a process takes any era after the first for a recent restore. Why it works: the wait begins at that read, which is later than the return.

test_instance_that_starts_after_a_restore_accepts_no_key_at_once failed before: 200 in place of 503.

--- a/src/wayslip/decisions/position.py
+++ b/src/wayslip/decisions/position.py
@@ -9,6 +9,8 @@
 
 import collections
 
+# The era of a store that has never lost writes.
+FIRST_ERA = 1
 # Positions that are remembered: those of some ten seconds.
 _MAX_HEARD = 64
 # Number of revisions reserved for each era. Positions of the first 8,000 eras
--- a/src/wayslip/gateway/planning/claims.py
+++ b/src/wayslip/gateway/planning/claims.py
@@ -14,8 +14,6 @@
 from wayslip.gateway.sharing import records
 
 _LOG = logging.getLogger(__name__)
-# The era of a store that has never lost writes.
-_FIRST_ERA = 1
 # Writes of a claim for one order; the second follows a conflict.
 _MAX_WRITES = 2
 
@@ -88,7 +86,7 @@
 
     def note_no_predecessor(self) -> None:
         """Ends the initial hold-off, as no other instance held the lease."""
-        if self._store.era <= _FIRST_ERA:
+        if self._store.era <= position.FIRST_ERA:
             # In a later era the store may have lost another instance's lease.
             self._startup_hold_off_until = 0.0
 
--- a/src/wayslip/gateway/sharing/configuration_sync.py
+++ b/src/wayslip/gateway/sharing/configuration_sync.py
@@ -11,6 +11,7 @@
 from wayslip import metrics as metrics_module
 from wayslip.decisions import access
 from wayslip.decisions import manifest
+from wayslip.decisions import position
 from wayslip.gateway import options as options_module
 from wayslip.gateway import store as store_module
 from wayslip.gateway.sharing import configuration
@@ -70,11 +71,13 @@
             on_new_configuration: Called when this instance has read a newer
                 configuration from the store and put it in force.
         """
+        self._store = store
         self._name = name
         self._holder = holder
         self._on_new_configuration = on_new_configuration
         # Version in the store when it was last read.
         self._read_version = 0
+        self._has_read = False
         # Until this time a restored store may lack its last changes.
         self._may_lack_until = float("-inf")
         store.on_restore(self._note_return)
@@ -171,12 +174,24 @@
         if self._holder.offer(value):
             self._on_new_configuration()
 
+    def _note_first_read(self) -> None:
+        """Takes a restore that this process has not seen for a recent one.
+
+        The store tells that it lost writes, not when. What it lacks may have
+        revoked keys that its copy still has.
+        """
+        self._has_read = True
+        if self._store.era > position.FIRST_ERA:
+            self._note_return()
+
     def _note_read(self, asked_at: float, refused: Set[str]) -> None:
         """Records a read of the store, unless it confirms nothing.
 
         This is so if the object of the configuration could not be decoded, or
         if the store may have lost a later one.
         """
+        if not self._has_read:
+            self._note_first_read()
         is_older = self._read_version < (self._holder.version or 0)
         if self._name in refused or self._may_lack or is_older:
             return
--- a/tests/gateway/test_organisations.py
+++ b/tests/gateway/test_organisations.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import dataclasses
+from unittest import mock
 
 from standins import platform_client
 from standins import platform_site
 from tests.gateway import harness
 from wayslip import errors
+from wayslip.gateway.sharing import configuration_sync
 
 KEYS = {"shop": "key-of-shop-1", "bank": "key-of-bank-1"}
 
@@ -116,6 +118,32 @@
     assert answer.status == 200
 
 
+@harness.run
+async def test_instance_that_starts_after_a_restore_accepts_no_key_at_once(
+    system,
+):
+    # Guards against keys that were revoked before the store lost that.
+    bounds = dataclasses.replace(system.options.bounds, revocation=5.0)
+    engine = await begin(system, organisation("shop"), organisation("bank"))
+    system.store.keep_backup()
+    configure(system, 3, organisation("shop"))
+    await system.until(lambda: system.gateway.holder.version == 3)
+    await system.kill(system.gateway)
+    system.store.return_to_backup()
+    options = harness.make_options("g2", system.options.store)
+    key = {"Wayslip_Key": KEYS["bank"]}
+    # The time for the operator to write again, longer than this test.
+    with mock.patch.object(configuration_sync, "_REWRITE_SECONDS", 60.0):
+        gateway = system._launch(dataclasses.replace(options, bounds=bounds))
+        await system.until(gateway.is_ready)
+        watcher = gateway._configuration_sync.watcher
+        await system.until(lambda: watcher.is_current)
+        for _ in range(20):
+            assert (await ask_at(gateway, "/get/a", **key)).status == 503
+            await asyncio.sleep(0.02)
+    assert not engine.received
+
+
 @harness.run
 async def test_instance_without_store_access_is_confirmed_by_another(
     system,
