Take answers of the store apart without assuming their form

An event that is no object, or an answer without `items`, `events` or `as_of`, raised an error that the watcher doesn't handle, and the process stopped; none was seen. Such an event is an object that can't be read, such an answer is none. test_odd_answer_of_the_store_ends_no_loop failed before.

--- a/src/wayslip/platform/store.py
+++ b/src/wayslip/platform/store.py
@@ -184,8 +184,9 @@
         changes: list[store.Change[T]] = []
         refused = []
         for event in _read_envelope(response.body, "events", list):
-            found = _read_object(kind, event.get("object"), response.era)
-            if event.get("removed"):
+            raw = event if isinstance(event, Mapping) else {}
+            found = _read_object(kind, raw.get("object"), response.era)
+            if raw.get("removed"):
                 changes.append(store.Change(found.name, None))
             elif isinstance(found, store.Refused):
                 refused.append(found)
--- a/tests/platform/test_foreign_entries.py
+++ b/tests/platform/test_foreign_entries.py
@@ -210,6 +210,32 @@
     asyncio.run(_list_by_pages())
 
 
+@with_client
+async def _watch_odd_answers(standin, client):
+    standin.put("servers", "e1", _GOOD)
+    event = {"object": standin.objects["servers"]["e1"], "removed": False}
+    events = [None, [], {}, {"object": 3}, event]
+    answers = [{"events": events, "as_of": standin.revision}]
+
+    async def watch(kind, query):
+        return 200, answers[-1]
+
+    standin._watch = watch
+    await client.list(kinds.ENDPOINTS)
+    revision = position.make(standin.era, 1)
+    changes = await client.watch(kinds.ENDPOINTS, revision, 0.1)
+    assert [c.name for c in changes.items if c.value is not None] == ["e1"]
+    for odd in ({"events": events}, {"as_of": 3}, [], None):
+        answers.append(odd)
+        with pytest.raises(errors.ObjectUnavailableError):
+            await client.watch(kinds.ENDPOINTS, revision, 0.1)
+
+
+def test_odd_answer_of_the_store_ends_no_loop():
+    # Guards against errors that the watcher does not expect.
+    asyncio.run(_watch_odd_answers())
+
+
 def test_object_that_fails_its_decoder_is_refused_alone():
     # Guards against an error of a decoder that ends the process.
     def fail(name, spec):
