Refuse a method that isn't ASCII as a bad request

What callers would see: the own interface answered 500, which leaves open whether the request ran, to a method with other bytes than ASCII, as its decoding raised an error that nobody expects. Change: it is decoded as the other parts of the head are and refused as any unknown method is. test_method_of_other_characters_is_refused failed before: 500.

--- a/src/wayslip/web.py
+++ b/src/wayslip/web.py
@@ -67,7 +67,7 @@
     def __init__(self, raw: Any, body_limit: int) -> None:
         self._raw = raw
         self._limit = body_limit
-        self.method = raw.method.decode("ascii")
+        self.method = raw.method.decode("latin-1")
         uri = urllib.parse.urlsplit(raw.uri.decode("latin-1"))
         self.path = urllib.parse.unquote(uri.path)
         self.raw_path = uri.path + (f"?{uri.query}" if uri.query else "")
--- a/tests/entry/test_callers.py
+++ b/tests/entry/test_callers.py
@@ -159,6 +159,15 @@
     assert b"Wayslip-Outcome: not-run" in answer
 
 
+def test_method_of_other_characters_is_refused(system):
+    # Guards against a 500 that leaves open whether the request ran.
+    head = "GÉT /v1/models HTTP/1.1\r\nHost: x\r\n"
+    head += f"Authorization: Bearer {system_module.ALICE}\r\n\r\n"
+    answer = _send_raw(system.callers_port(), head.encode("latin-1"))
+    assert answer.split(b" ")[1] in (b"400", b"404", b"405")
+    assert b"Wayslip-Outcome: not-run" in answer
+
+
 def test_malformed_head_is_refused(system):
     answer = _send_raw(system.callers_port(), b"GARBAGE\r\n\r\n")
     assert b" 400 " in answer.split(b"\r\n")[0]
