Read no numbers of more than 15 digits from headers

What callers would see: 500 for a request whose token count or deadline has 309 digits or more (OverflowError in the log as request_failed), and for every request to an endpoint that states its load with as many, as choosing an endpoint computes with it. None was seen.

Cause: integers were taken at any length; dividing one of more than 308 digits fails, and reading one of more than 4,300. Change: a longer number counts as none, in headers as in the list. test_numbers_that_are_too_long_are_not_read failed before for 16, 400 and 5,000 digits.

--- a/src/wayslip/platform/dialect.py
+++ b/src/wayslip/platform/dialect.py
@@ -35,6 +35,8 @@
 # probably a mistake of the endpoint.
 _MAX_BACKOFF_SECONDS = 3600.0
 _LOWEST_PRIORITY = 9
+# More than any count or time has; arithmetic with long integers may fail.
+_MAX_DIGITS = 15
 # Fields of a load before the optional one, the momentary time factor.
 _LOAD_FIELDS = 3
 # Time factors in percent outside of these bounds are mistakes: an endpoint
@@ -173,6 +175,9 @@
 
 
 def _read_int(text: bytes) -> int | None:
+    """Returns a number of at most 15 digits, None for any other text."""
+    if len(text) > _MAX_DIGITS:
+        return None
     try:
         return int(text)
     except ValueError:
@@ -213,7 +218,8 @@
     parts = []
     for item in text.decode("latin-1").split(","):
         part_id, _, tokens = item.strip().partition(":")
-        if part_id and tokens.isdecimal():
+        is_number = tokens.isdecimal() and len(tokens) <= _MAX_DIGITS
+        if part_id and is_number:
             parts.append(dialect.PromptPart(part_id, int(tokens)))
     return tuple(parts)
 
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -49,6 +49,26 @@
     assert traits.last_event_id == "4"
 
 
+@pytest.mark.parametrize("digits", [16, 400, 5_000])
+def test_numbers_that_are_too_long_are_not_read(digits):
+    # Guards against arithmetic that fails for every request to an endpoint
+    # which states such a load, and for the client's own request.
+    long = "9" * digits
+    traits = DIALECT.read_request(
+        request(
+            wayslip_request_id="r1",
+            wayslip_deadline_ms=long,
+            wayslip_token_count=f"{long},{long}",
+            wayslip_prompt_prefix=f"5c:800,91:{long}",
+        )
+    )
+    assert traits.deadline is None
+    assert (traits.prompt_tokens, traits.output_tokens) == (0, 0)
+    assert traits.parts == (dialect.PromptPart("5c", 800),)
+    answer = DIALECT.read_answer(head(wayslip_server_load=f"{long},0,8"))
+    assert answer.load is None
+
+
 def test_request_without_an_id_has_no_traits():
     assert DIALECT.read_request(request()) is None
 
