Log why a model that callers were refused is not loaded

The holder now logs once a second, for each model that requests were refused for, the refusals, how long it has waited, the gain if it could serve at once, and what stands against it: free engines, the least loss by evictions, the loss while the engine is busy. No decision has changed.

--- a/src/wayslip/decisions/loading.py
+++ b/src/wayslip/decisions/loading.py
@@ -114,6 +114,37 @@
     return model.load_s, True
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Obstacle:
+    """What stands against the load of a model that no engine holds.
+
+    Attributes:
+        bound: Gain if the model could serve at once, requests.
+        free: Engines that could make room for it now.
+        loss: Least loss by evictions among them, requests; None without any.
+        busy_loss: Requests lost while the engine of that loss would load it.
+    """
+
+    bound: float
+    free: int
+    loss: float | None = None
+    busy_loss: float | None = None
+
+
+def find_obstacle(world: copies.World, model: manifest.Model) -> Obstacle:
+    """Returns what keeps a model that no engine holds from being loaded."""
+    copy_value = world.find_copy_value(model.name)
+    bound = copy_value.gain(0.0, copies.MAX_READING_SHARE)
+    free = world.list_free(model.weights_mb)
+    if not free:
+        return Obstacle(bound, 0)
+    room = world.find_room(free[0], model.weights_mb)
+    seconds, _ = _time_load(free[0], model)
+    return Obstacle(
+        bound, len(free), room.loss, room.busy_loss * (seconds + room.wait)
+    )
+
+
 def choose_adapter_engine(
     adapters: Mapping[str, int], slots: int, load: Mapping[str, int]
 ) -> str | None:
--- a/src/wayslip/gateway/planning/loads.py
+++ b/src/wayslip/gateway/planning/loads.py
@@ -262,3 +262,27 @@
         rate=f"{asked.rate:.2f}",
         work=f"{asked.work:.2f}",
     )
+
+
+def log_unplanned(
+    model: str,
+    refusals: int,
+    waited: float,
+    pending: int,
+    obstacle: loading.Obstacle,
+) -> None:
+    """Logs why a model that was refused is not planned to be loaded."""
+    logs.event(
+        _LOG,
+        "load_not_planned",
+        model=model,
+        refusals=refusals,
+        waited=f"{waited:.1f}",
+        pending=pending,
+        bound=f"{obstacle.bound:.2f}",
+        free=obstacle.free,
+        loss="" if obstacle.loss is None else f"{obstacle.loss:.2f}",
+        busy_loss=(
+            "" if obstacle.busy_loss is None else f"{obstacle.busy_loss:.2f}"
+        ),
+    )
--- a/src/wayslip/gateway/planning/planner.py
+++ b/src/wayslip/gateway/planning/planner.py
@@ -6,6 +6,7 @@
 from wayslip import clock
 from wayslip import errors
 from wayslip import logs
+from wayslip.decisions import copies
 from wayslip.decisions import fleet
 from wayslip.decisions import load_timing
 from wayslip.decisions import loading
@@ -35,6 +36,8 @@
 _MIN_PLAN_PERIOD_SECONDS = 0.005
 # Loads from the weight store that may start together; see `rate.Bucket`.
 _COLD_LOAD_BURST = 2.0
+# Interval of the log lines about models that are refused and not planned.
+_LOG_SECONDS = 1.0
 # How long the claim of an engine is kept after the engine left the list: many
 # times what an expired entry takes to reappear.
 _CLAIM_RETENTION_SECONDS = 60.0
@@ -90,6 +93,8 @@
         # model.
         self._announced_loads: dict[tuple[str, str], float] = {}
         self._missing_since: dict[str, float] = {}
+        # When models without a load were last logged, by service.
+        self._unplanned_logged_at: dict[str, float] = {}
         self._is_prepared = False
         # Result of `find_held` before the last plan. It is cached because it
         # takes a pass over all engines, and the largest fleet sends 400 reports
@@ -341,6 +346,17 @@
                 pass
             self._adapters.preload(service.name, pool, tracked_engines)
 
+    def _log_unplanned(self, service: str, world: copies.World) -> None:
+        """Logs what stands against loads of models that were refused."""
+        for model, refusals, waited in self.members.list_missed(service):
+            copies_known = world.copies.get(model)
+            if copies_known is None or copies_known.held:
+                continue
+            obstacle = loading.find_obstacle(world, world.pool.models[model])
+            loads_module.log_unplanned(
+                model, refusals, waited, copies_known.pending_loads, obstacle
+            )
+
     def _list_engines(
         self, service: str
     ) -> list[tracked_engines_module.TrackedEngine]:
@@ -382,6 +398,10 @@
         spent = bucket.take(now)
         step = loading.plan_load(found, pool, demand, spent is not None, timing)
         if step is None:
+            if now - self._unplanned_logged_at.get(service, 0.0) > _LOG_SECONDS:
+                self._unplanned_logged_at[service] = now
+                world = copies.World(found, pool, demand, timing)
+                self._log_unplanned(service, world)
             return False
         if step.is_cold:
             assert spent is not None
--- a/src/wayslip/gateway/sharing/members.py
+++ b/src/wayslip/gateway/sharing/members.py
@@ -82,6 +82,8 @@
         self._work: demand.Rates[tuple[str, str]] = demand.Rates(_DECAY_SECONDS)
         self._misses: dict[tuple[str, str], int] = {}
         self._missed_at: dict[tuple[str, str], float] = {}
+        # When the first of them was reported.
+        self._missed_since: dict[tuple[str, str], float] = {}
         # When the current term of this instance began.
         self._term_began = 0.0
         self._adapters: demand.Rates[tuple[str, str, str]] = demand.Rates(
@@ -125,11 +127,12 @@
             self._models.add(key, one.count, now)
             self._work.add(key, one.work, now)
             if key in held:
-                self._misses.pop(key, None)
+                self._forget_missed(key)
             else:
                 missed = one.count + one.can_wait * _PATIENT_MISSES
                 self._misses[key] = self._misses.get(key, 0) + missed
                 self._missed_at[key] = now
+                self._missed_since.setdefault(key, now)
             if one.adapter:
                 self._adapters.add((*key, one.adapter), one.count, now)
         for sample in report.readings:
@@ -163,15 +166,35 @@
                     if one.misses != self._misses.get(key):
                         self._missed_at[key] = now
                     self._misses[key] = one.misses
+                    self._missed_since.setdefault(key, now)
                 else:
-                    self._misses.pop(key, None)
+                    self._forget_missed(key)
 
     def forget_misses(self) -> None:
         """Removes refusals whose model was not requested for a long time."""
         limit = clock.now() - _MISS_SECONDS
         for key in [k for k, at in self._missed_at.items() if at < limit]:
             del self._missed_at[key]
-            self._misses.pop(key, None)
+            self._forget_missed(key)
+
+    def _forget_missed(self, key: tuple[str, str]) -> None:
+        self._misses.pop(key, None)
+        self._missed_since.pop(key, None)
+
+    def list_missed(self, service: str) -> list[tuple[str, int, float]]:
+        """Returns models with their refusals and the seconds since the first.
+
+        They are those of requests that found no engine with the model since
+        one was served, the longest waiting one first.
+        """
+        now = clock.now()
+        return [
+            (model, self._misses[name, model], now - since)
+            for (name, model), since in sorted(
+                self._missed_since.items(), key=lambda item: item[1]
+            )
+            if name == service
+        ]
 
     def list_rates(self) -> tuple[facts.Rate, ...]:
         """Returns the demand, for the next lease holder."""
