--- a/tests/stateful/order_world.py
+++ b/tests/stateful/order_world.py
@@ -96,8 +96,11 @@
                 "r", "h", "/", 5.0, model, adapter, prompt_tokens=1000
             )
             placement = self.gateway._placement
-            placement.note_demand(order_engine.SERVICE, traits, 0.05, True)
+            placement.note_demand(
+                order_engine.SERVICE, traits, 0.05, self.world.can_wait(model)
+            )
             name = self._find(model, adapter)
+            self.world.note_request(model, adapter, name is not None)
             if name is None:
                 task = asyncio.create_task(
                     placement.request_item(order_engine.SERVICE, traits, 0.4)
@@ -175,6 +178,13 @@
         model = f"m{(rank + self.demand_shift) % order_engine.MODELS}"
         return model, f"a{self.rng.randint(1, order_engine.ADAPTERS)}"
 
+    def can_wait(self, model):
+        """Whether the callers of a model can wait for a load."""
+        return True
+
+    def note_request(self, model, adapter, is_served):
+        """Called for each request; worlds that count them override it."""
+
     # Engines
 
     def add_engine(self):
