Bound the bytes from an endpoint that are no answer

What callers saw, with stand-ins: an engine that sends trailers, a chunk's extension, the body of another request's answer, a refusal's body or an event without end had them read for as long as the request lasted, by the leads 95 to 400 MB, with memory of over 300 MB where an instance has 300; a report or an answer to an order was collected whole.

Cause: only an incomplete head was counted. Parsers pass over trailers and extensions, and who read a body set no limit to it.

Each message has a budget now (http1/framing): its framing, what comes between two parts of its body, and bodies that are skipped. Who reads a whole body names its limit: reports, answers to orders, refusals (with a time), pages of the store, copies. An event is bounded, trailers aren't collected, and a caller's body is refused at its limit, not at its end. The connection is closed and the log line names the limit (attempt_unclear, refusal_not_read, report_failed, request_over_limit, the store's errors).

Not covered: the own interface's engines (endpoints/, objects/client), tunnels, which relay with backpressure.

--- a/src/wayslip/gateway/serving/attempts.py
+++ b/src/wayslip/gateway/serving/attempts.py
@@ -28,6 +28,9 @@
 from wayslip.http1 import pool as pool_module
 
 # Statuses from this one on are no answer to a prompt.
+# Limits for the body of a refusal, of which only the head counts.
+_MAX_REFUSAL_BYTES = 64 * 1024
+_REFUSAL_SECONDS = 0.5
 _FIRST_REDIRECT = 300
 _LOG = logging.getLogger(__name__)
 # After this time without an acknowledgement of a request, its path is verified.
@@ -273,7 +276,7 @@
                 active.tracked.endpoint, answer.load, sent_at
             )
         if answer.is_refusal:
-            await self._read_body(connection)
+            is_read = await self._skip_body(connection)
             logs.event(
                 _LOG,
                 "endpoint_refused",
@@ -284,7 +287,8 @@
                 rest="" if answer.backoff is None else f"{answer.backoff:.2f}",
             )
             self._note_refusal(job, active, answer)
-            self._return_to_pool(endpoint, connection, head)
+            if is_read:
+                self._return_to_pool(endpoint, connection, head)
             return retry.Failure.REFUSED
         if not answer.is_genuine:
             raise errors.EndpointUnclearError(
@@ -374,8 +378,22 @@
         connection.is_pooled = True
         self.pool.give_back(endpoint, connection, head.header(b"keep-alive"))
 
-    async def _read_body(self, connection: client.Connection) -> bytes:
-        parts = []
-        while part := await connection.read():
-            parts.append(part)
-        return b"".join(parts)
+    async def _skip_body(self, connection: client.Connection) -> bool:
+        """Reads the body of a refusal; returns whether it was whole.
+
+        What the head says holds in any case.
+        """
+        try:
+            async with asyncio.timeout(_REFUSAL_SECONDS):
+                await connection.read_whole(_MAX_REFUSAL_BYTES)
+        except (errors.EndpointError, TimeoutError) as e:
+            logs.event(
+                _LOG,
+                "refusal_not_read",
+                logging.WARNING,
+                endpoint_reason=getattr(e, "reason", "it took too long"),
+                limit_bytes=_MAX_REFUSAL_BYTES,
+                limit_seconds=_REFUSAL_SECONDS,
+            )
+            return False
+        return True
--- a/src/wayslip/gateway/serving/forwarding.py
+++ b/src/wayslip/gateway/serving/forwarding.py
@@ -19,6 +19,8 @@
 # Answers up to this size are buffered before they are forwarded, so that a
 # request whose answer breaks off can be retried.
 _MAX_BUFFERED_BYTES = 256 * 1024
+# Limit for an event of a stream, which is forwarded as a whole.
+_MAX_EVENT_BYTES = 256 * 1024
 
 
 class Forwarder:
@@ -116,6 +118,10 @@
         while part := await connection.read():
             self._view.note_bytes(active)
             whole = job.splitter.feed(part)
+            if len(job.splitter.remainder) > _MAX_EVENT_BYTES:
+                raise _make_error(
+                    f"an event of the stream exceeds {_MAX_EVENT_BYTES} bytes"
+                )
             if not whole:
                 continue
             if job.written_since is None:
--- a/src/wayslip/gateway/sharing/copy_client.py
+++ b/src/wayslip/gateway/sharing/copy_client.py
@@ -17,6 +17,8 @@
 # Covers the retransmission of one or two lost packets in the middle of a copy.
 _STALL_SECONDS = 0.5
 _MAX_COPY_SECONDS = 2.0
+# Several times the largest configuration that the store takes.
+_MAX_COPY_BYTES = 16 * 1024 * 1024
 
 
 class CopyClient(Protocol):
@@ -40,7 +42,9 @@
     async def fetch(self, address: tuple[str, int], version: int) -> bytes:
         """Returns a copy; empty if none is available."""
         connection = await client.connect(address, _CONNECT_SECONDS)
-        reader = whole.ResponseReader(_STALL_SECONDS, _MAX_COPY_SECONDS)
+        reader = whole.ResponseReader(
+            _STALL_SECONDS, _MAX_COPY_SECONDS, _MAX_COPY_BYTES
+        )
         request = (
             f"GET {PATH}?newer_than={version} HTTP/1.1\r\n"
             f"host: {address[0]}:{address[1]}\r\nconnection: close\r\n\r\n"
--- a/src/wayslip/http1/client.py
+++ b/src/wayslip/http1/client.py
@@ -18,6 +18,7 @@
 
 from wayslip import clock
 from wayslip import errors
+from wayslip.http1 import framing
 from wayslip.http1 import messages
 
 # Body bytes buffered for a slow client before reading from the endpoint pauses.
@@ -80,6 +81,7 @@
         self._waiter: asyncio.Future[None] | None = None
         self._chunks: collections.deque[bytes] = collections.deque()
         self._buffered_bytes = 0
+        self._usage = framing.Usage()
         self._head: messages.Head | None = None
         self._matcher: Matcher | None = None
         self._is_complete = True
@@ -124,6 +126,7 @@
         self._is_complete = False
         self._chunks.clear()
         self._buffered_bytes = 0
+        self._usage = framing.Usage()
         assert self._transport is not None
         self._transport.write(data)
 
@@ -171,6 +174,24 @@
             self._transport.resume_reading()
         return data
 
+    async def read_whole(self, max_bytes: int) -> bytes:
+        """Returns the rest of the body.
+
+        Raises:
+            EndpointUnclearError: The body is truncated, malformed or longer
+                than `max_bytes`; the connection is closed then.
+        """
+        parts = []
+        size = 0
+        while part := await self.read():
+            size += len(part)
+            if size > max_bytes:
+                self._fail(f"its body exceeds {max_bytes} bytes")
+                self.close()
+                self._check()
+            parts.append(part)
+        return b"".join(parts)
+
     def close(self) -> None:
         """Closes the connection at once, which makes the endpoint stop."""
         if self._transport is not None:
@@ -216,6 +237,7 @@
             self._is_dirty = True
             self.close()
             return
+        self._usage.note_received(len(data))
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -225,16 +247,24 @@
                 self._is_dirty = True
             else:
                 self._fail(f"it is not valid HTTP ({e})")
-        if not self._is_head_complete:
-            self._head_bytes += len(data)
-            if self._head_bytes > _MAX_HEAD_BYTES:
-                self._fail("its head is too long")
+        self._check_usage(len(data))
         if (
             self._buffered_bytes > _READ_BUFFER_BYTES
             and self._transport is not None
         ):
             self._transport.pause_reading()
 
+    def _check_usage(self, size: int) -> None:
+        """Closes the connection if a limit of a response is exceeded."""
+        excess = self._usage.find_excess()
+        if not self._is_head_complete:
+            self._head_bytes += size
+            if self._head_bytes > _MAX_HEAD_BYTES:
+                excess = f"its head is too long, over {_MAX_HEAD_BYTES} bytes"
+        if excess is not None and not self._is_complete:
+            self._fail(excess)
+            self.close()
+
     def eof_received(self) -> bool:
         """Ends a response without a length; any other is truncated."""
         head = self._head
@@ -261,12 +291,14 @@
         self._reset_message()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Records a header."""
-        self._headers.append((name.lower(), value or b""))
+        """Records a header; trailers are not forwarded."""
+        if not self._is_head_complete:
+            self._headers.append((name.lower(), value or b""))
 
     def on_headers_complete(self) -> None:
         """Checks whether the response belongs to the current request."""
         self._is_head_complete = True
+        self._usage.note_head()
         if self._is_complete:
             return
         status = int(self._parser.get_status_code())
@@ -288,6 +320,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Buffers a part of the body."""
+        self._usage.note_body(len(body), self._is_skipping)
         if self._is_skipping or self._is_complete:
             return
         self._chunks.append(body)
--- a/src/wayslip/http1/pool.py
+++ b/src/wayslip/http1/pool.py
@@ -107,6 +107,7 @@
         address: tuple[str, int],
         data: bytes,
         timeout: float,
+        max_bytes: int,
     ) -> tuple[int, bytes]:
         """Sends a small request and reads the whole response.
 
@@ -115,13 +116,14 @@
             address: The endpoint's host and port.
             data: The whole request.
             timeout: Limit for request and response after connecting, seconds.
+            max_bytes: Limit for the body of the response.
 
         Returns:
             The status and the body.
 
         Raises:
             NotSentError: No connection was made.
-            EndpointUnclearError: The response was truncated or late.
+            EndpointUnclearError: The response was truncated, late or too long.
         """
         connection = self.take(endpoint)
         if connection is None:
@@ -130,9 +132,7 @@
             async with asyncio.timeout(timeout):
                 connection.send(data, lambda head: True)
                 head = await connection.read_head()
-                parts = []
-                while part := await connection.read():
-                    parts.append(part)
+                body = await connection.read_whole(max_bytes)
         except TimeoutError as e:
             raise errors.EndpointUnclearError(
                 f"{address[0]}:{address[1]} did not answer in {timeout:g} s",
@@ -144,7 +144,7 @@
         finally:
             if not connection.is_pooled:
                 connection.close()
-        return head.status, b"".join(parts)
+        return head.status, body
 
     def drop(self, endpoint: str) -> None:
         """Closes an endpoint's idle connections."""
--- a/src/wayslip/http1/server.py
+++ b/src/wayslip/http1/server.py
@@ -20,6 +20,7 @@
 from wayslip.decisions import connection_gate
 from wayslip.decisions import manifest
 from wayslip.http1 import closing
+from wayslip.http1 import framing as framing_module
 from wayslip.http1 import messages
 from wayslip.http1 import stalls
 
@@ -35,6 +36,9 @@
 # busy for minutes.
 _TCP_USER_TIMEOUT_MS = 5_000
 _MAX_PIPELINED_REQUESTS = 16
+# A body is read so far beyond its limit: most clients read the answer only
+# after they have sent their request.
+_BODY_SLACK_BYTES = 1024 * 1024
 # Each header's colon, space and line end.
 _HEADER_SEPARATOR_BYTES = 4
 
@@ -326,12 +330,27 @@
         """Parses received bytes."""
         if self._is_closing:
             return
+        self._usage.note_received(len(data))
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserUpgrade, httptools.HttpParserError):
             self._refuse(400)
         else:
             self._check_partial_head(len(data))
+            self._check_usage()
+
+    def _check_usage(self) -> None:
+        """Refuses a request whose body is wrapped in too many bytes."""
+        if not self._is_head_complete or self._is_closing:
+            return
+        limit = self._server.limits().body_bytes + _BODY_SLACK_BYTES
+        excess = self._usage.find_excess()
+        if self._body_bytes > limit:
+            excess = f"its body exceeds {limit} bytes"
+        if excess is None:
+            return
+        logs.event(_LOG, "request_over_limit", logging.WARNING, reason=excess)
+        self._refuse(413 if self._body_bytes > limit else 400)
 
     # Callbacks of the parser
 
@@ -349,8 +368,9 @@
         self._head_bytes += len(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Records a header."""
-        self._headers.append((name.lower(), value or b""))
+        """Records a header; trailers are counted only."""
+        if not self._is_head_complete:
+            self._headers.append((name.lower(), value or b""))
         self._head_bytes += (
             len(name) + len(value or b"") + _HEADER_SEPARATOR_BYTES
         )
@@ -358,6 +378,7 @@
     def on_headers_complete(self) -> None:
         """Checks the complete head."""
         self._is_head_complete = True
+        self._usage.note_head()
         if self._head_bytes > self._server.limits().header_bytes:
             self._refuse(431)
             return
@@ -369,6 +390,7 @@
     def on_body(self, body: bytes) -> None:
         """Buffers a part of the body."""
         self._body_bytes += len(body)
+        self._usage.note_body(len(body))
         if self._body_bytes <= self._server.limits().body_bytes:
             self._body.append(body)
 
@@ -497,6 +519,7 @@
         self._head_bytes = 0
         self._partial_head_bytes = 0
         self._is_head_complete = False
+        self._usage = framing_module.Usage()
 
     def _check_partial_head(self, received: int) -> None:
         """Refuses a head that exceeds the limit before it is complete."""
--- a/src/wayslip/http1/whole.py
+++ b/src/wayslip/http1/whole.py
@@ -8,6 +8,7 @@
 import asyncio
 
 from wayslip import clock
+from wayslip import errors
 from wayslip.http1 import client
 from wayslip.http1 import messages
 
@@ -21,16 +22,20 @@
             before.
     """
 
-    def __init__(self, stall_seconds: float, max_seconds: float) -> None:
+    def __init__(
+        self, stall_seconds: float, max_seconds: float, max_bytes: int
+    ) -> None:
         """Initializes the reader.
 
         Args:
             stall_seconds: Time without new bytes that ends the reading.
             max_seconds: Limit for the time after the head, for a body that
                 keeps arriving slowly.
+            max_bytes: Limit for the body.
         """
         self._stall_seconds = stall_seconds
         self._max_seconds = max_seconds
+        self._max_bytes = max_bytes
         self.received = 0
         self.head_received_at = 0.0
 
@@ -45,15 +50,22 @@
                 the head and each part of the body.
 
         Raises:
-            EndpointUnclearError: The response is truncated or malformed.
+            EndpointUnclearError: The response is truncated, malformed or too
+                long.
         """
         head = await connection.read_head()
         self.head_received_at = clock.now()
         parts = []
         self._extend(max_wait)
         while part := await connection.read():
-            parts.append(part)
             self.received += len(part)
+            if self.received > self._max_bytes:
+                connection.close()
+                raise errors.EndpointUnclearError(
+                    f"the response's body exceeds {self._max_bytes} bytes",
+                    "see the log of who sent it",
+                )
+            parts.append(part)
             self._extend(max_wait)
         return head, b"".join(parts)
 
--- a/src/wayslip/platform/engines.py
+++ b/src/wayslip/platform/engines.py
@@ -16,6 +16,10 @@
 # Engines answer both calls at once, but retransmitting a lost packet takes a
 # few hundred milliseconds.
 _CALL_SECONDS = 0.7
+# A report lists what an engine holds and runs; each run takes about 60 bytes.
+_MAX_REPORT_BYTES = 1024 * 1024
+# The outcome of an order is its status.
+_MAX_OUTCOME_BYTES = 64 * 1024
 _OUTCOMES = {
     200: engines.OrderOutcome.HELD,
     202: engines.OrderOutcome.TAKEN,
@@ -47,6 +51,7 @@
             addresses.split_address(endpoint.address),
             _format_request(endpoint, "GET", _REPORT_PATH, b""),
             _CALL_SECONDS,
+            _MAX_REPORT_BYTES,
         )
         if status != 200:
             raise errors.EndpointError(
@@ -87,6 +92,7 @@
                 addresses.split_address(endpoint.address),
                 data,
                 _CALL_SECONDS,
+                _MAX_OUTCOME_BYTES,
             )
         except errors.NotSentError:
             return engines.OrderOutcome.REFUSED
--- a/src/wayslip/platform/store.py
+++ b/src/wayslip/platform/store.py
@@ -38,6 +38,8 @@
 _STALL_SECONDS = 0.8
 # Limit for a body that keeps arriving slowly: 1 MB at a tenth of that rate.
 _MAX_RESPONSE_SECONDS = 17.0
+# A page holds 50 objects of up to 1 MB, of which all but a few are small.
+_MAX_RESPONSE_BYTES = 32 * 1024 * 1024
 _CONNECT_SECONDS = 0.4
 # Added to a watch's own wait before the watch counts as lost.
 _WATCH_SLACK_SECONDS = 0.5
@@ -371,7 +373,9 @@
         async with self._lock:
             is_done = False
             started_at = clock.now()
-            reader = whole.ResponseReader(_STALL_SECONDS, _MAX_RESPONSE_SECONDS)
+            reader = whole.ResponseReader(
+                _STALL_SECONDS, _MAX_RESPONSE_SECONDS, _MAX_RESPONSE_BYTES
+            )
             try:
                 if not self._is_open:
                     seconds += _CONNECT_SECONDS
@@ -384,7 +388,7 @@
             except (TimeoutError, errors.EndpointError, ValueError) as e:
                 raise errors.ObjectUnavailableError(
                     f"the store did not answer {method} {path}"
-                    f" ({type(e).__name__} after"
+                    f" ({_describe(e)} after"
                     f" {clock.now() - started_at:.2f} s and"
                     f" {reader.received} bytes)",
                     "try again later; a write may have taken effect",
@@ -526,3 +530,10 @@
             "inspect it in the store",
         ) from e
     return store.Stored(name, revision, value)
+
+
+def _describe(error: Exception) -> str:
+    """Returns what is known of a failure, in one line."""
+    if isinstance(error, errors.EndpointError):
+        return error.reason
+    return type(error).__name__
