Soak: an endpoint sends bytes that are no answer until it is closed

Trailers, a chunk's extension, or chunks of another request's answer, to requests, reports and orders.

--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -31,6 +31,15 @@
 # Bytes of an unframed answer or event that are written first.
 _FIRST_BYTES = 5
 _EVENT_INTERVAL_SECONDS = 0.03
+# What an endpoint may send that is no answer: the gateway's largest limit and
+# what the sockets buffer.
+_MAX_ENDLESS_BYTES = 32_000_000
+# Trailers, a chunk's extension, and chunks of another request's answer.
+_ENDLESS_PARTS = (
+    b"x: " + b"y" * 8000 + b"\r\n",
+    b"2;" + b"y" * 8000,
+    b"1f40\r\n" + b"y" * 8000 + b"\r\n",
+)
 
 
 @dataclasses.dataclass
@@ -80,6 +89,8 @@
         # Until when it refuses requests with Retry-After, monotonic seconds.
         self.backs_off_until = 0.0
         self.received_in_backoff = 0
+        # Until when it sends bytes that are no answer, monotonic seconds.
+        self.endless_until = 0.0
         self.falls = 0
         self.draining_since: float | None = None
         self.last_order = (0.0, "", 0)
@@ -130,6 +141,9 @@
             body = b"another engine"
             await connection.answer(request, body, 421, Wayslip_Server_Seal="")
             return
+        if self.endless_until > time.monotonic():
+            await self._send_without_end(request, connection)
+            return
         left = self.backs_off_until - time.monotonic()
         if left > 0 and request.id:
             self.received_in_backoff += 1
@@ -144,6 +158,34 @@
         )
         await super()._respond(request, connection)
 
+    async def _send_without_end(
+        self,
+        request: platform_engine.ReceivedRequest,
+        connection: platform_engine.Connection,
+    ) -> None:
+        """Sends bytes that are no answer until the gateway closes."""
+        other = f"not-{request.id}"
+        kind = len(self.calls) % len(_ENDLESS_PARTS)
+        self.calls.append(time.monotonic())
+        await connection.write(
+            platform_engine.format_answer(
+                other if kind else request.id,
+                b"",
+                Content_Length="",
+                Transfer_Encoding="chunked",
+            )
+        )
+        if not kind:
+            await connection.write(b"0\r\n")
+        sent = 0
+        while sent < _MAX_ENDLESS_BYTES:
+            await connection.write(_ENDLESS_PARTS[kind])
+            sent += len(_ENDLESS_PARTS[kind])
+        self.oracle.report_violation(
+            f"ENDLESS {self.name} sent {sent} bytes that are no answer"
+        )
+        connection.reset()
+
     async def _take_order(
         self,
         request: platform_engine.ReceivedRequest,
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -419,6 +419,16 @@
         return
 
 
+@register
+async def send_endless_bytes(
+    world: world_module.World, rng: random.Random
+) -> None:
+    """Lets an endpoint answer with bytes that never end."""
+    endpoint = rng.choice(list(world.endpoints.values()))
+    endpoint.endless_until = time.monotonic() + rng.uniform(0.3, 1.0)
+    await asyncio.sleep(1.0)
+
+
 @register
 async def ask_for_rest(world: world_module.World, rng: random.Random) -> None:
     """Lets an endpoint refuse requests and ask for back-off."""
