--- a/src/wayslip/gateway/serving/jobs.py
+++ b/src/wayslip/gateway/serving/jobs.py
@@ -202,11 +202,10 @@
         self, job: Job, reason: str, wait: float, status: int = 503
     ) -> None:
         """Refuses a request that was not run, with a Retry-After header."""
+        wait = max(wait, MIN_RETRY_AFTER_SECONDS)
         self.record_job_outcome(job, reason, status, f"{wait:.2f}")
         self._metrics.count("refused", reason=reason)
-        headers = self._dialect.make_retry_after(
-            max(wait, MIN_RETRY_AFTER_SECONDS)
-        )
+        headers = self._dialect.make_retry_after(wait)
         job.exchange.answer(status, headers, b"not run, come back later\n")
 
     def refuse_content(self, job: Job, blocked: bytes, wait: float) -> None:
