--- a/src/wayslip/decisions/copies.py
+++ b/src/wayslip/decisions/copies.py
@@ -169,13 +169,16 @@
         victims: Models to evict.
         loss: Requests that are lost with them over the horizon.
         wait: Seconds until they are unloaded.
-        busy_loss: Requests per second that are lost while the engine is busy.
+        busy_loss: Requests per second that are lost while the engine is busy,
+            `blocked` included.
+        blocked: Those for adapters that it can not load meanwhile.
     """
 
     victims: tuple[str, ...]
     loss: float
     wait: float
     busy_loss: float
+    blocked: float
 
 
 class World:
@@ -188,6 +191,7 @@
     Attributes:
         engines: Engines by name.
         pool: The pool's limits and models.
+        timing: How long loads take, and when they must pay off.
         copies: Copies by model.
         spare: Work that each engine can take before first tokens are late.
         busy_loss: Requests per second that are lost by keeping one more engine
@@ -204,7 +208,7 @@
         self.engines = engines
         self.pool = pool
         self._demand = demand
-        self._timing = timing
+        self.timing = timing
         self.copies = _find_copies(engines, pool, timing.horizon)
         self._busy = {e.name: self._sum_work(e) for e in engines.values()}
         self._capacity = {
@@ -228,12 +232,16 @@
         )
         busy = sum(not engine.is_free for engine in self.engines.values())
         share = busy / max(count - 1, 1)
-        timing = self._timing
+        timing = self.timing
         mean_rate = served / max(count, 1)
         return (
             timing.load_loss_rate + timing.load_loss_share * mean_rate * share
         )
 
+    def list_requested(self) -> list[str]:
+        """Returns the models with a known demand."""
+        return list(self._demand)
+
     def demand(self, model: str) -> Demand:
         """Returns the demand for a model."""
         return self._demand.get(model, _NO_DEMAND)
@@ -254,7 +262,7 @@
         A limited engine's share is what its limit allows at the mean work of
         a request; it is 0 without demand.
         """
-        served = 1.0 - min(engine.backoff / self._timing.horizon, 1.0)
+        served = 1.0 - min(engine.backoff / self.timing.horizon, 1.0)
         served /= engine.slowness
         if engine.limit is None:
             return served
@@ -303,7 +311,7 @@
             late=late / (1 + copies.pending_loads),
             lost=lost / (1 + copies.pending_loads),
             requests=asked.rate / asked.work if asked.work else 0.0,
-            horizon=self._timing.horizon,
+            horizon=self.timing.horizon,
         )
 
     def list_free(self, weights_mb: float) -> list[Engine]:
@@ -344,8 +352,9 @@
         return Room(
             victims,
             loss,
-            self._timing.unload if is_in_use else 0.0,
+            self.timing.unload if is_in_use else 0.0,
             self.busy_loss + blocked,
+            blocked,
         )
 
     def list_losses(self, engine: Engine) -> list[tuple[float, str]]:
@@ -370,7 +379,7 @@
         others = sum(self.spare[n] for n in copies.held if n != engine)
         moved = max(self._work_per_copy(model) - others, 0.0)
         late = self._count_requests(model, moved) * LATE_WORK_VALUE
-        return (late + 0.02 * rate) * self._timing.horizon
+        return (late + 0.02 * rate) * self.timing.horizon
 
 
 def _find_copies(
--- a/src/wayslip/decisions/loading.py
+++ b/src/wayslip/decisions/loading.py
@@ -25,6 +25,8 @@
         is_cold: Whether it is loaded from the weight store.
         seconds: Expected time until it can serve, unloads included.
         load_seconds: Expected duration of the load alone.
+        is_turn: Whether it is a turn of its model; see `turns`. The gain is
+            negative then: what the load costs.
     """
 
     engine: str
@@ -34,6 +36,7 @@
     seconds: float
     gain: float
     load_seconds: float
+    is_turn: bool = False
 
 
 def plan_load(
@@ -45,6 +48,13 @@
 ) -> Step | None:
     """Returns the load with the largest gain, None if none is worthwhile."""
     world = copies.World(engines, pool, demand, timing)
+    return plan_best(world, may_load_cold)
+
+
+def plan_best(world: copies.World, may_load_cold: bool) -> Step | None:
+    """Does the same as `plan_load` for a known world."""
+    pool = world.pool
+    demand = world.list_requested()
     copy_values = {
         m: world.find_copy_value(m) for m in demand if m in pool.models
     }
@@ -86,7 +96,7 @@
     copy_value: copies.CopyValue,
     spare: float,
 ) -> Step | None:
-    load_seconds, is_cold = _time_load(engine, model)
+    load_seconds, is_cold = time_load(engine, model)
     seconds = load_seconds + room.wait
     gain = (
         copy_value.gain(seconds, spare) - room.loss - room.busy_loss * seconds
@@ -104,9 +114,10 @@
     )
 
 
-def _time_load(
+def time_load(
     engine: copies.Engine, model: manifest.Model
 ) -> tuple[float, bool]:
+    """Returns the seconds of a load, and whether it is cold."""
     if model.name in engine.in_memory:
         return model.warm_s, False
     if model.name in engine.on_disk:
@@ -139,7 +150,7 @@
     if not free:
         return Obstacle(bound, 0)
     room = world.find_room(free[0], model.weights_mb)
-    seconds, _ = _time_load(free[0], model)
+    seconds, _ = time_load(free[0], model)
     return Obstacle(
         bound, len(free), room.loss, room.busy_loss * (seconds + room.wait)
     )
--- a/src/wayslip/gateway/planning/loads.py
+++ b/src/wayslip/gateway/planning/loads.py
@@ -77,6 +77,7 @@
                     clock.now() + _FAILED_BACKOFF_SECONDS
                 )
             tracked_engine.evicting.clear()
+            tracked_engine.turn = ""
             tracked_engine.forget_load(step.model)
             self._announce_changes()
 
@@ -259,6 +260,7 @@
         cold=step.is_cold,
         seconds=f"{step.seconds:.1f}",
         gain=f"{step.gain:.2f}",
+        turn=step.is_turn,
         rate=f"{asked.rate:.2f}",
         work=f"{asked.work:.2f}",
     )
--- a/src/wayslip/gateway/planning/planner.py
+++ b/src/wayslip/gateway/planning/planner.py
@@ -12,6 +12,7 @@
 from wayslip.decisions import loading
 from wayslip.decisions import manifest as manifest_module
 from wayslip.decisions import rate
+from wayslip.decisions import turns
 from wayslip.gateway import background
 from wayslip.gateway.planning import adapters as adapters_module
 from wayslip.gateway.planning import loads as loads_module
@@ -344,8 +345,28 @@
             timing = self._timings.find(manifest, service.name)
             while self._plan_one(service.name, pool, timing):
                 pass
+            self._schedule_turns(service.name, pool)
             self._adapters.preload(service.name, pool, tracked_engines)
 
+    def _schedule_turns(self, service: str, pool: manifest_module.Pool) -> None:
+        """Has the times announced at which waiting models are expected."""
+        now = clock.now()
+        tracked_engines = self._list_engines(service)
+        present = {m for b in tracked_engines for m, a in b.usable() if not a}
+        pending: dict[str, float] = {}
+        for tracked_engine in tracked_engines:
+            pending |= tracked_engine.list_pending_loads(now)
+        waiting = [
+            w
+            for w in self.members.list_waiting(service)
+            if w.model not in present and w.model not in pending
+        ]
+        running = [pending.get(b.turn, 0.0) for b in tracked_engines if b.turn]
+        self._announcer.announce_turns(
+            service,
+            turns.estimate_ready(waiting, running, pool, len(tracked_engines)),
+        )
+
     def _log_unplanned(self, service: str, world: copies.World) -> None:
         """Logs what stands against loads of models that were refused."""
         for model, refusals, waited in self.members.list_missed(service):
@@ -396,11 +417,16 @@
             bucket = rate.Bucket(pool.loads_per_s, _COLD_LOAD_BURST, 0.0, now)
             self._buckets[service] = bucket
         spent = bucket.take(now)
-        step = loading.plan_load(found, pool, demand, spent is not None, timing)
+        world = copies.World(found, pool, demand, timing)
+        step = turns.plan_turn(
+            world,
+            self.members.list_waiting(service),
+            sum(bool(b.turn) for b in tracked_engines.values()),
+            spent is not None,
+        ) or loading.plan_best(world, spent is not None)
         if step is None:
             if now - self._unplanned_logged_at.get(service, 0.0) > _LOG_SECONDS:
                 self._unplanned_logged_at[service] = now
-                world = copies.World(found, pool, demand, timing)
                 self._log_unplanned(service, world)
             return False
         if step.is_cold:
@@ -415,6 +441,7 @@
         )
         # Set before the task starts, so that the next plan counts them.
         tracked_engine.evicting = set(step.victims)
+        tracked_engine.turn = step.model if step.is_turn else ""
         tracked_engine.expect_load(
             step.model, now + step.seconds, step.load_seconds
         )
--- a/src/wayslip/gateway/planning/tracked_engines.py
+++ b/src/wayslip/gateway/planning/tracked_engines.py
@@ -45,6 +45,8 @@
         evicting: Models that the running task of orders is about to unload.
         pending_loads: Models that it loads or is about to load.
         overdue: Those whose load is overdue, as logged.
+        turn: The model that its task loads because it is the model's turn,
+            empty if none.
         loaded_at: When models finished loading.
         previously_held: Adapters that it has held before.
         adapter_loaded_at: When adapters were loaded for a request.
@@ -74,6 +76,7 @@
         default_factory=dict
     )
     overdue: set[str] = dataclasses.field(default_factory=set)
+    turn: str = ""
     loaded_at: dict[str, float] = dataclasses.field(default_factory=dict)
     previously_held: set[Item] = dataclasses.field(default_factory=set)
     adapter_loaded_at: dict[Item, float] = dataclasses.field(
--- a/src/wayslip/gateway/sharing/announcements.py
+++ b/src/wayslip/gateway/sharing/announcements.py
@@ -78,6 +78,9 @@
         self._handover_announced_at = 0.0
         self._announced_updates: set[facts.ItemUpdate] = set()
         self._announced_loads: set[tuple[str, str]] = set()
+        # When models that wait for their turn are expected to serve, by
+        # service.
+        self._turns: dict[str, dict[str, float]] = {}
         self._list_bucket = rate.Bucket(
             MAX_LISTS_PER_SECOND,
             MAX_LISTS_PER_SECOND,
@@ -195,6 +198,19 @@
         loop = asyncio.get_running_loop()
         self._flush = loop.call_later(delay, self._announce_pending_changes)
 
+    def announce_turns(self, service: str, ready: dict[str, float]) -> None:
+        """Announces when models that wait for a load are expected to serve.
+
+        Args:
+            service: Their service.
+            ready: Seconds until each is expected to serve.
+        """
+        known = self._turns.get(service, {})
+        now = clock.now()
+        self._turns[service] = {m: now + s for m, s in ready.items()}
+        if ready.keys() - known.keys():
+            self.announce_changes()
+
     def _announce_pending_changes(self) -> None:
         self._flush = None
         if not self._leadership.is_held:
@@ -276,7 +292,14 @@
         return updates
 
     def _list_pending_loads(self, now: float) -> list[facts.PendingLoad]:
-        return [
+        scheduled = [
+            facts.PendingLoad(
+                "", service, model, round(max(ready_at - now, 0.0), 2), False
+            )
+            for service, models in self._turns.items()
+            for model, ready_at in models.items()
+        ]
+        return scheduled + [
             facts.PendingLoad(
                 tracked_engine.endpoint.name,
                 tracked_engine.endpoint.service,
--- a/src/wayslip/gateway/sharing/facts.py
+++ b/src/wayslip/gateway/sharing/facts.py
@@ -230,6 +230,7 @@
     """A model that is being loaded, with the seconds until it can serve.
 
     Attributes:
+        endpoint: The engine, empty while the load waits for one.
         is_ordered: Whether the engine has accepted the order. Otherwise
             something is evicted first, and a new lease holder plans the load
             again.
@@ -250,6 +251,9 @@
         work: Seconds of prefill of their prompts, a second.
         misses: Requests refused for lack of the model since it was last
             loaded.
+        waited: Seconds since the first of these.
+        served_ago: Seconds since a request for the model was served, 0 if not
+            known.
     """
 
     service: str
@@ -258,6 +262,8 @@
     rate: float
     work: float
     misses: int = 0
+    waited: float = 0.0
+    served_ago: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/wayslip/gateway/sharing/members.py
+++ b/src/wayslip/gateway/sharing/members.py
@@ -7,6 +7,7 @@
 from collections.abc import Set
 import dataclasses
 import itertools
+import math
 
 from wayslip import clock
 from wayslip.decisions import copies
@@ -15,6 +16,7 @@
 from wayslip.decisions import fanout
 from wayslip.decisions import manifest
 from wayslip.decisions import reading
+from wayslip.decisions import turns
 from wayslip.gateway.sharing import facts
 from wayslip.gateway.sharing import hub as hub_module
 
@@ -36,6 +38,10 @@
 # Refusals count until no request for the model came for this long: rare models
 # are requested about every ten seconds.
 _MISS_SECONDS = 25.0
+# A model is due for a turn after so many refusals in this time: a few callers
+# in a row, none of them served.
+_DUE_MISSES = 6
+_DUE_SECONDS = 10.0
 # An instance that sent no report for this long no longer counts.
 _SILENCE_SECONDS = 2.0
 # Time in which the other instances report to a new holder. They learn of it
@@ -84,6 +90,8 @@
         self._missed_at: dict[tuple[str, str], float] = {}
         # When the first of them was reported.
         self._missed_since: dict[tuple[str, str], float] = {}
+        # When each model was served last.
+        self._served_at: dict[tuple[str, str], float] = {}
         # When the current term of this instance began.
         self._term_began = 0.0
         self._adapters: demand.Rates[tuple[str, str, str]] = demand.Rates(
@@ -128,6 +136,7 @@
             self._work.add(key, one.work, now)
             if key in held:
                 self._forget_missed(key)
+                self._served_at[key] = now
             else:
                 missed = one.count + one.can_wait * _PATIENT_MISSES
                 self._misses[key] = self._misses.get(key, 0) + missed
@@ -160,13 +169,15 @@
             if one.adapter:
                 self._adapters.set((*key, one.adapter), one.rate, now)
             else:
+                if one.served_ago:
+                    self._served_at[key] = now - one.served_ago
                 self._models.set(key, one.rate, now)
                 self._work.set(key, one.work, now)
                 if one.misses:
                     if one.misses != self._misses.get(key):
                         self._missed_at[key] = now
                     self._misses[key] = one.misses
-                    self._missed_since.setdefault(key, now)
+                    self._missed_since[key] = now - one.waited
                 else:
                     self._forget_missed(key)
 
@@ -207,6 +218,8 @@
                 round(rates.get(key, 0.0), 2),
                 round(self._work.get(key, now), 3),
                 self._misses.get(key, 0),
+                round(now - self._missed_since.get(key, now), 2),
+                round(now - self._served_at.get(key, now), 2),
             )
             for key in {**rates, **self._misses}
         )
@@ -252,6 +265,20 @@
                 found.setdefault(model, 0.0)
         return found
 
+    def list_waiting(self, service: str) -> list[turns.Waiting]:
+        """Returns the models that are due for a turn, in order."""
+        now = clock.now()
+        return turns.sort(
+            turns.Waiting(
+                model,
+                refusals,
+                waited,
+                now - self._served_at.get((service, model), -math.inf),
+            )
+            for model, refusals, waited in self.list_missed(service)
+            if refusals >= _DUE_MISSES and waited >= _DUE_SECONDS
+        )
+
     def unserved(self, service: str, model: str) -> float:
         """Returns the gain of loading a model for requests refused so far."""
         count = self._misses.get((service, model), 0)
