Hand the wait of a refused model on without a new field

Every instance hears the refusals once a second and can tell since when; the fields go. Refused bodies that aren't read are logged with their request and endpoint.

--- a/src/wayslip/gateway/serving/attempts.py
+++ b/src/wayslip/gateway/serving/attempts.py
@@ -276,7 +276,7 @@
                 active.tracked.endpoint, answer.load, sent_at
             )
         if answer.is_refusal:
-            is_read = await self._skip_body(connection)
+            is_read = await self._skip_body(job, connection)
             logs.event(
                 _LOG,
                 "endpoint_refused",
@@ -378,7 +378,9 @@
         connection.is_pooled = True
         self.pool.give_back(endpoint, connection, head.header(b"keep-alive"))
 
-    async def _skip_body(self, connection: client.Connection) -> bool:
+    async def _skip_body(
+        self, job: jobs.Job, connection: client.Connection
+    ) -> bool:
         """Reads the body of a refusal; returns whether it was whole.
 
         What the head says holds in any case.
@@ -391,9 +393,9 @@
                 _LOG,
                 "refusal_not_read",
                 logging.WARNING,
-                endpoint_reason=getattr(e, "reason", "it took too long"),
-                limit_bytes=_MAX_REFUSAL_BYTES,
-                limit_seconds=_REFUSAL_SECONDS,
+                request=job.traits.request_id,
+                endpoint=job.endpoint,
+                reason=getattr(e, "reason", f"over {_REFUSAL_SECONDS} s"),
             )
             return False
         return True
--- a/src/wayslip/gateway/sharing/facts.py
+++ b/src/wayslip/gateway/sharing/facts.py
@@ -251,9 +251,6 @@
         work: Seconds of prefill of their prompts, a second.
         misses: Requests refused for lack of the model since it was last
             loaded.
-        waited: Seconds since the first of these.
-        served_ago: Seconds since a request for the model was served, 0 if not
-            known.
     """
 
     service: str
@@ -262,8 +259,6 @@
     rate: float
     work: float
     misses: int = 0
-    waited: float = 0.0
-    served_ago: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/wayslip/gateway/sharing/members.py
+++ b/src/wayslip/gateway/sharing/members.py
@@ -169,17 +169,16 @@
             if one.adapter:
                 self._adapters.set((*key, one.adapter), one.rate, now)
             else:
-                if one.served_ago:
-                    self._served_at[key] = now - one.served_ago
                 self._models.set(key, one.rate, now)
                 self._work.set(key, one.work, now)
                 if one.misses:
                     if one.misses != self._misses.get(key):
                         self._missed_at[key] = now
                     self._misses[key] = one.misses
-                    self._missed_since[key] = now - one.waited
+                    self._missed_since.setdefault(key, now)
                 else:
                     self._forget_missed(key)
+                    self._served_at[key] = now
 
     def forget_misses(self) -> None:
         """Removes refusals whose model was not requested for a long time."""
@@ -218,8 +217,6 @@
                 round(rates.get(key, 0.0), 2),
                 round(self._work.get(key, now), 3),
                 self._misses.get(key, 0),
-                round(now - self._missed_since.get(key, now), 2),
-                round(now - self._served_at.get(key, now), 2),
             )
             for key in {**rates, **self._misses}
         )
