Record the last event that a client has when it is forwarded

Cause: EventSplitter.feed recorded the id of an event when it was read. Before it is forwarded, StreamVersions.begin may fail for want of acknowledgements; the event is dropped, and the next attempt sends its id as Last-Event-Id.

Fix: the id is recorded by note_forwarded, after the send. A failed attempt leaves it as it was, also for a stream that is taken up. The same cause on a related path: whole events read with the beginning of one that is too large were dropped and skipped; the same change mends it.

Tests, which failed before: three in test_stream_versions.py (events 2 to 5, 4 and 5, and 3 to 5 in place of all that was due), one in test_events.py.

--- a/src/wayslip/gateway/serving/events.py
+++ b/src/wayslip/gateway/serving/events.py
@@ -9,10 +9,10 @@
 
 
 class EventSplitter:
-    """Returns whole events and keeps the last event id.
+    """Returns whole events, and keeps the id of the last one forwarded.
 
     Attributes:
-        last_id: Id of the last whole event returned.
+        last_id: Id of the last event that the client has.
     """
 
     def __init__(self, last_id: str = "") -> None:
@@ -24,9 +24,19 @@
         self._remainder += data
         end = _find_end(self._remainder)
         whole, self._remainder = self._remainder[:end], self._remainder[end:]
-        self._note_ids(whole)
         return whole
 
+    def note_forwarded(self, events: bytes) -> None:
+        """Records that whole events were forwarded.
+
+        Another attempt goes on after them; events that were only read must be
+        asked for again.
+        """
+        for line in reversed(events.splitlines()):
+            if line.startswith(b"id:"):
+                self.last_id = line[3:].strip().decode("latin-1")
+                return
+
     def drop_remainder(self) -> None:
         """Drops an incomplete event when the stream is resumed elsewhere."""
         self._remainder = b""
@@ -44,12 +54,6 @@
             for line in self._remainder.splitlines()
         )
 
-    def _note_ids(self, whole: bytes) -> None:
-        for line in reversed(whole.splitlines()):
-            if line.startswith(b"id:"):
-                self.last_id = line[3:].strip().decode("latin-1")
-                return
-
 
 def _find_end(data: bytes) -> int:
     return max((m.end() for m in _EVENT_END.finditer(data)), default=0)
--- a/src/wayslip/gateway/serving/forwarding.py
+++ b/src/wayslip/gateway/serving/forwarding.py
@@ -130,6 +130,7 @@
                 await self._stream_versions.begin(job, active.tracked.endpoint)
             self._start_stream(job, head)
             await job.exchange.send(whole)
+            job.splitter.note_forwarded(whole)
         if job.splitter.is_inside_event:
             raise _make_error("the stream ended inside an event")
         ending = await self._find_ending(job, active, connection)
--- a/tests/gateway/test_events.py
+++ b/tests/gateway/test_events.py
@@ -33,6 +33,7 @@
     assert fed + splitter.remainder == stream
     assert splitter.remainder in (b"", b"\n")
     assert not splitter.is_inside_event
+    splitter.note_forwarded(fed)
     assert splitter.last_id == "2"
 
 
@@ -41,7 +42,7 @@
     first, second, _ = make(*ends)
     for cut in range(1, len(second)):
         splitter = events.EventSplitter()
-        splitter.feed(first + second[:cut])
+        splitter.note_forwarded(splitter.feed(first + second[:cut]))
         # A cut inside the line end of an empty line is behind the event.
         is_whole = splitter.last_id == "1"
         assert splitter.is_inside_event != is_whole
@@ -53,3 +54,11 @@
     splitter = events.EventSplitter()
     splitter.feed(make("\n")[0] + rest)
     assert not splitter.is_inside_event
+
+
+def test_event_that_was_not_forwarded_is_not_the_last_one():
+    # Guards against a retry that asks for what follows an event that the
+    # client never got.
+    splitter = events.EventSplitter("7")
+    assert splitter.feed(make("\n")[0])
+    assert splitter.last_id == "7"
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -13,6 +13,8 @@
 from tests.gateway import test_requests
 from tests.gateway import test_unreachable_endpoints as unreachable
 from wayslip import logs
+from wayslip.gateway.serving import forwarding
+from wayslip.gateway.sharing import stream_registry
 
 WHOLE = b"".join(test_requests.EVENTS)
 ROUNDS = 6
@@ -235,3 +237,73 @@
     assert (answer.status, answer.is_whole) == (200, True)
     assert list_resumed([old]) == ["r1"]
     assert not list_resumed([new])
+
+
+async def allow_attempts(system, count):
+    """Allows that many attempts at a stream."""
+    manifest = platform_site.manifest(version=2)
+    route = next(r for r in manifest["routes"] if r["name"] == "gen")
+    route["max_attempts"] = count
+    system.store.put("config", "main", manifest)
+    await system.until(lambda: system.gateway.holder.version == 2)
+
+
+def ignore_origins_until(gateway, is_over):
+    """Has a gateway lose what it is told of streams until a time."""
+    registry = gateway._stream_registry
+    keep = registry.keep
+
+    def keep_later(message, source):
+        if is_over():
+            keep(message, source)
+
+    return mock.patch.object(registry, "keep", keep_later)
+
+
+@harness.run
+async def test_stream_repeated_before_its_first_event_keeps_that_event(system):
+    # Guards against whole answers without their first event while an instance
+    # does not acknowledge the stream's version.
+    await allow_attempts(system, 3)
+    gateway, silent = await add_gateways(system, 2)
+    await add_engines(system, test_requests.reset, "v1")
+    others = await add_engines(
+        system, test_requests.stream_whole, "v2", "v2", hall="hall-2"
+    )
+    await system.until(lambda: len(gateway.view.tracked) == 3)
+    with ignore_origins_until(silent, lambda: all(e.received for e in others)):
+        answer = await ask(system, "b0", gateway)
+    assert (answer.status, answer.is_whole) == (200, True)
+    assert answer.body == WHOLE
+    assert all(e.received for e in others)
+
+
+@harness.run
+async def test_repeated_take_up_goes_on_after_the_event_its_client_named(
+    system,
+):
+    engines = await add_engines(system, test_requests.stream_whole, "v1", "v1")
+    system.gateway._stream_registry.note_sent("b0", "models", "v1")
+    with mock.patch.object(
+        stream_registry.StreamRegistry, "confirm", side_effect=[False, True]
+    ):
+        answer = await resume(system, "r1", "b0", 2, None)
+    assert (answer.status, answer.is_whole) == (200, True)
+    assert answer.body == b"".join(test_requests.EVENTS[2:])
+    assert list_resumed(engines) == ["r1", "r1"]
+
+
+@harness.run
+async def test_events_read_with_one_that_is_too_large_are_not_lost(system):
+    # Guards against events that are read, then dropped with the connection.
+    async def send_too_much(engine, request, line):
+        await line.write(test_requests.stream_head(request))
+        events = b"".join(test_requests.EVENTS[:2])
+        await line.write(test_requests.chunk(events + b"data: " + b"x" * 500))
+        await line.reader.read(1)
+
+    await add_engines(system, send_too_much, "v1")
+    await add_engines(system, test_requests.stream_whole, "v1", hall="hall-2")
+    with mock.patch.object(forwarding, "_MAX_EVENT_BYTES", 400):
+        answer = await ask(system, "b0")
+    assert (answer.body, answer.is_whole) == (WHOLE, True)
