End the waits of requests at an instance that is stopping

Cause: nothing that waits learned that the instance stops. The limits of waits are the target, the time budget and the timeout; the stop waits for active requests, then aborts them.

Fix: serving/drain.py bounds every wait before a request is sent by the end of the instance, less the usual time of an answer. What decides on waits by the deadline uses that end, so that a wait known to be too long is refused when it is read, or at the signal. What may have run gets 502, everything else 503.

--- a/src/wayslip/errors.py
+++ b/src/wayslip/errors.py
@@ -75,6 +75,10 @@
     """The request may have reached the endpoint; its effect is unknown."""
 
 
+class StoppingError(WayslipError):
+    """This instance is stopping and can't serve a request any more."""
+
+
 class PeerError(WayslipError):
     """A peer did not answer or refused a call."""
 
--- a/src/wayslip/gateway/daemon.py
+++ b/src/wayslip/gateway/daemon.py
@@ -390,7 +390,9 @@
 
     async def _stop(self) -> None:
         began = clock.now()
+        limit = began + self._options.bounds.grace - _ABORT_SECONDS
         self._callers.is_draining = True
+        self._requests.begin_drain(limit)
         self._tunnels.is_draining = True
         logs.event(_LOG, "stopping", active=self._callers.active)
         self._placement.announce_leaving()
@@ -399,7 +401,6 @@
             # Announces that the lease is released, so that another instance
             # takes it before it would detect this itself.
             self._announce_own_state()
-        limit = began + self._options.bounds.grace - _ABORT_SECONDS
         while clock.now() < limit:
             if clock.now() - began >= _BALANCER_SECONDS:
                 self._callers.stop_listening()
--- a/src/wayslip/gateway/serving/attempts.py
+++ b/src/wayslip/gateway/serving/attempts.py
@@ -14,6 +14,7 @@
 from wayslip.decisions import slot_times
 from wayslip.gateway import background
 from wayslip.gateway import dialect as dialect_module
+from wayslip.gateway.serving import drain as drain_module
 from wayslip.gateway.serving import end_checks
 from wayslip.gateway.serving import forwarding
 from wayslip.gateway.serving import jobs
@@ -53,6 +54,7 @@
         place_broker: place_broker_module.PlaceBroker,
         paths: endpoint_paths.EndpointPaths,
         stream_versions: stream_versions_module.StreamVersions,
+        drain: drain_module.Drain,
     ) -> None:
         """Initializes without open connections.
 
@@ -68,7 +70,9 @@
             place_broker: Records which endpoints are brittle.
             paths: Opens connections to endpoints.
             stream_versions: Records which software version began a stream.
+            drain: Until when this instance can answer requests.
         """
+        self._drain = drain
         self._place_broker = place_broker
         self._paths = paths
         self._permit_broker = permit_broker
@@ -94,7 +98,11 @@
     async def make(
         self, job: jobs.Job, choice: selection.Choice
     ) -> retry.Failure | None:
-        """Sends a request to an endpoint; returns None once it is answered."""
+        """Sends a request to an endpoint; returns None once it is answered.
+
+        Raises:
+            StoppingError: Nothing was sent, and the instance is stopping.
+        """
         job.endpoint = choice.name
         job.lacked_room = False
         job.written_since = None
@@ -113,9 +121,10 @@
         idle = began - connection.idle_since if connection else None
         try:
             if connection is None:
-                connection = await self._paths.open(
-                    tracked.endpoint, job.traits.request_id
-                )
+                async with self._drain.bound(job):
+                    connection = await self._paths.open(
+                        tracked.endpoint, job.traits.request_id
+                    )
             self._end_checks.note_used(choice.name, connection)
             if connection.peer:
                 self._log_tunnel(job, connection)
--- a/src/wayslip/gateway/serving/backoff.py
+++ b/src/wayslip/gateway/serving/backoff.py
@@ -11,6 +11,7 @@
 
 from wayslip import clock
 from wayslip.decisions import permits
+from wayslip.gateway.serving import drain as drain_module
 from wayslip.gateway.serving import jobs
 from wayslip.gateway.sharing import view as view_module
 
@@ -35,8 +36,10 @@
         self,
         view: view_module.EndpointView,
         count_instances: Callable[[], int],
+        drain: drain_module.Drain,
     ) -> None:
         self._view = view
+        self._drain = drain
         self._count_instances = count_instances
         # The latest retry time given to a client, by service and model.
         self._last_returns: collections.OrderedDict[tuple[str, str], float] = (
@@ -68,7 +71,8 @@
         """Returns the seconds that a request can wait before it is sent."""
         now = clock.now()
         in_time = job.route.target * _MAX_WAIT_TARGETS - (now - job.began)
-        return max(min((job.deadline - now) * _MAX_WAIT_SHARE, in_time), 0.0)
+        left = self._drain.find_due(job) - now
+        return max(min(left * _MAX_WAIT_SHARE, in_time), 0.0)
 
     def find_retry_after(self, job: jobs.Job) -> float | None:
         """Returns the seconds after which a client should retry.
--- a/src/wayslip/gateway/serving/endpoint_chooser.py
+++ b/src/wayslip/gateway/serving/endpoint_chooser.py
@@ -18,6 +18,7 @@
 from wayslip.decisions import waiting
 from wayslip.gateway import options as options_module
 from wayslip.gateway.serving import backoff
+from wayslip.gateway.serving import drain as drain_module
 from wayslip.gateway.serving import full_queues
 from wayslip.gateway.serving import jobs
 from wayslip.gateway.serving import profiles as profiles_module
@@ -60,6 +61,7 @@
         slot_times: slot_times_module.SlotTimes,
         may_queue: Callable[[jobs.Job, selection.Choice], bool],
         is_cut_off: Callable[[], bool],
+        drain: drain_module.Drain,
     ) -> None:
         """Initializes the chooser.
 
@@ -77,7 +79,9 @@
             may_queue: Whether a request may be sent to an endpoint or wait for
                 it; if not, it has been answered. Asked once, before any wait.
             is_cut_off: Whether this instance reaches no endpoint.
+            drain: Until when this instance can answer requests.
         """
+        self._drain = drain
         self._is_cut_off = is_cut_off
         self._may_queue = may_queue
         self._profiles = profiles
@@ -92,7 +96,7 @@
         self._metrics = metrics
         self._has_idle = has_idle
         self._endpoint_backoff = backoff.EndpointBackoff(
-            view, lambda: placement.instances
+            view, lambda: placement.instances, drain
         )
         self._rng = random.Random()
         self._wait_policy = wait_policies.WAIT_POLICIES.get(options.max_wait)
@@ -200,7 +204,7 @@
         holds = self._profiles.may_hold(job.service.name)
         situation = waiting.Situation(
             waited=now - job.began,
-            left=job.deadline - now,
+            left=self._drain.find_due(job) - now,
             target=job.route.target,
             room=waiting.Room(
                 choice.wait,
@@ -402,14 +406,18 @@
     def _find_max_load_wait(self, job: jobs.Job) -> float:
         """Returns the seconds that a request may still wait for its model."""
         now = clock.now()
+        expected = self._estimate_ready_seconds(job)
+        wait_left = self._drain.find_wait_left(job)
+        if expected is not None and expected > wait_left:
+            return 0.0
         situation = wait_policies.Situation(
             waited=now - job.began,
             target=job.route.target,
-            expected=self._estimate_ready_seconds(job),
+            expected=expected,
             lacks_adapter_only=self._lacks_adapter_only(job),
             timing=job.timing,
         )
-        return self._wait_policy(situation)
+        return min(self._wait_policy(situation), wait_left)
 
     def _estimate_ready_seconds(self, job: jobs.Job) -> float | None:
         """Returns the seconds until a request's model can serve.
@@ -431,6 +439,16 @@
             job.service.name, traits.model
         )
 
+    def refuse_stopping(self, job: jobs.Job) -> None:
+        """Refuses a request that was not run, since the instance is stopping.
+
+        Another instance can take it at once, unless no endpoint can serve it.
+        """
+        wait = self._endpoint_backoff.find_retry_after(job)
+        if wait is None and self._pick(job, frozenset()) is None:
+            wait = self._estimate_ready_seconds(job)
+        self._responder.refuse_job(job, "stopping", wait or 0.0)
+
     def _refuse_unavailable(self, job: jobs.Job) -> None:
         if job.relayed or job.progress.may_have_run:
             self._responder.answer_verdict(job, retry.Verdict.UNKNOWN)
--- a/src/wayslip/gateway/serving/requests.py
+++ b/src/wayslip/gateway/serving/requests.py
@@ -6,6 +6,7 @@
 import random
 
 from wayslip import clock
+from wayslip import errors
 from wayslip import logs
 from wayslip import metrics as metrics_module
 from wayslip.decisions import access
@@ -19,6 +20,7 @@
 from wayslip.gateway import dialect as dialect_module
 from wayslip.gateway import options as options_module
 from wayslip.gateway.serving import attempts
+from wayslip.gateway.serving import drain
 from wayslip.gateway.serving import endpoint_chooser
 from wayslip.gateway.serving import events
 from wayslip.gateway.serving import jobs
@@ -108,6 +110,9 @@
             self._find_service,
             self._responder,
         )
+        self._drain = drain.Drain(
+            lambda service: self._attempts.slot_times.estimate(service)
+        )
         self._attempts = attempts.Attempts(
             dialect,
             view,
@@ -119,6 +124,7 @@
             place_broker,
             paths,
             self.stream_versions,
+            self._drain,
         )
         self._endpoint_chooser = endpoint_chooser.EndpointChooser(
             options,
@@ -133,6 +139,7 @@
             self._attempts.slot_times,
             self._share_gate.may_queue,
             lambda: paths.is_cut_off,
+            self._drain,
         )
         self._attempts.on_end = self._endpoint_chooser.notify
         self._attempts.on_full = self._endpoint_chooser.note_full
@@ -152,6 +159,16 @@
         self._paths.forget(name)
         self._endpoint_chooser.notify()
 
+    def begin_drain(self, ends_at: float) -> None:
+        """Has requests wait no longer than this instance can answer them.
+
+        Args:
+            ends_at: When unfinished requests are aborted, steady seconds.
+        """
+        self._drain.begin(ends_at)
+        # Requests whose wait is too long now are refused at once.
+        self._placement.notify()
+
     def close(self) -> None:
         """Closes all idle connections."""
         self._attempts.pool.close()
@@ -182,6 +199,8 @@
                 await self._serve_job(job)
         except TimeoutError:
             self._responder.time_out(job)
+        except errors.StoppingError:
+            self._end_stopping(job)
         except asyncio.CancelledError:
             self._responder.record_job_outcome(job, "client_left", 0)
             raise
@@ -338,12 +357,20 @@
             return False
         return await self._quarantine.wait_for_looks(job.content)
 
-    async def _serve_job(self, job: jobs.Job) -> None:
-        await self._wait_for_looks(job)
-        if not self._check_content(job):
-            return
-        if not await self.stream_versions.bind(job):
+    def _end_stopping(self, job: jobs.Job) -> None:
+        """Answers a request that waited here when the instance had to end."""
+        if job.relayed or job.progress.may_have_run:
+            self._responder.answer_verdict(job, retry.Verdict.UNKNOWN)
             return
+        self._endpoint_chooser.refuse_stopping(job)
+
+    async def _serve_job(self, job: jobs.Job) -> None:
+        async with self._drain.bound(job):
+            await self._wait_for_looks(job)
+            if not self._check_content(job):
+                return
+            if not await self.stream_versions.bind(job):
+                return
         self._budget(job.service.name).note_request(job.began)
         if job.service.pool is not None:
             work = self._view.reading.estimate(
@@ -356,12 +383,13 @@
                 endpoint_chooser.can_wait_for_load(job),
             )
         while True:
-            choice = await self._endpoint_chooser.find(job)
-            if choice is None:
-                return
-            if await self._wait_for_looks(job):
-                # The endpoint may be gone after the wait.
-                continue
+            async with self._drain.bound(job):
+                choice = await self._endpoint_chooser.find(job)
+                if choice is None:
+                    return
+                if await self._wait_for_looks(job):
+                    # The endpoint may be gone after the wait.
+                    continue
             if not self._check_key(job) or not self._check_content(job):
                 return
             job.met_full_queue = False
@@ -380,8 +408,9 @@
                 job.is_sent = job.progress.may_have_run
             if not self._retry_or_answer(job, choice.name, failure):
                 return
-            await self._quarantine.wait_for_own_look(job.content)
-            await self._wait_for_looks(job)
+            async with self._drain.bound(job):
+                await self._quarantine.wait_for_own_look(job.content)
+                await self._wait_for_looks(job)
 
     def _may_detour(
         self, choice: selection.Choice, failure: retry.Failure
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -6,12 +6,15 @@
 """
 
 import asyncio
+import functools
 import socket
 from unittest import mock
 
 from standins import platform_site
 from tests.gateway import harness
+from wayslip import clock
 from wayslip import logs
+from wayslip.decisions import waiting
 from wayslip.gateway import daemon
 from wayslip.gateway import options as options_module
 
@@ -115,3 +118,163 @@
     assert float(lines["stopped"]["seconds"]) < 1.5
     assert lines["answer_cut"]["request"] == "r1"
     assert lines["answer_cut"]["unsent_bytes"] > 0
+
+
+# What waits at the instance, not at an endpoint. Each test failed by an answer
+# of no bytes: the wait was longer than the time until the end.
+ENDS_AFTER_SECONDS = 1.5
+# Retry-After of an endpoint and interval of its permits: longer than that, and
+# short enough to wait for.
+REST_SECONDS = 3.0
+
+
+def run_patient(test):
+    """Decorates a test of a gateway that ends soon and whose requests wait."""
+
+    @functools.wraps(test)
+    async def body(system):
+        manifest = platform_site.manifest(2)
+        for route in manifest["routes"]:
+            route.update(timeout_ms=20_000, target_latency_ms=16_000)
+        system.store.put("config", "main", manifest)
+        gateway = system.gateway
+        await system.until(lambda: gateway.holder.version == 2)
+        reserved = gateway._options.bounds.grace - ENDS_AFTER_SECONDS
+        with mock.patch.object(daemon, "_ABORT_SECONDS", reserved):
+            await test(system, gateway)
+
+    return harness.run(body)
+
+
+async def send(system, request_id="r1", model="m1"):
+    """Returns a client that has sent a request for a model."""
+    client = await system.connect()
+    await client.send(
+        "/gen/a",
+        request_id,
+        "POST",
+        body=b"x",
+        deadline=20_000,
+        Wayslip_Model=model,
+        Wayslip_Token_Count="40,20",
+    )
+    return client
+
+
+async def stop_under(gateway, client):
+    """Stops a gateway on which a request waits; returns its answer."""
+    await asyncio.sleep(0.2)
+    assert gateway._callers.active == 1
+    gateway._stopping.set()
+    return await client.read()
+
+
+def check_refused(answer):
+    """Checks for a refusal that says when to return, and ends its connection.
+
+    It says that nothing ran, so that other instances may be asked.
+    """
+    assert answer.status == 503
+    assert answer.is_whole
+    assert float(answer.headers["retry-after"]) > 0
+    assert answer.headers["connection"] == "close"
+
+
+@run_patient
+async def test_request_that_waits_for_a_model_is_refused(system, gateway):
+    # Guards against requests that are cut unanswered though nothing ran them.
+    check_refused(await stop_under(gateway, await send(system)))
+
+
+@run_patient
+async def test_model_that_comes_too_late_is_not_waited_for(system, gateway):
+    # Guards against a wait of which it is known that it can't end in time.
+    with mock.patch.object(
+        gateway._placement, "estimate_ready_seconds", return_value=2.0
+    ):
+        client = await send(system)
+        began = clock.now()
+        answers = [await stop_under(gateway, client)]
+        answers.append(await (await send(system, "r2")).read())
+        assert clock.now() - began < ENDS_AFTER_SECONDS / 2
+    for answer in answers:
+        check_refused(answer)
+        assert float(answer.headers["retry-after"]) == 2.0
+
+
+@run_patient
+async def test_request_that_waits_for_room_is_refused(system, gateway):
+    engine = await system.add("e1", "models", ["m1"])
+    with mock.patch.object(waiting, "has_room", return_value=False):
+        check_refused(await stop_under(gateway, await send(system)))
+    assert not engine.received
+
+
+async def ask_for_rest(engine, request, line):
+    await line.answer(
+        request, b"", 503, Wayslip_Not_Executed="1", Retry_After=REST_SECONDS
+    )
+
+
+async def add_resting(system):
+    """Adds an endpoint that asked for no requests."""
+    engine = await system.add("e1", "models", ["m1"], ask_for_rest)
+    assert (await (await send(system, "r0")).read()).status == 503
+    return engine
+
+
+@run_patient
+async def test_request_that_waits_for_a_backoff_is_refused(system, gateway):
+    engine = await add_resting(system)
+    check_refused(await stop_under(gateway, await send(system)))
+    assert len(engine.received) == 1
+
+
+async def name_limit(engine, request, line):
+    await line.answer(request, b"ok", Server_Limit=1 / REST_SECONDS)
+
+
+@run_patient
+async def test_request_that_waits_for_a_permit_is_refused(system, gateway):
+    engine = await system.add("e1", "models", ["m1"], name_limit)
+    assert (await (await send(system, "r0")).read()).status == 200
+    check_refused(await stop_under(gateway, await send(system)))
+    assert len(engine.received) == 1
+
+
+@run_patient
+async def test_request_whose_connection_is_not_open_is_refused(system, gateway):
+    engine = await system.add("e1", "models", ["m1"])
+
+    async def hang(endpoint, request_id):
+        await asyncio.sleep(ENDS_AFTER_SECONDS * 2)
+
+    with mock.patch.object(gateway.paths, "open", hang):
+        check_refused(await stop_under(gateway, await send(system)))
+    assert not engine.received
+
+
+@run_patient
+async def test_request_that_may_have_run_is_not_refused(system, gateway):
+    # Guards against a 503, which says that nothing ran, after an attempt that
+    # broke off.
+    async def break_off(engine, request, line):
+        line.reset()
+
+    await add_resting(system)
+    broken = await system.add("e2", "models", ["m1"], break_off)
+    answer = await stop_under(gateway, await send(system))
+    assert len(broken.received) == 1
+    assert answer.status == 502
+
+
+@run_patient
+async def test_stop_leaves_a_request_at_its_endpoint_to_end(system, gateway):
+    # The end of the waits must not end an attempt.
+    async def answer_late(engine, request, line):
+        await asyncio.sleep(ENDS_AFTER_SECONDS * 0.75)
+        await line.answer(request, b"late")
+
+    await system.add("e1", "models", ["m1"], answer_late)
+    answer = await stop_under(gateway, await send(system))
+    assert (answer.status, answer.body) == (200, b"late")
