Keep the software versions that a service ever had in the store

What callers saw: streams that are taken up 30 s or more after their version has left go on at the version that is left, answered 200 and joined from two. After a kill of all instances every take-up before that is refused, also where one version alone has ever served.

Cause: VersionHistory.find_only forgot a version after 30 s and was asked before the instances that remember the stream. Nothing bounds how late a client takes a stream up. What an instance knew of the past was the time for which it had run.

Fix: versions are not forgotten, and an object in the store, written once for each new version of a service, names them to instances that start later. Without an instance that remembers the stream it goes on only if the record is complete, names one version and was read since this instance may have missed a change.

--- a/src/wayslip/gateway/daemon.py
+++ b/src/wayslip/gateway/daemon.py
@@ -52,6 +52,7 @@
 from wayslip.gateway.sharing import staleness
 from wayslip.gateway.sharing import stream_registry
 from wayslip.gateway.sharing import tunnel_service
+from wayslip.gateway.sharing import version_records as version_records_module
 from wayslip.gateway.sharing import view as view_module
 from wayslip.http1 import server
 
@@ -222,6 +223,12 @@
         self._stream_registry = stream_registry.StreamRegistry(
             options.peers, self._hub, self._peer_broadcast, self.metrics
         )
+        self._version_records = version_records_module.VersionRecords(
+            platform.store,
+            self.leadership,
+            self.view.versions,
+            self._find_pause,
+        )
         self._requests = requests_module.Requests(
             options,
             platform.dialect,
@@ -238,6 +245,7 @@
             self._fair_shares,
             self.paths,
             self._stream_registry,
+            self._version_records,
             lambda: self._endpoints.watcher.is_current,
         )
         self._configuration_sync = configuration_sync.ConfigurationSync(
@@ -357,6 +365,7 @@
             self._share_accounts.run(),
             self._link_watch.run(),
             self._requests.stream_versions.run(),
+            self._version_records.run(),
             lag.observe(self.metrics, self._admission.note_lag),
         ):
             self._start_task(work)
--- a/src/wayslip/gateway/serving/requests.py
+++ b/src/wayslip/gateway/serving/requests.py
@@ -36,6 +36,7 @@
 from wayslip.gateway.sharing import placement as placement_module
 from wayslip.gateway.sharing import quarantine as quarantine_module
 from wayslip.gateway.sharing import stream_registry
+from wayslip.gateway.sharing import version_records as version_records_module
 from wayslip.gateway.sharing import view as view_module
 from wayslip.http1 import server
 
@@ -66,6 +67,7 @@
         fair_shares: fair_shares_module.FairShares,
         paths: endpoint_paths.EndpointPaths,
         registry: stream_registry.StreamRegistry,
+        version_records: version_records_module.VersionRecords,
         is_list_current: Callable[[], bool],
     ) -> None:
         """Initializes the handler.
@@ -88,6 +90,7 @@
             fair_shares: Keeps organisations to their shares of a service.
             paths: Opens connections to endpoints.
             registry: Knows which software version began a stream.
+            version_records: Knows the versions that services ever had.
             is_list_current: Returns whether the list of endpoints is known to
                 be current.
         """
@@ -106,6 +109,7 @@
         self.stream_versions = stream_versions_module.StreamVersions(
             view,
             registry,
+            version_records,
             is_list_current,
             self._find_service,
             self._responder,
--- a/src/wayslip/gateway/serving/stream_versions.py
+++ b/src/wayslip/gateway/serving/stream_versions.py
@@ -1,9 +1,10 @@
 """Keeps streams at the software version of the endpoint that began them.
 
 A stream that may be taken up is recorded before its first event, and one that
-is taken up goes to endpoints of its version only. Without word of that version
-it is refused: another version, or a new beginning, would spoil what the client
-has.
+is taken up goes to endpoints of its version only. If no instance remembers that
+version, it is known only where the service never had another one. Otherwise the
+stream is refused: another version, or a new beginning, would spoil what the
+client has.
 """
 
 import asyncio
@@ -17,9 +18,11 @@
 from wayslip.decisions import stream_origins
 from wayslip.gateway.serving import jobs
 from wayslip.gateway.sharing import stream_registry
+from wayslip.gateway.sharing import version_records as version_records_module
 from wayslip.gateway.sharing import view as view_module
 
-# Time until an instance that was silent may say who began a stream.
+# Time until an instance that was silent, or the store, may tell who began a
+# stream.
 _UNKNOWN_RETRY_SECONDS = 0.5
 # Time until a route may lead again to the service that began a stream.
 _NO_SERVICE_RETRY_SECONDS = 1.0
@@ -34,6 +37,7 @@
         self,
         view: view_module.EndpointView,
         registry: stream_registry.StreamRegistry,
+        version_records: version_records_module.VersionRecords,
         is_list_current: Callable[[], bool],
         find_service: Callable[[manifest.Route, str], manifest.Service | None],
         responder: jobs.Responder,
@@ -43,6 +47,7 @@
         Args:
             view: What this instance knows of the endpoints.
             registry: Tells and asks other instances.
+            version_records: Knows the versions that services ever had.
             is_list_current: Returns whether the list of endpoints is known to
                 be current.
             find_service: Returns a service by name if a route may lead to it.
@@ -50,6 +55,7 @@
         """
         self._view = view
         self._registry = registry
+        self._version_records = version_records
         self._is_list_current = is_list_current
         self._find_service = find_service
         self._responder = responder
@@ -57,9 +63,12 @@
     async def run(self) -> None:
         """Observes whether the list is current, until cancelled."""
         while True:
-            self._view.versions.note_list(self._is_list_current(), clock.now())
+            self._note_list()
             await asyncio.sleep(_LIST_PERIOD_SECONDS)
 
+    def _note_list(self) -> None:
+        self._view.versions.note_list(self._is_list_current(), clock.now())
+
     async def bind(self, job: jobs.Job) -> bool:
         """Binds a stream that a client takes up to the version that began it.
 
@@ -70,11 +79,14 @@
         is_taken_up = traits.resumes or traits.last_event_id
         if not is_taken_up or not _may_be_taken_up(job):
             return True
-        origin = await self._find_origin(job)
+        finding = await self._find_origin(job)
+        origin = finding.origin
         if origin is None:
-            self._responder.refuse_job(
-                job, "origin_unknown", _UNKNOWN_RETRY_SECONDS
-            )
+            wait = _UNKNOWN_RETRY_SECONDS
+            if finding.is_settled:
+                # Nobody will know it later; a retry would be in vain.
+                wait = job.deadline - clock.now()
+            self._responder.refuse_job(job, "origin_unknown", wait)
             return False
         service = self._find_service(job.route, origin.service)
         if service is None:
@@ -86,15 +98,23 @@
         _bind_to(job, origin.version)
         return True
 
-    async def _find_origin(self, job: jobs.Job) -> stream_origins.Origin | None:
+    async def _find_origin(self, job: jobs.Job) -> stream_registry.Finding:
+        is_settled = True
+        if job.traits.resumes:
+            finding = await self._registry.find(job.traits.resumes)
+            if finding.origin is not None:
+                return finding
+            is_settled = finding.is_settled
+        if len(job.route.splits) > 1:
+            return stream_registry.Finding(None, is_settled)
         service = job.service.name
-        if len(job.route.splits) == 1:
-            only = self._view.versions.find_only(service, clock.now())
-            if only is not None:
-                return stream_origins.Origin(service, only)
-        if not job.traits.resumes:
-            return None
-        return await self._registry.find(job.traits.resumes)
+        self._note_list()
+        only = await self._version_records.find_only(service)
+        if only is not None:
+            origin = stream_origins.Origin(service, only)
+            return stream_registry.Finding(origin, True)
+        is_settled = is_settled and self._view.versions.is_current
+        return stream_registry.Finding(None, is_settled)
 
     def note_sent(self, job: jobs.Job, endpoint: fleet.Endpoint) -> None:
         """Records to which version a stream is about to be sent."""
--- a/src/wayslip/gateway/sharing/leadership.py
+++ b/src/wayslip/gateway/sharing/leadership.py
@@ -133,6 +133,13 @@
         """Whether another instance held the lease before this one."""
         return self._follows_another
 
+    @property
+    def is_first_term(self) -> bool:
+        """Whether this instance holds the first lease that was ever given."""
+        era = self._store.era
+        is_first = self._own_term == lease.next_term(0, era)
+        return self._is_held and is_first and era <= position.FIRST_ERA
+
     def note_renewal(self, revision: int) -> None:
         """Records the revision of the last renewal, as the holder announced.
 
--- a/src/wayslip/gateway/sharing/records.py
+++ b/src/wayslip/gateway/sharing/records.py
@@ -7,6 +7,7 @@
 from wayslip import fields
 from wayslip.decisions import lease
 from wayslip.decisions import suspicion
+from wayslip.decisions import version_history
 from wayslip.gateway import store
 
 
@@ -99,6 +100,30 @@
     return Suspect(content, crash_records)
 
 
+def _encode_versions(value: version_history.Record) -> Any:
+    return {
+        "era": value.era,
+        "complete": value.is_complete,
+        "services": {s: list(v) for s, v in value.versions.items()},
+    }
+
+
+def _decode_versions(name: str, spec: Any) -> version_history.Record:
+    try:
+        versions = {
+            fields.check_text(service, "service"): tuple(
+                version and fields.check_text(version, "version")
+                for version in listed
+            )
+            for service, listed in spec["services"].items()
+        }
+        return version_history.Record(
+            int(spec["era"]), bool(spec["complete"]), versions
+        )
+    except (AttributeError, KeyError, TypeError, ValueError) as e:
+        raise _malformed(name, e) from e
+
+
 def _malformed(name: str, error: Exception) -> errors.ObjectError:
     return errors.ObjectError(
         f"the object {name} is malformed ({error})",
@@ -117,3 +142,7 @@
 SUSPECT: store.Kind[Suspect] = store.Kind(
     "wayslip-suspects", _decode_suspect, _encode_suspect
 )
+# One object, see `version_records`.
+VERSIONS: store.Kind[version_history.Record] = store.Kind(
+    "wayslip-versions", _decode_versions, _encode_versions
+)
--- a/src/wayslip/gateway/sharing/stream_registry.py
+++ b/src/wayslip/gateway/sharing/stream_registry.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import dataclasses
 import logging
 
 from wayslip import addresses
@@ -31,6 +32,19 @@
 _ASK_ALL_SECONDS = 0.15
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Finding:
+    """What the instances that answered know of a stream.
+
+    Attributes:
+        origin: Its origin, None if none of them knows it.
+        is_settled: Whether all others that are known answered.
+    """
+
+    origin: stream_origins.Origin | None
+    is_settled: bool
+
+
 class _Telling:
     """What the keepers of one stream were told by this instance.
 
@@ -222,13 +236,14 @@
 
     # Asking
 
-    async def find(self, stream: str) -> stream_origins.Origin | None:
-        """Returns a stream's origin, None if nobody who answers knows it."""
+    async def find(self, stream: str) -> Finding:
+        """Looks a stream's origin up, and asks others if it is not known."""
         began = clock.now()
         origin = self._origins.find(stream, began)
-        source = "own"
+        source, is_settled = "own", True
         if origin is None:
-            origin, source = await self._ask(stream)
+            question, is_settled = await self._ask(stream)
+            origin, source = question.origin, question.source
         outcome = "unknown" if origin is None else "known"
         self._metrics.count("stream_origins", outcome=outcome)
         logs.event(
@@ -239,13 +254,14 @@
             source=source,
             seconds=f"{clock.now() - began:.3f}",
             outcome=outcome,
+            settled=is_settled,
         )
-        return origin
+        return Finding(origin, is_settled)
 
-    async def _ask(
-        self, stream: str
-    ) -> tuple[stream_origins.Origin | None, str]:
+    async def _ask(self, stream: str) -> tuple[_Question, bool]:
+        """Asks others; returns the question, and whether all answered it."""
         others = self._list_others()
+        addresses_asked = {p.address for p in others}
         asked = stream_origins.choose_asked(stream, others)
         self._last_number += 1
         number = self._last_number
@@ -258,13 +274,16 @@
             if question.origin is None and others:
                 self._hub.broadcast(message, others)
                 await self._wait_for_answer(
-                    question, {p.address for p in others}, _ASK_ALL_SECONDS
+                    question, addresses_asked, _ASK_ALL_SECONDS
                 )
         finally:
             del self._questions[number]
         if question.origin is not None:
             self._origins.note(stream, question.origin, clock.now())
-        return question.origin, question.source
+        # A process that has just started may not know any other.
+        have_all_answered = addresses_asked <= question.negative
+        is_settled = bool(others) and have_all_answered
+        return question, question.origin is not None or is_settled
 
     async def _wait_for_answer(
         self, question: _Question, asked: set[str], seconds: float
--- a/src/wayslip/gateway/sharing/view.py
+++ b/src/wayslip/gateway/sharing/view.py
@@ -192,7 +192,7 @@
 
     def _note_versions(self, service: str) -> None:
         versions = {t.endpoint.version for t in self.of_service(service)}
-        self.versions.note_listed(service, versions, clock.now())
+        self.versions.note_listed(service, versions)
 
     def replace_all(self, endpoints: Iterable[fleet.Endpoint]) -> None:
         """Replaces the list of endpoints."""
--- a/src/wayslip/story.py
+++ b/src/wayslip/story.py
@@ -83,8 +83,9 @@
         " run"
     ),
     "origin_unknown": (
-        "several software versions serve, and no instance that answered knows"
-        " which one began its stream; it was not run"
+        "no instance that answered knows which software version began its"
+        " stream, and the service is not known to have had one only; it was not"
+        " run"
     ),
     "not_taken": "the endpoint refused it; it was not run",
     "too_long_a_wait": "its wait would exceed its time limit; it was not run",
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -12,8 +12,11 @@
 from tests.gateway import harness
 from tests.gateway import test_requests
 from tests.gateway import test_unreachable_endpoints as unreachable
+from wayslip import clock
 from wayslip import logs
+from wayslip.decisions import stream_origins
 from wayslip.gateway.serving import forwarding
+from wayslip.gateway.serving import stream_versions
 from wayslip.gateway.sharing import stream_registry
 
 WHOLE = b"".join(test_requests.EVENTS)
@@ -307,3 +310,120 @@
     with mock.patch.object(forwarding, "_MAX_EVENT_BYTES", 400):
         answer = await ask(system, "b0")
     assert (answer.body, answer.is_whole) == (WHOLE, True)
+
+
+# Longer than any limit after which a version could be taken for forgotten.
+LONG_SECONDS = 600.0
+
+
+async def break_streams(system, gateways):
+    """Has streams of v1 begin and break off; returns their engines and ids."""
+    old = await add_engines(system, break_off, "v1", "v1")
+    for gateway in gateways:
+        await system.until(lambda g=gateway: len(g.view.tracked) == 2)
+    return old, await begin_streams(system, gateways[1], ROUNDS)
+
+
+async def replace_version(system, old):
+    """Adds two engines of v2, and removes those of v1; returns the new ones."""
+    new = await add_engines(system, test_requests.stream_whole, "v2", "v2")
+    await asyncio.sleep(0.5)
+    for engine in old:
+        system.store.remove("servers", engine.name)
+    await system.until(lambda: len(system.gateway.view.tracked) == len(new))
+    return new
+
+
+async def restart_all(system, gateways, meanwhile=lambda: None):
+    """Kills all gateways at once; returns as many new ones."""
+    for gateway in gateways:
+        await system.kill(gateway)
+    meanwhile()
+    options = [
+        harness.make_options(f"n{number}", system.options.store)
+        for number in range(len(gateways))
+    ]
+    system.options = options[0]
+    fresh = [system._launch(o) for o in options]
+    system.gateway = fresh[0]
+    for gateway in fresh:
+        await system.until(lambda g=gateway: g._placement.instances == 3)
+        await system.until(lambda g=gateway: is_list_current(g))
+    return fresh
+
+
+def is_list_current(gateway):
+    return gateway.is_ready() and gateway._endpoints.watcher.is_current
+
+
+def pass_time(gateways):
+    """Has gateways take their list for current for a long time already."""
+    for gateway in gateways:
+        gateway.view.versions.note_list(True, clock.now() - LONG_SECONDS)
+
+
+async def take_up_all(system, ids, gateways):
+    """Takes streams up again; returns the answers."""
+    return [
+        await resume(system, f"r{n}", began, 2, gateways[n % len(gateways)])
+        for n, began in enumerate(ids)
+    ]
+
+
+@harness.run
+async def test_stream_is_not_joined_after_all_instances_were_killed(system):
+    # Guards against streams that go on at the only version that is left.
+    gateways = await add_gateways(system, 3)
+    old, ids = await break_streams(system, gateways)
+    new = await replace_version(system, old)
+    gateways = await restart_all(system, gateways)
+    pass_time(gateways)
+    answers = await take_up_all(system, ids, gateways)
+    assert not list_resumed(new)
+    assert {a.status for a in answers} == {503}
+    # Nobody will know it later.
+    assert float(answers[0].headers["retry-after"]) > 1.0
+
+
+@harness.run
+async def test_stream_is_not_joined_long_after_its_version_left(system):
+    # The same without a kill: the instances know which version began it.
+    gateways = await add_gateways(system, 3)
+    old, ids = await break_streams(system, gateways)
+    new = await replace_version(system, old)
+    later = mock.Mock(now=lambda: clock.now() + LONG_SECONDS)
+    with mock.patch.object(stream_versions, "clock", later):
+        answers = await take_up_all(system, ids, gateways)
+    assert not list_resumed(new)
+    assert {a.status for a in answers} == {503}
+
+
+@harness.run
+async def test_stream_of_the_only_version_goes_on_after_a_kill_of_all(system):
+    # Guards against refusals of all streams that can be taken up.
+    gateways = await add_gateways(system, 3)
+    old, ids = await break_streams(system, gateways)
+    await asyncio.sleep(0.5)
+    for engine in old:
+        engine.script = test_requests.stream_whole
+    gateways = await restart_all(system, gateways)
+    answers = await take_up_all(system, ids, gateways)
+    assert {(a.status, a.is_whole) for a in answers} == {(200, True)}
+    assert {a.body for a in answers} == {b"".join(test_requests.EVENTS[2:])}
+
+
+@harness.run
+async def test_version_that_nobody_saw_leave_is_not_forgotten(system):
+    # Guards against an instance that started after a version had left.
+    gateways = await add_gateways(system, 3)
+    old, ids = await break_streams(system, gateways)
+    new = await replace_version(system, old)
+    late = await system.join("late")
+    await system.until(lambda: is_list_current(late))
+    for gateway in gateways:
+        gateway._stream_registry._origins = stream_origins.Origins()
+        gateway._stream_registry._tellings.clear()
+    pass_time([late])
+    answers = await take_up_all(system, ids, [late])
+    assert not list_resumed(new)
+    assert {a.status for a in answers} == {503}
--- a/tests/stateful/stream_world.py
+++ b/tests/stateful/stream_world.py
@@ -181,7 +181,7 @@
         if at is None:
             return
         registry, in_contact = at.registry, at.is_in_contact
-        origin = await registry.find(stream)
+        origin = (await registry.find(stream)).origin
         if not at.alive or at.registry is not registry:
             return
         if origin is not None and origin.version != version:
