Serve requests whose clients offer another protocol, with their body

Cause: the parser reports the end of the message behind such a head. The server started the request then, and took the exception that follows for a request that cannot be parsed.

Fix: a message with an offer is not complete; its head is parsed again without the header Upgrade, by a new parser that goes on with the rest. CONNECT, which was closed unanswered, gets 400.

--- a/src/wayslip/http1/server.py
+++ b/src/wayslip/http1/server.py
@@ -39,6 +39,10 @@
 # A body is read so far beyond its limit: most clients read the answer only
 # after they have sent their request.
 _BODY_SLACK_BYTES = 1024 * 1024
+# The header in which a client offers to go on in another protocol, and the
+# method that asks for a tunnel.
+_OFFER_HEADER = b"upgrade"
+_TUNNEL_METHOD = b"CONNECT"
 # Each header's colon, space and line end.
 _HEADER_SEPARATOR_BYTES = 4
 
@@ -333,7 +337,9 @@
         self._usage.note_received(len(data))
         try:
             self._parser.feed_data(data)
-        except (httptools.HttpParserUpgrade, httptools.HttpParserError):
+        except httptools.HttpParserUpgrade as e:
+            self._ignore_offer(data[e.args[0] :])
+        except httptools.HttpParserError:
             self._refuse(400)
         else:
             self._check_partial_head(len(data))
@@ -379,6 +385,9 @@
         """Checks the complete head."""
         self._is_head_complete = True
         self._usage.note_head()
+        if self._parser.should_upgrade():
+            # The head is parsed again, see `_ignore_offer`.
+            return
         if self._head_bytes > self._server.limits().header_bytes:
             self._refuse(431)
             return
@@ -396,7 +405,7 @@
 
     def on_message_complete(self) -> None:
         """Queues a complete request."""
-        if self._is_closing:
+        if self._is_closing or self._parser.should_upgrade():
             return
         if self._body_bytes > self._server.limits().body_bytes:
             self._refuse(413)
@@ -521,6 +530,29 @@
         self._is_head_complete = False
         self._usage = framing_module.Usage()
 
+    def _ignore_offer(self, rest: bytes) -> None:
+        """Goes on with a request whose client offers another protocol.
+
+        The parser takes its head for the end of HTTP, and skips its body. A
+        server may ignore the offer, so the head is parsed again without it.
+
+        Args:
+            rest: The bytes after the head.
+        """
+        method = self._parser.get_method()
+        if method == _TUNNEL_METHOD:
+            self._refuse(400)
+            return
+        version = self._parser.get_http_version().encode("ascii")
+        lines = [b"%s %s HTTP/%s" % (method, self._target, version)]
+        lines += [
+            name + b": " + value
+            for name, value in self._headers
+            if name != _OFFER_HEADER
+        ]
+        self._parser = httptools.HttpRequestParser(self)
+        self.data_received(b"\r\n".join(lines) + b"\r\n\r\n" + rest)
+
     def _check_partial_head(self, received: int) -> None:
         """Refuses a head that exceeds the limit before it is complete."""
         if self._is_head_complete:
