Send no request twice on the same connection

Cause: a refused request may return to the endpoint on the connection that was used last, and both attempts have the same request id.

Fix: a job knows the connections that its attempts used, and the pool excludes them; they stay there for other requests.

--- a/src/wayslip/gateway/serving/attempts.py
+++ b/src/wayslip/gateway/serving/attempts.py
@@ -115,6 +115,7 @@
             self._paths.find_trusted_since(
                 choice.name, job.progress.may_repeat
             ),
+            job.connections,
         )
         is_reused = connection is not None
         began = clock.now()
@@ -125,6 +126,7 @@
                     connection = await self._paths.open(
                         tracked.endpoint, job.traits.request_id
                     )
+            job.connections.add(connection)
             self._end_checks.note_used(choice.name, connection)
             if connection.peer:
                 self._log_tunnel(job, connection)
--- a/src/wayslip/gateway/serving/jobs.py
+++ b/src/wayslip/gateway/serving/jobs.py
@@ -15,6 +15,7 @@
 from wayslip.gateway import dialect as dialect_module
 from wayslip.gateway.serving import events
 from wayslip.gateway.sharing import held_places
+from wayslip.http1 import client
 from wayslip.http1 import messages
 from wayslip.http1 import server
 
@@ -80,6 +81,8 @@
         lacked_room: Whether its last attempt was refused for lack of room.
         room_wait: Seconds until a brittle endpoint is expected to have room.
         ending: How the end of the forwarded answer was told.
+        connections: Those that its attempts used. A second copy of an answer
+            to one of them may arrive late, and has the same request id.
         written_since: When the first event of its last attempt arrived, steady
             seconds; None before it.
     """
@@ -115,6 +118,7 @@
     lacked_room: bool = False
     room_wait: float = 0.0
     ending: messages.BodyEnd | None = None
+    connections: set[client.Connection] = dataclasses.field(default_factory=set)
     written_since: float | None = None
 
     @property
--- a/src/wayslip/http1/pool.py
+++ b/src/wayslip/http1/pool.py
@@ -1,6 +1,7 @@
 """Pool of idle connections to endpoints."""
 
 import asyncio
+from collections.abc import Set
 import math
 
 from wayslip import clock
@@ -45,7 +46,10 @@
         return list(self._idle.get(endpoint, ()))
 
     def take(
-        self, endpoint: str, trusted_since: float = -math.inf
+        self,
+        endpoint: str,
+        trusted_since: float = -math.inf,
+        excluded: Set[client.Connection] = frozenset(),
     ) -> client.Connection | None:
         """Removes and returns a usable idle connection, None without one.
 
@@ -53,11 +57,12 @@
             endpoint: The id of its endpoint.
             trusted_since: Connections on which nothing arrived since then are
                 closed.
+            excluded: Connections that stay in the pool.
         """
         now = clock.now()
         idle = self._idle.get(endpoint, [])
-        while idle:
-            connection = idle.pop()
+        for connection in [c for c in reversed(idle) if c not in excluded]:
+            idle.remove(connection)
             if (
                 connection.is_reusable
                 and _is_fresh(connection, now)
