Start the gateway without looking for packages that it does not use

Cause: the interpreter looks for site packages before it imports the module that ignores the signal, 40 ms on this machine. The deployed gateway finds all it needs by its path.

The test asks that the deployed command imports nothing of that kind; it failed before. What is left, some 20 ms, is the interpreter's own start.

--- a/soak/world.py
+++ b/soak/world.py
@@ -61,15 +61,17 @@
 
     def start(self) -> None:
         """Starts the process."""
+        # The sources go before the installed package.
+        path = os.pathsep.join([str(self.sources), *sys.path])
         environment = {
             **os.environ,
             "WAYSLIP_SETTINGS": str(self.settings),
-            # Goes before the installed package.
-            "PYTHONPATH": str(self.sources),
+            "PYTHONPATH": path,
         }
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "wayslip.cli.gateway"],
+                # As deployed, see `deploy/system.toml`.
+                [sys.executable, "-S", "-m", "wayslip.cli.gateway"],
                 env=environment,
                 # Not where another release's package lies.
                 cwd=self.settings.parent,
--- a/tests/platform/test_deploy.py
+++ b/tests/platform/test_deploy.py
@@ -5,10 +5,12 @@
 """
 
 import json
+import os
 import pathlib
 import re
 import subprocess
 import sys
+import tomllib
 
 ROOT = pathlib.Path(__file__).parents[2]
 LIST_DISTRIBUTIONS = """
@@ -20,6 +22,28 @@
 """
 
 
+def find_command():
+    """Returns the words with which the platform starts a gateway."""
+    deployed = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
+    return deployed["roles"]["gateway"]["run"].split()
+
+
+def test_deployed_gateway_ignores_hangups_before_it_finds_packages():
+    # Guards against a process that SIGHUP ends in the first 60 ms.
+    _, *arguments = find_command()
+    path = os.pathsep.join([str(ROOT / "src"), *sys.path])
+    done = subprocess.run(
+        [sys.executable, "-X", "importtime", *arguments, "--help"],
+        capture_output=True,
+        check=True,
+        text=True,
+        env={**os.environ, "PYTHONPATH": path},
+    )
+    loaded = re.findall(r"^import time:.*\| +(\S+)$", done.stderr, re.MULTILINE)
+    before = loaded[: loaded.index("wayslip.cli.hangup")]
+    assert "site" not in before
+
+
 def normalize(name):
     return re.sub(r"[-_.]+", "-", name).lower()
 
