Don't blame an endpoint for instances that are silent

What callers saw: while an instance that was told another version stands still, sound engines count as failed: fewer are chosen from, and each is looked at as if the request had ended it.

Cause: an attempt whose stream was dropped for want of acknowledgements raised the same error as an endpoint that broke off.

Fix: it has an error, a log line and a count of its own.

--- a/src/wayslip/errors.py
+++ b/src/wayslip/errors.py
@@ -75,6 +75,10 @@
     """The request may have reached the endpoint; its effect is unknown."""
 
 
+class StreamNotKeptError(EndpointUnclearError):
+    """Other instances don't know a stream's version, so that it can't begin."""
+
+
 class StoppingError(WayslipError):
     """This instance is stopping and can't serve a request any more."""
 
--- a/src/wayslip/gateway/serving/attempts.py
+++ b/src/wayslip/gateway/serving/attempts.py
@@ -138,6 +138,9 @@
         except errors.NotSentError as e:
             self._note_not_sent(job, active, clock.now() - began, e)
             return retry.Failure.NOT_SENT
+        except errors.StreamNotKeptError as e:
+            self._note_not_kept(job, clock.now() - active.began, e)
+            return retry.Failure.UNCLEAR
         except errors.EndpointError as e:
             self._note_unclear(job, active, depth, e, reused_after=idle)
             return retry.Failure.UNCLEAR
@@ -170,6 +173,20 @@
         )
         self._metrics.count("failed_attempts", kind="not_sent")
 
+    def _note_not_kept(
+        self, job: jobs.Job, seconds: float, error: errors.StreamNotKeptError
+    ) -> None:
+        """Records that a stream was dropped, though its endpoint is sound."""
+        logs.event(
+            _LOG,
+            "stream_not_kept",
+            request=job.traits.request_id,
+            endpoint=job.endpoint,
+            seconds=f"{seconds:.3f}",
+            reason=error.reason,
+        )
+        self._metrics.count("failed_attempts", kind="not_kept")
+
     def _note_unclear(
         self,
         job: jobs.Job,
--- a/src/wayslip/gateway/serving/stream_versions.py
+++ b/src/wayslip/gateway/serving/stream_versions.py
@@ -127,13 +127,13 @@
         """Binds a stream to the version whose first event is to be forwarded.
 
         Raises:
-            EndpointUnclearError: Another instance may name another version.
+            StreamNotKeptError: Another instance may name another version.
         """
         is_kept = not _may_be_taken_up(job) or await self._registry.confirm(
             _find_id(job)
         )
         if not is_kept:
-            raise errors.EndpointUnclearError(
+            raise errors.StreamNotKeptError(
                 "instances that keep its version did not acknowledge it",
                 "the client may send it again",
             )
--- a/src/wayslip/story.py
+++ b/src/wayslip/story.py
@@ -87,6 +87,10 @@
         " stream, and the service is not known to have had one only; it was not"
         " run"
     ),
+    "stopping": (
+        "the instance was stopping and would have ended before an answer; it"
+        " was not run"
+    ),
     "not_taken": "the endpoint refused it; it was not run",
     "too_long_a_wait": "its wait would exceed its time limit; it was not run",
     "timed_out_waiting": "it timed out before it was sent; it was not run",
@@ -262,7 +266,12 @@
 
 def find_decision(story: Story) -> Event:
     """Returns the event that determined a request's outcome."""
-    decisive = ("attempt_unclear", "endpoint_refused", "attempt_failed")
+    decisive = (
+        "attempt_unclear",
+        "stream_not_kept",
+        "endpoint_refused",
+        "attempt_failed",
+    )
     for name in decisive:
         for event in reversed(story.events):
             if event.name == name and story.outcome != "answered":
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -296,6 +296,22 @@
     assert list_resumed(engines) == ["r1", "r1"]
 
 
+@harness.run
+async def test_endpoint_is_not_blamed_for_instances_that_are_silent(system):
+    # Guards against sound endpoints that are taken for failed ones.
+    engines = await add_engines(system, test_requests.stream_whole, "v1", "v1")
+    with mock.patch.object(
+        stream_registry.StreamRegistry, "confirm", side_effect=[False, True]
+    ):
+        answer = await ask(system, "b0")
+    assert (answer.body, answer.is_whole) == (WHOLE, True)
+    assert all(e.received for e in engines)
+    tracked = system.gateway.view.tracked.values()
+    assert {(t.condition.misses, t.condition.rate) for t in tracked} == {(0, 0)}
+    # No endpoint is looked at, as it is when a request may have ended it.
+    assert not system.gateway._quarantine._broken_attempts
+
+
 @harness.run
 async def test_events_read_with_one_that_is_too_large_are_not_lost(system):
     # Guards against events that are read, then dropped with the connection.
