--- a/src/wayslip/gateway/serving/attempts.py
+++ b/src/wayslip/gateway/serving/attempts.py
@@ -122,7 +122,7 @@
         idle = began - connection.idle_since if connection else None
         try:
             if connection is None:
-                async with self._drain.bound(job):
+                async with self._drain.limit_wait(job):
                     connection = await self._paths.open(
                         tracked.endpoint, job.traits.request_id
                     )
--- a/src/wayslip/gateway/serving/drain.py
+++ b/src/wayslip/gateway/serving/drain.py
@@ -1,7 +1,7 @@
-"""Bounds waits at an instance that is stopping.
+"""Limits waits at an instance that is stopping.
 
 An instance ends with its grace time, and every request that still waits there
-ends unanswered. So a stop bounds all waits before a request is sent: one that
+ends unanswered. So a stop limits all waits before a request is sent: one that
 can't be answered here any more is refused at once, while its client has time to
 send it to another instance.
 """
@@ -40,11 +40,11 @@
         """
         self.ends_at = math.inf
         self._estimate_answer_time = estimate_answer_time
-        # Waits that are bounded now, and what waits.
+        # Waits under way, and what waits.
         self._waits: dict[asyncio.Timeout, jobs.Job] = {}
 
     def begin(self, ends_at: float) -> None:
-        """Bounds all waits from now on, also those under way."""
+        """Limits all waits from now on, also those under way."""
         self.ends_at = ends_at
         for wait, job in self._waits.items():
             if not wait.expired():
@@ -75,8 +75,8 @@
         return asyncio.get_running_loop().time() + left
 
     @contextlib.asynccontextmanager
-    async def bound(self, job: jobs.Job) -> AsyncIterator[None]:
-        """Bounds the time that a request waits in a block.
+    async def limit_wait(self, job: jobs.Job) -> AsyncIterator[None]:
+        """Limits how long a request waits in a block.
 
         Raises:
             StoppingError: The request can't be answered here any more.
--- a/src/wayslip/gateway/serving/requests.py
+++ b/src/wayslip/gateway/serving/requests.py
@@ -369,7 +369,7 @@
         self._endpoint_chooser.refuse_stopping(job)
 
     async def _serve_job(self, job: jobs.Job) -> None:
-        async with self._drain.bound(job):
+        async with self._drain.limit_wait(job):
             await self._wait_for_looks(job)
             if not self._check_content(job):
                 return
@@ -387,7 +387,7 @@
                 endpoint_chooser.can_wait_for_load(job),
             )
         while True:
-            async with self._drain.bound(job):
+            async with self._drain.limit_wait(job):
                 choice = await self._endpoint_chooser.find(job)
                 if choice is None:
                     return
@@ -412,7 +412,7 @@
                 job.is_sent = job.progress.may_have_run
             if not self._retry_or_answer(job, choice.name, failure):
                 return
-            async with self._drain.bound(job):
+            async with self._drain.limit_wait(job):
                 await self._quarantine.wait_for_own_look(job.content)
                 await self._wait_for_looks(job)
 
