--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -39,6 +39,7 @@
 from soak import conditions
 from soak import faults
 from soak import readers
+from soak import releases
 from soak import world as world_module
 
 # Range of the time between the starts of two faults. Faults may last longer
@@ -89,7 +90,11 @@
             )
         ]
         await _wait_until_served(world, tally, "at the start")
-        await _inject_faults(world, rng, float(options["--seconds"]))
+        seconds = float(options["--seconds"])
+        await asyncio.gather(
+            _inject_faults(world, rng, seconds),
+            releases.repeat_releases(world, seed, seconds),
+        )
         await _wait_until_served(world, tally, "after the faults")
         for task in client_tasks:
             task.cancel()
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import math
 import random
 import time
 
@@ -19,9 +20,10 @@
 _MAX_REQUESTS_PER_CONNECTION = 20
 _ANSWER_TIMEOUT_SECONDS = 8.0
 # Share of the requests of a client with a broken stream that take it up, and
-# how often it does.
+# how often it does. One client in four goes on until it has the whole stream.
 _TAKE_UP_SHARE = 0.7
 _MAX_TAKE_UPS = 3
+_PERSISTENT_CLIENTS = 4
 
 
 @dataclasses.dataclass
@@ -62,10 +64,12 @@
         self._rng = random.Random(f"{seed}-{number}")
         self._headers = world.conditions.make_headers(number)
         self._sent = 0
+        is_persistent = number % _PERSISTENT_CLIENTS == _PERSISTENT_CLIENTS - 1
+        self._max_take_ups = math.inf if is_persistent else _MAX_TAKE_UPS
         # A stream that broke off, with its model, and how often it may still be
         # taken up.
         self._broken: tuple[streams.Stream, str] | None = None
-        self._tries_left = 0
+        self._tries_left = 0.0
 
     async def run(self) -> None:
         """Sends requests until it is cancelled."""
@@ -165,7 +169,7 @@
             taken_up[answer.status] = taken_up.get(answer.status, 0) + 1
             self._tries_left -= 1
         else:
-            self._tries_left = _MAX_TAKE_UPS
+            self._tries_left = self._max_take_ups
         is_over = stream.is_whole or not stream.id or not self._tries_left
         self._broken = None if is_over else (stream, model)
 
--- a/soak/world.py
+++ b/soak/world.py
@@ -127,6 +127,8 @@
         self.oracle = endpoints.Oracle()
         self.store = platform_store.PlatformStore()
         self.version = 1
+        # Software version of new engines, empty for one of the conditions'.
+        self.released = ""
         # Number of endpoints crashed by a request, by the request's body.
         self.poison_crashes: collections.Counter[bytes] = collections.Counter()
         # Refusals a second that the endpoints of a service bear, and how many
@@ -245,6 +247,8 @@
         )
         versions = self.conditions.versions
         endpoint.version = versions[self._endpoint_count % len(versions)]
+        if service == "models" and self.released:
+            endpoint.version = self.released
         endpoint.brittle_services = self.brittle_services
         endpoint.report_lag = 0.1
         if service == "models":
