Count a partial head without the requests before it

What callers saw: a client that sends requests before earlier ones are answered loses all of them, closed unanswered, if a read of more bytes than a head may have ends inside the head of the next one.

Cause: the bytes of the whole read counted towards the limit of the head in it.

Fix: bytes of a read that ended a request count once the head is complete, by its own fields; those of later reads count at once, as before.

Test: failed before, 0 of 4 answered; beside it, a long head behind another request still gets 431. The same count for endpoints' answers (http1/client, 64 KB behind a surplus answer) was not changed.

--- a/src/wayslip/http1/server.py
+++ b/src/wayslip/http1/server.py
@@ -268,6 +268,8 @@
         self._exchange: Exchange | None = None
         # A finished exchange of whose answer the socket lacks a part.
         self._unsent: Exchange | None = None
+        # Whether the bytes that are parsed now ended a request.
+        self._has_completed = False
         # Whether the answer was sent and the connection ends with the client.
         self._is_ending = False
         self._can_write = asyncio.Event()
@@ -335,6 +337,7 @@
         if self._is_closing:
             return
         self._usage.note_received(len(data))
+        self._has_completed = False
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as e:
@@ -407,6 +410,7 @@
         """Queues a complete request."""
         if self._is_closing or self._parser.should_upgrade():
             return
+        self._has_completed = True
         if self._body_bytes > self._server.limits().body_bytes:
             self._refuse(413)
             return
@@ -554,8 +558,12 @@
         self.data_received(b"\r\n".join(lines) + b"\r\n\r\n" + rest)
 
     def _check_partial_head(self, received: int) -> None:
-        """Refuses a head that exceeds the limit before it is complete."""
-        if self._is_head_complete:
+        """Refuses a head that exceeds the limit before it is complete.
+
+        Where a head begins behind another request is not known; those bytes
+        count once it is complete.
+        """
+        if self._is_head_complete or self._has_completed:
             return
         self._partial_head_bytes += received
         if self._partial_head_bytes > self._server.limits().header_bytes:
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -69,6 +69,28 @@
     assert data.count(b"HTTP/1.1 200") == 2
 
 
+@serve(echo)
+async def test_head_behind_other_requests_may_come_in_parts(http_server):
+    # Guards against requests that are lost because the bytes of those before
+    # count towards the limit of a head that is not complete.
+    request = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 900\r\n\r\n"
+    request += b"x" * 900
+    last = b"GET /b HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+    data = await exchange_bytes(http_server, request * 3 + last[:9], last[9:])
+    assert data.count(b"HTTP/1.1 200 OK") == 4
+
+
+@serve(echo)
+async def test_long_head_behind_another_request_is_refused(http_server):
+    first = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+    head = b"GET /b HTTP/1.1\r\nHost: h\r\nX: "
+    data = await exchange_bytes(
+        http_server, first + head, b"x" * 1500, b"x" * 600, b"\r\n\r\n"
+    )
+    assert data.count(b"HTTP/1.1 200 OK") == 1
+    assert b"HTTP/1.1 431" in data
+
+
 @serve(echo)
 async def test_conflicting_lengths_are_refused(http_server):
     data = await exchange_bytes(
