Send requests that need not wait at a stopping instance

Cause: the limit of waits also refused requests that could be sent at once, as soon as less than one and a half times the usual answer was left. Beside a burst their clients found no room elsewhere.

Fix: the limit ends waits only, and keeps the usual time of an answer; a request that can be sent at once is, until half a second before the end.

--- a/src/wayslip/gateway/serving/drain.py
+++ b/src/wayslip/gateway/serving/drain.py
@@ -2,8 +2,8 @@
 
 An instance ends with its grace time, and every request that still waits there
 ends unanswered. So a stop limits all waits before a request is sent: one that
-can't be answered here any more is refused at once, while its client has time to
-send it to another instance.
+would end too late is refused at once, while the client has time to send the
+request to another instance. A request that need not wait is still sent.
 """
 
 import asyncio
@@ -16,11 +16,11 @@
 from wayslip import errors
 from wayslip.gateway.serving import jobs
 
-# A request is sent while this many times the usual time of an answer is left:
-# answers differ in length.
-_ANSWER_ALLOWANCE = 1.5
 # Least time reserved for an answer; also lets refusals reach slow clients.
 _MIN_ANSWER_SECONDS = 0.5
+# Time for questions to other instances, which are no waits: an answer takes a
+# few milliseconds.
+_BRIEF_SECONDS = 0.2
 
 
 class Drain:
@@ -55,7 +55,7 @@
         return min(job.deadline, self.ends_at)
 
     def find_wait_left(self, job: jobs.Job) -> float:
-        """Returns the seconds until a request can't be answered here any more.
+        """Returns the seconds that a request may wait and be answered here.
 
         Returns:
             Infinite unless the instance is stopping.
@@ -64,15 +64,14 @@
         usual = (
             0.0 if job.relayed else self._estimate_answer_time(job.service.name)
         )
-        reserved = max(usual * _ANSWER_ALLOWANCE, _MIN_ANSWER_SECONDS)
-        return self.ends_at - reserved - clock.now()
+        return self.ends_at - max(usual, _MIN_ANSWER_SECONDS) - clock.now()
 
     def _find_limit(self, job: jobs.Job) -> float | None:
         """Returns when a wait ends, in the event loop's time."""
         left = self.find_wait_left(job)
         if math.isinf(left):
             return None
-        return asyncio.get_running_loop().time() + left
+        return asyncio.get_running_loop().time() + max(left, _BRIEF_SECONDS)
 
     @contextlib.asynccontextmanager
     async def limit_wait(self, job: jobs.Job) -> AsyncIterator[None]:
@@ -81,7 +80,7 @@
         Raises:
             StoppingError: The request can't be answered here any more.
         """
-        if self.find_wait_left(job) <= 0:
+        if clock.now() > self.ends_at - _MIN_ANSWER_SECONDS:
             raise _make_error()
         wait = asyncio.timeout_at(self._find_limit(job))
         self._waits[wait] = job
