--- a/Makefile
+++ b/Makefile
@@ -22,9 +22,11 @@
 run: $(VENV)/.installed
 	exec $(BIN)/python scripts/run_local.py
 
-# Whole files go to one process each, as their tests share fixtures.
+# Whole files go to one process each, as their tests share fixtures. Crowds
+# come one at a time, apart from other load, as they check memory.
 test: $(VENV)/.installed
-	$(BIN)/python -m pytest -n $(JOBS) --dist loadfile
+	$(BIN)/python -m pytest -n $(JOBS) --dist loadfile --ignore tests/crowds
+	$(BIN)/python -m pytest tests/crowds
 
 lint: $(VENV)/.installed
 	$(BIN)/ruff check .
