Free closed connections and refused bodies at once

Callers saw a gateway that ran out of memory under clients that come and go: what the closed connections had sent was still there. A connection and its parser refer to each other, so that only the collector of cycles ends them, and that runs by the number of objects, not by their size. A refused body stayed with its connection for the second in which the connection lingers.

The parser is dropped when the connection is lost, on both sides (clients and endpoints), and a refusal drops what was read and takes no more of it.

--- a/src/wayslip/http1/client.py
+++ b/src/wayslip/http1/client.py
@@ -279,6 +279,9 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Marks the connection as failed."""
+        # It refers back to the connection, which would stay with its buffers
+        # until the next collection of cycles.
+        self._parser = None
         self.is_lost = self.is_lost or exc is not None
         self._fail(f"the connection was lost ({type(exc).__name__})")
 
--- a/src/wayslip/http1/server.py
+++ b/src/wayslip/http1/server.py
@@ -308,6 +308,9 @@
         """Cancels the request in progress, whose client is gone."""
         self._server.connections.discard(self)
         self._server.stalled.discard(self)
+        # It refers back to the connection, which would stay with its buffers
+        # until the next collection of cycles.
+        self._parser = None
         self._can_write.set()
         self._set_timer(0, None)
         self._unsent = None
@@ -401,6 +404,8 @@
 
     def on_body(self, body: bytes) -> None:
         """Buffers a part of the body."""
+        if self._is_closing:
+            return
         self._body_bytes += len(body)
         self._usage.note_body(len(body))
         if self._body_bytes <= self._server.limits().body_bytes:
@@ -575,6 +580,7 @@
             return
         self._is_closing = True
         self._queue.clear()
+        self._reset_message()
         # A response in progress must not be mixed with this one.
         if self._current is None:
             framing = b"content-length: 0"
