Count what clients send, and reject what has no room before it is read

Callers saw a gateway end: many clients sent large bodies at once, whole or in pieces, most stopped one byte short and stayed, or sent far more than the limit. Cause: each request was bounded by itself, what all connections hold was counted nowhere, a body was a list of parts (28 bytes for each in small chunks), a length over the limit was not looked at before limit + 1 MB had arrived, and an incomplete body had no time limit.

decisions/intake.py counts what connections hold with its real cost (objects too), from the memory that the settings tell. A body is admitted by its announced length, or as it grows, before it is read; without room it is rejected with 503 and Retry-After, not run, which is true: it was never complete. Room is made by connections behind a least pace, the furthest behind first, never by a complete request. Large requests have half of the room, so that ordinary ones are served meanwhile. A body is one buffer, reads go through one shared buffer of 32 KiB, an announced length over the limit is refused at once, and a body that rests as long as a connection may rest is refused with 408.

A single body of legal size is served as before, with a length and in chunks of 2 bytes. It works because nothing is kept that was not admitted by its cost.

--- a/src/wayslip/gateway/daemon.py
+++ b/src/wayslip/gateway/daemon.py
@@ -12,6 +12,7 @@
 from wayslip import logs
 from wayslip import metrics as metrics_module
 from wayslip.decisions import fleet
+from wayslip.decisions import intake
 from wayslip.decisions import manifest
 from wayslip.decisions import retry_pacing
 from wayslip.gateway import admission
@@ -285,6 +286,7 @@
             self._requests.serve,
             lambda: self.holder.limits,
             self._admission.admit,
+            intake.Intake(intake.find_room(options.memory_mb)),
         )
         self._readiness = server.Server(
             addresses.split_address(options.readiness),
--- a/src/wayslip/gateway/options.py
+++ b/src/wayslip/gateway/options.py
@@ -79,6 +79,7 @@
             speed.
         bytes_per_s: Bandwidth of the instance's link.
         descriptors: Descriptors that its process may have open, 0 if unknown.
+        memory_mb: Memory that its process may use, 10^6 bytes; 0 if unknown.
         urgency: How priorities are combined; see `decisions.urgency`.
         max_wait: How long requests wait for models; see
             `decisions.wait_policies`.
@@ -96,5 +97,6 @@
     cores: float = 1.0
     bytes_per_s: float = 125e6
     descriptors: int = 0
+    memory_mb: float = 0.0
     urgency: str = "both"
     max_wait: str = "target"
--- a/src/wayslip/http1/messages.py
+++ b/src/wayslip/http1/messages.py
@@ -1,5 +1,6 @@
 """HTTP requests and response heads, and their format on the wire."""
 
+from collections.abc import Iterable
 import dataclasses
 import enum
 import http
@@ -105,6 +106,19 @@
     )
 
 
+def find_length(headers: Iterable[tuple[bytes, bytes]]) -> int:
+    """Returns the length that a head announces for the body, 0 for none.
+
+    Args:
+        headers: Names in lower case with their values; the parser has checked
+            that a length is a number.
+    """
+    for name, value in headers:
+        if name == b"content-length" and value.strip().isdigit():
+            return int(value)
+    return 0
+
+
 def has_body_length(request: Request) -> bool:
     """Returns whether the request has a body, even an empty one."""
     return any(
--- a/src/wayslip/http1/server.py
+++ b/src/wayslip/http1/server.py
@@ -9,6 +9,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import dataclasses
 import logging
 import socket
 from typing import Any
@@ -18,6 +19,7 @@
 from wayslip import clock
 from wayslip import logs
 from wayslip.decisions import connection_gate
+from wayslip.decisions import intake as intake_module
 from wayslip.decisions import manifest
 from wayslip.http1 import closing
 from wayslip.http1 import framing as framing_module
@@ -29,6 +31,9 @@
 # bytes of the client are unread resets the connection, and the client may lose
 # what it has not read yet.
 _LINGER_SECONDS = 1.0
+# The same in all, for a client that keeps sending: it may read the answer only
+# after it has sent its request.
+_MAX_LINGER_SECONDS = 10.0
 # Write buffer limit for a client that reads slowly.
 _WRITE_BUFFER_BYTES = 128 * 1024
 # TCP_USER_TIMEOUT, option 18 on Linux: a connection with bytes unacknowledged
@@ -36,9 +41,13 @@
 # busy for minutes.
 _TCP_USER_TIMEOUT_MS = 5_000
 _MAX_PIPELINED_REQUESTS = 16
-# A body is read so far beyond its limit: most clients read the answer only
-# after they have sent their request.
+# Of a refused request so much is read and dropped beyond the limit for bodies.
 _BODY_SLACK_BYTES = 1024 * 1024
+# Bytes that are read at once, on all connections into the same buffer.
+_READ_BYTES = 32 * 1024
+# Retry-After of a request that found no room: a connection that sends nothing
+# is behind its pace by then and gives way.
+_NO_ROOM_HEADERS = ((b"retry-after", b"1.00"),)
 # The header in which a client offers to go on in another protocol, and the
 # method that asks for a tunnel.
 _OFFER_HEADER = b"upgrade"
@@ -176,6 +185,8 @@
     Attributes:
         admit: Decides on each new connection; one that isn't served is closed
             before anything of it is read.
+        intake: Decides which requests have room in memory.
+        read_buffer: Where each read puts its bytes, which are parsed at once.
     """
 
     def __init__(
@@ -184,11 +195,23 @@
         application: Application,
         limits: Callable[[], manifest.Limits],
         admit: Admit = lambda count: None,
+        intake: intake_module.Intake | None = None,
     ) -> None:
+        """Initializes without listening.
+
+        Args:
+            address: Host and port.
+            application: Answers requests.
+            limits: Returns the limits for clients in force.
+            admit: See above.
+            intake: See above; by default one for a machine of unknown size.
+        """
         self._address = address
         self.application = application
         self.limits = limits
         self.admit = admit
+        self.intake = intake or intake_module.Intake()
+        self.read_buffer = memoryview(bytearray(_READ_BYTES))
         self.connections: set[Connection] = set()
         self.is_draining = False
         self.stalled = stalls.StalledConnections()
@@ -251,27 +274,41 @@
         return cut
 
 
-class Connection(asyncio.Protocol):
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Pending:
+    """A complete request and the memory that it takes, bytes."""
+
+    request: messages.Request
+    cost: int
+
+
+class Connection(asyncio.BufferedProtocol):
     """A connection from a client.
 
     Attributes:
         idle_since: Since when it waits for a request, steady seconds; None
             while one is received or in progress.
+        is_ending: Whether the answer was sent and the connection ends as soon
+            as the client has closed its side.
     """
 
     def __init__(self, server: Server) -> None:
         self._server = server
         self._transport: asyncio.Transport | None = None
         self._parser: Any = httptools.HttpRequestParser(self)
-        self._queue: list[messages.Request] = []
+        self._queue: list[_Pending] = []
         self._current: asyncio.Task[None] | None = None
         self._exchange: Exchange | None = None
         # A finished exchange of whose answer the socket lacks a part.
         self._unsent: Exchange | None = None
         # Whether the bytes that are parsed now ended a request.
         self._has_completed = False
-        # Whether the answer was sent and the connection ends with the client.
-        self._is_ending = False
+        self.is_ending = False
+        # When that began, steady seconds, and the bytes received since.
+        self._ending_since = 0.0
+        self._dropped_bytes = 0
+        # What complete requests that are not answered yet take.
+        self._complete_cost = 0
         self._can_write = asyncio.Event()
         self._can_write.set()
         self._timer: asyncio.TimerHandle | None = None
@@ -279,6 +316,7 @@
         self.idle_since: float | None = clock.now()
         # Set while a body without a marked end is sent.
         self._guarded: closing.GuardedTransport | None = None
+        self._usage = framing_module.Usage()
         self._reset_message()
 
     # Callbacks of asyncio
@@ -308,6 +346,7 @@
         """Cancels the request in progress, whose client is gone."""
         self._server.connections.discard(self)
         self._server.stalled.discard(self)
+        self._release()
         # It refers back to the connection, which would stay with its buffers
         # until the next collection of cycles.
         self._parser = None
@@ -335,69 +374,167 @@
             self._complete(self._unsent)
         self._serve_next()
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Returns the buffer for the next read."""
+        return self._server.read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Parses received bytes."""
         if self._is_closing:
+            self._dropped_bytes += nbytes
             return
+        self._parse(self._server.read_buffer[:nbytes])
+
+    def _parse(self, data: bytes | memoryview) -> None:
         self._usage.note_received(len(data))
         self._has_completed = False
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as e:
-            self._ignore_offer(data[e.args[0] :])
+            self._ignore_offer(bytes(data[e.args[0] :]))
         except httptools.HttpParserError:
             self._refuse(400)
         else:
             self._check_partial_head(len(data))
             self._check_usage()
+            self._check_room(len(data))
 
     def _check_usage(self) -> None:
         """Refuses a request whose body is wrapped in too many bytes."""
         if not self._is_head_complete or self._is_closing:
             return
-        limit = self._server.limits().body_bytes + _BODY_SLACK_BYTES
         excess = self._usage.find_excess()
-        if self._body_bytes > limit:
-            excess = f"its body exceeds {limit} bytes"
         if excess is None:
             return
         logs.event(_LOG, "request_over_limit", logging.WARNING, reason=excess)
-        self._refuse(413 if self._body_bytes > limit else 400)
+        self._refuse(400)
+
+    def _check_body_size(self, size: int) -> bool:
+        """Refuses a request whose body is too large; returns whether it is."""
+        limit = self._server.limits().body_bytes
+        if size <= limit:
+            return False
+        reason = f"its body exceeds {limit} bytes"
+        logs.event(_LOG, "request_over_limit", logging.WARNING, reason=reason)
+        self._refuse(413)
+        return True
+
+    def _check_room(self, received: int) -> None:
+        """Counts what the connection holds; refuses what has no room.
+
+        Args:
+            received: Bytes that were parsed last.
+        """
+        if self._is_closing:
+            return
+        now = clock.now()
+        if not self._hold(now) or self._is_closing:
+            return
+        if not self._is_receiving or self._current is not None:
+            self._server.intake.note_complete(self)
+            return
+        self._server.intake.note_received(self, received, now)
+        if self._is_head_complete:
+            self._set_timer(
+                self._server.limits().idle_seconds, self._on_body_timeout
+            )
+
+    def _hold(self, now: float) -> bool:
+        """Returns whether there is room for all that the connection holds."""
+        cost = self._complete_cost
+        if self._is_receiving:
+            cost += intake_module.estimate_cost(
+                len(self._headers),
+                self._head_bytes,
+                max(self._announced_bytes, len(self._body)),
+            )
+        requests = len(self._queue) + self._is_receiving
+        is_single = requests + (self._current is not None) <= 1
+        verdict = self._server.intake.hold(self, cost, now, is_single)
+        for other in verdict.displaced:
+            assert isinstance(other, Connection)
+            other.give_way()
+        if not verdict.is_admitted:
+            self._refuse_for_room(cost)
+        return verdict.is_admitted
+
+    def _refuse_for_room(self, cost: int) -> None:
+        """Rejects the request that is received; one in progress is answered."""
+        logs.event(
+            _LOG,
+            "request_has_no_room",
+            logging.WARNING,
+            cost=cost,
+            held=self._server.intake.held,
+            connections=len(self._server.connections),
+        )
+        if self._current is None and self._unsent is None:
+            self._refuse(503, _NO_ROOM_HEADERS)
+            return
+        self._is_closing = True
+        self._queue.clear()
+        self._reset_message()
+
+    def give_way(self) -> None:
+        """Rejects the incomplete request: others need its room."""
+        logs.event(
+            _LOG,
+            "request_gave_way",
+            logging.WARNING,
+            body_bytes=len(self._body),
+            announced_bytes=self._announced_bytes,
+        )
+        self._refuse(503, _NO_ROOM_HEADERS)
 
     # Callbacks of the parser
 
     def on_message_begin(self) -> None:
         """Starts a request."""
+        if self._is_closing:
+            return
         self.idle_since = None
         self._reset_message()
+        self._is_receiving = True
         self._set_timer(
             self._server.limits().header_seconds, self._on_header_timeout
         )
 
     def on_url(self, url: bytes) -> None:
         """Records a part of the target."""
-        self._target += url
+        if self._is_closing:
+            return
         self._head_bytes += len(url)
+        if not self._is_head_too_large:
+            self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Records a header; trailers are counted only."""
-        if not self._is_head_complete:
-            self._headers.append((name.lower(), value or b""))
+        if self._is_closing:
+            return
         self._head_bytes += (
             len(name) + len(value or b"") + _HEADER_SEPARATOR_BYTES
         )
+        if not self._is_head_complete and not self._is_head_too_large:
+            self._headers.append((name.lower(), value or b""))
 
     def on_headers_complete(self) -> None:
-        """Checks the complete head."""
+        """Checks the complete head, before anything of the body is kept."""
+        if self._is_closing:
+            return
         self._is_head_complete = True
         self._usage.note_head()
         if self._parser.should_upgrade():
             # The head is parsed again, see `_ignore_offer`.
             return
-        if self._head_bytes > self._server.limits().header_bytes:
+        if self._is_head_too_large:
             self._refuse(431)
             return
         self._set_timer(0, None)
+        self._announced_bytes = messages.find_length(self._headers)
+        if self._check_body_size(self._announced_bytes):
+            return
+        if not self._hold(clock.now()):
+            return
         for name, value in self._headers:
             if name == b"expect" and value.lower() == b"100-continue":
                 self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -406,27 +543,30 @@
         """Buffers a part of the body."""
         if self._is_closing:
             return
-        self._body_bytes += len(body)
         self._usage.note_body(len(body))
-        if self._body_bytes <= self._server.limits().body_bytes:
-            self._body.append(body)
+        if not self._check_body_size(len(self._body) + len(body)):
+            self._body += body
 
     def on_message_complete(self) -> None:
         """Queues a complete request."""
         if self._is_closing or self._parser.should_upgrade():
             return
         self._has_completed = True
-        if self._body_bytes > self._server.limits().body_bytes:
-            self._refuse(413)
-            return
         request = messages.Request(
             self._parser.get_method(),
             self._target,
             tuple(self._headers),
-            b"".join(self._body),
+            bytes(self._body),
             bool(self._parser.should_keep_alive()),
         )
-        self._queue.append(request)
+        cost = intake_module.estimate_cost(
+            len(self._headers), self._head_bytes, len(self._body)
+        )
+        self._reset_message()
+        self._complete_cost += cost
+        self._queue.append(_Pending(request, cost))
+        if not self._hold(clock.now()):
+            return
         if len(self._queue) > _MAX_PIPELINED_REQUESTS:
             self._refuse(400)
             return
@@ -436,7 +576,7 @@
 
     def write(self, data: bytes) -> None:
         """Sends bytes, unless the connection is closed."""
-        if self._transport is None or self._is_ending:
+        if self._transport is None or self.is_ending:
             return
         if not self._transport.is_closing():
             self._transport.write(data)
@@ -449,6 +589,7 @@
         """Returns whether the connection stays open after a request."""
         return (
             request.keep_alive
+            and not self._is_closing
             and not self._server.is_draining
             and self._guarded is None
         )
@@ -524,7 +665,7 @@
             self._current is not None
             or bool(self._queue)
             or self._unsent is not None
-            or self._is_ending
+            or self.is_ending
         )
 
     # Private methods
@@ -532,8 +673,11 @@
     def _reset_message(self) -> None:
         self._target = b""
         self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body = bytearray()
+        # The body's length, 0 until the head has told it.
+        self._announced_bytes = 0
+        # Whether a request has begun and is not complete.
+        self._is_receiving = False
         self._head_bytes = 0
         self._partial_head_bytes = 0
         self._is_head_complete = False
@@ -552,6 +696,9 @@
         if method == _TUNNEL_METHOD:
             self._refuse(400)
             return
+        if self._is_head_too_large:
+            self._refuse(431)
+            return
         version = self._parser.get_http_version().encode("ascii")
         lines = [b"%s %s HTTP/%s" % (method, self._target, version)]
         lines += [
@@ -560,7 +707,11 @@
             if name != _OFFER_HEADER
         ]
         self._parser = httptools.HttpRequestParser(self)
-        self.data_received(b"\r\n".join(lines) + b"\r\n\r\n" + rest)
+        self._parse(b"\r\n".join(lines) + b"\r\n\r\n" + rest)
+
+    @property
+    def _is_head_too_large(self) -> bool:
+        return self._head_bytes > self._server.limits().header_bytes
 
     def _check_partial_head(self, received: int) -> None:
         """Refuses a head that exceeds the limit before it is complete.
@@ -574,7 +725,7 @@
         if self._partial_head_bytes > self._server.limits().header_bytes:
             self._refuse(431)
 
-    def _refuse(self, status: int) -> None:
+    def _refuse(self, status: int, headers: messages.Headers = ()) -> None:
         """Responds to an unacceptable request and closes the connection."""
         if self._is_closing:
             return
@@ -583,8 +734,9 @@
         self._reset_message()
         # A response in progress must not be mixed with this one.
         if self._current is None:
+            self._release()
             framing = b"content-length: 0"
-            self.write(messages.format_head(status, (), framing, False))
+            self.write(messages.format_head(status, headers, framing, False))
             self._end()
         elif self._transport is not None:
             self._transport.close()
@@ -608,9 +760,11 @@
         """Ends the connection as soon as the client has closed its side."""
         if self._transport is None or self._transport.is_closing():
             return
-        if self._is_ending:
+        if self.is_ending:
             return
-        self._is_ending = True
+        self.is_ending = True
+        self._ending_since = clock.now()
+        self._dropped_bytes = 0
         if self._guarded is not None:
             self._guarded.release()
         self._transport.write_eof()
@@ -623,12 +777,13 @@
             # Answers must not pile up for a client that does not read them.
             return
         self._set_timer(0, None)
-        self._exchange = Exchange(self, self._queue.pop(0))
+        pending = self._queue.pop(0)
+        self._exchange = Exchange(self, pending.request)
         self._current = asyncio.get_running_loop().create_task(
-            self._run(self._exchange)
+            self._run(self._exchange, pending.cost)
         )
 
-    async def _run(self, exchange: Exchange) -> None:
+    async def _run(self, exchange: Exchange, cost: int) -> None:
         try:
             await self._server.application(exchange)
         except asyncio.CancelledError:
@@ -642,10 +797,23 @@
                 exchange.answer(500, (), b"")
         finally:
             self._current = None
+            self._note_answered(cost)
         if not exchange.is_finished:
             self.abort()
         self._serve_next()
 
+    def _note_answered(self, cost: int) -> None:
+        """Releases the room of a request that was in progress."""
+        self._complete_cost -= cost
+        if not self._is_closing:
+            self._hold(clock.now())
+        else:
+            self._release()
+
+    def _release(self) -> None:
+        self._server.intake.release(self)
+        self._complete_cost = 0
+
     def _set_timer(
         self, seconds: float, callback: Callable[[], None] | None
     ) -> None:
@@ -660,10 +828,20 @@
         self.close_if_idle()
 
     def _on_linger_timeout(self) -> None:
-        if self.buffered_bytes:
+        if self.buffered_bytes or self._is_still_sending():
             self._set_timer(_LINGER_SECONDS, self._on_linger_timeout)
         elif self._transport is not None:
             self._transport.close()
 
+    def _is_still_sending(self) -> bool:
+        """Whether a client goes on with a refused request within the limits."""
+        dropped, self._dropped_bytes = self._dropped_bytes, 0
+        is_due = clock.now() - self._ending_since < _MAX_LINGER_SECONDS
+        limit = self._server.limits().body_bytes + _BODY_SLACK_BYTES
+        return is_due and 0 < dropped <= limit
+
+    def _on_body_timeout(self) -> None:
+        self._refuse(408)
+
     def _on_header_timeout(self) -> None:
         self._refuse(408)
--- a/src/wayslip/platform/settings.py
+++ b/src/wayslip/platform/settings.py
@@ -60,6 +60,7 @@
         cores=_decode_cores(values.get("limits") or {}),
         bytes_per_s=_decode_bandwidth(values.get("limits") or {}),
         descriptors=int((values.get("limits") or {}).get("max_fds", 0)),
+        memory_mb=float((values.get("limits") or {}).get("memory_mb", 0)),
     )
 
 
