Have connections that are costly to parse take turns

Callers beside clients that send bodies in chunks of a byte or two got no answer for seconds: each read of such a connection takes milliseconds to parse, and the event loop parsed one of every connection in each of its rounds.

A read with more than 256 headers and chunks pauses its connection; paused ones are read again one a round, in order. A read takes 16 KiB at most, so that the first round, in which nobody has been paused yet, is short too.

--- a/src/wayslip/http1/server.py
+++ b/src/wayslip/http1/server.py
@@ -25,6 +25,7 @@
 from wayslip.http1 import framing as framing_module
 from wayslip.http1 import messages
 from wayslip.http1 import stalls
+from wayslip.http1 import turns
 
 _LOG = logging.getLogger(__name__)
 # After an answer, the wait for the client to close its side. Closing while
@@ -44,7 +45,9 @@
 # Of a refused request so much is read and dropped beyond the limit for bodies.
 _BODY_SLACK_BYTES = 1024 * 1024
 # Bytes that are read at once, on all connections into the same buffer.
-_READ_BYTES = 32 * 1024
+_READ_BYTES = 16 * 1024
+# A read with more headers and chunks than this takes milliseconds to parse.
+_MAX_CHEAP_PARTS = 256
 # Retry-After of a request that found no room: a connection that sends nothing
 # is behind its pace by then and gives way.
 _NO_ROOM_HEADERS = ((b"retry-after", b"1.00"),)
@@ -186,6 +189,7 @@
         admit: Decides on each new connection; one that isn't served is closed
             before anything of it is read.
         intake: Decides which requests have room in memory.
+        turns: Has connections that are costly to parse take turns.
         read_buffer: Where each read puts its bytes, which are parsed at once.
     """
 
@@ -211,6 +215,7 @@
         self.limits = limits
         self.admit = admit
         self.intake = intake or intake_module.Intake()
+        self.turns = turns.Turns()
         self.read_buffer = memoryview(bytearray(_READ_BYTES))
         self.connections: set[Connection] = set()
         self.is_draining = False
@@ -314,6 +319,8 @@
         self._timer: asyncio.TimerHandle | None = None
         self._is_closing = False
         self.idle_since: float | None = clock.now()
+        # Headers and parts of bodies in the bytes that are parsed now.
+        self._part_count = 0
         # Set while a body without a marked end is sent.
         self._guarded: closing.GuardedTransport | None = None
         self._usage = framing_module.Usage()
@@ -346,6 +353,7 @@
         """Cancels the request in progress, whose client is gone."""
         self._server.connections.discard(self)
         self._server.stalled.discard(self)
+        self._server.turns.discard(self)
         self._release()
         # It refers back to the connection, which would stay with its buffers
         # until the next collection of cycles.
@@ -383,7 +391,11 @@
         if self._is_closing:
             self._dropped_bytes += nbytes
             return
+        self._part_count = 0
         self._parse(self._server.read_buffer[:nbytes])
+        if self._part_count > _MAX_CHEAP_PARTS and not self._is_closing:
+            assert self._transport is not None
+            self._server.turns.wait(self, self._transport)
 
     def _parse(self, data: bytes | memoryview) -> None:
         self._usage.note_received(len(data))
@@ -511,6 +523,7 @@
         """Records a header; trailers are counted only."""
         if self._is_closing:
             return
+        self._part_count += 1
         self._head_bytes += (
             len(name) + len(value or b"") + _HEADER_SEPARATOR_BYTES
         )
@@ -543,6 +556,7 @@
         """Buffers a part of the body."""
         if self._is_closing:
             return
+        self._part_count += 1
         self._usage.note_body(len(body))
         if not self._check_body_size(len(self._body) + len(body)):
             self._body += body
--- a/tests/http1/test_intake.py
+++ b/tests/http1/test_intake.py
@@ -176,3 +176,38 @@
             await reader.readexactly(20)
             await asyncio.sleep(0.05)
             assert not http_server.intake.held
+
+
+@play
+async def test_costly_connections_take_turns():
+    # One read of small chunks is parsed in a round of the event loop.
+    class Rounds:
+        def __init__(self):
+            self.reads = []
+            self.number = 0
+
+        def count(self):
+            self.number += 1
+            asyncio.get_running_loop().call_soon(self.count)
+
+    rounds = Rounds()
+    async with run() as (http_server, clients):
+        original = http_server.turns.wait
+
+        def wait(connection, transport):
+            rounds.reads.append(rounds.number)
+            original(connection, transport)
+
+        chunks = b"1\r\nx\r\n" * 60_000
+        head = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+        http_server.turns.wait = wait
+        sent = [
+            asyncio.create_task(clients.send(head + chunks)) for _ in range(8)
+        ]
+        rounds.count()
+        await asyncio.gather(*sent)
+        while len(rounds.reads) < 60:
+            await asyncio.sleep(0.01)
+    # The first read of each connection may fall into one round.
+    later = rounds.reads[8:]
+    assert len(set(later)) >= len(later) - 8
