Let connections that send nothing give way where descriptors run out

Callers were closed unread for good once clients with incomplete bodies held all places: only resting connections made room, and one with an incomplete body counts as busy without end.

At the limit the connection closes that is least missed: one whose refused client goes on sending, else the one that has rested longest, as before, else the one whose incomplete request is furthest behind the least pace. The one that comes next is served; a request in progress never makes room.

--- a/src/wayslip/http1/server.py
+++ b/src/wayslip/http1/server.py
@@ -257,8 +257,18 @@
         for connection in list(self.connections):
             connection.close_if_idle()
 
-    def close_longest_idle(self) -> None:
-        """Closes the connection that has rested longest, if one rests."""
+    def make_room(self) -> None:
+        """Closes a connection that is least missed, if there is one.
+
+        That is one whose client goes on sending a request that was refused,
+        else the one that has rested longest, else the one whose incomplete
+        request is furthest behind the least pace.
+        """
+        now = clock.now()
+        ending = next((c for c in self.connections if c.overstays(now)), None)
+        if ending is not None:
+            ending.abort()
+            return
         idle = [
             c
             for c in self.connections
@@ -266,6 +276,10 @@
         ]
         if idle:
             min(idle, key=lambda c: c.idle_since or 0.0).close_if_idle()
+            return
+        behind = self.intake.find_furthest_behind(now)
+        if isinstance(behind, Connection):
+            behind.give_way()
 
     def abort_all(self) -> int:
         """Aborts all connections, and logs each answer that this cuts.
@@ -336,7 +350,7 @@
         if refusal is not None:
             self.abort()
             if refusal.is_full:
-                self._server.close_longest_idle()
+                self._server.make_room()
             return
         transport.set_write_buffer_limits(high=_WRITE_BUFFER_BYTES)
         sock = transport.get_extra_info("socket")
@@ -682,6 +696,14 @@
             or self.is_ending
         )
 
+    def overstays(self, now: float) -> bool:
+        """Whether the client has not closed its side in the usual time.
+
+        Args:
+            now: Steady seconds.
+        """
+        return self.is_ending and now - self._ending_since > _LINGER_SECONDS
+
     # Private methods
 
     def _reset_message(self) -> None:
