Buffer less of answers that clients don't read, by the machine's memory

Callers' clients that read no answers took a small machine's memory: the limit for their buffers was 64 MiB on a machine of 160 MB too, and the buffers between an endpoint and a stalled client, up to 512 KiB each, and more in a burst, since all endpoints are read in the same round, counted nowhere.

The limit is a tenth of the memory that the settings tell, at most 64 MiB as before. An endpoint's connection is read in parts of 64 KiB, into one shared buffer, and pauses at 64 KiB in place of 256.

What remains is bounded by the limit and 128 KiB a connection.

--- a/src/wayslip/gateway/daemon.py
+++ b/src/wayslip/gateway/daemon.py
@@ -56,6 +56,7 @@
 from wayslip.gateway.sharing import version_records as version_records_module
 from wayslip.gateway.sharing import view as view_module
 from wayslip.http1 import server
+from wayslip.http1 import stalls
 
 _LOG = logging.getLogger(__name__)
 # The balancer probes every second and removes an instance after two failures,
@@ -287,6 +288,7 @@
             lambda: self.holder.limits,
             self._admission.admit,
             intake.Intake(intake.find_room(options.memory_mb)),
+            stalls.find_limit(options.memory_mb),
         )
         self._readiness = server.Server(
             addresses.split_address(options.readiness),
--- a/src/wayslip/http1/client.py
+++ b/src/wayslip/http1/client.py
@@ -22,7 +22,10 @@
 from wayslip.http1 import messages
 
 # Body bytes buffered for a slow client before reading from the endpoint pauses.
-_READ_BUFFER_BYTES = 256 * 1024
+_READ_BUFFER_BYTES = 64 * 1024
+# Bytes that are read at once, on all connections into the same buffer.
+_READ_BYTES = 64 * 1024
+_READ_VIEW = memoryview(bytearray(_READ_BYTES))
 # A connection with bytes unacknowledged for this long is closed; detects
 # endpoints that became unreachable. It also decides when keep-alive probes give
 # up. A sound endpoint may be silent for a second. See also `server`.
@@ -54,7 +57,7 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
 
 
-class Connection(asyncio.Protocol):
+class Connection(asyncio.BufferedProtocol):
     """One connection to an endpoint.
 
     Attributes:
@@ -229,6 +232,14 @@
         self.opened_at = self.heard_at = clock.now()
         configure_socket(transport.get_extra_info("socket"))
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Returns the buffer for the next read."""
+        return _READ_VIEW
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Takes bytes out of the buffer, which the next read overwrites."""
+        self.data_received(bytes(_READ_VIEW[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Parses received bytes."""
         self.heard_at = clock.now()
--- a/src/wayslip/http1/server.py
+++ b/src/wayslip/http1/server.py
@@ -200,6 +200,7 @@
         limits: Callable[[], manifest.Limits],
         admit: Admit = lambda count: None,
         intake: intake_module.Intake | None = None,
+        max_unread_bytes: int | None = None,
     ) -> None:
         """Initializes without listening.
 
@@ -209,6 +210,8 @@
             limits: Returns the limits for clients in force.
             admit: See above.
             intake: See above; by default one for a machine of unknown size.
+            max_unread_bytes: What may be buffered of answers that clients do
+                not read, over all connections; see `stalls`.
         """
         self._address = address
         self.application = application
@@ -219,7 +222,7 @@
         self.read_buffer = memoryview(bytearray(_READ_BYTES))
         self.connections: set[Connection] = set()
         self.is_draining = False
-        self.stalled = stalls.StalledConnections()
+        self.stalled = stalls.StalledConnections(max_unread_bytes)
         self._server: asyncio.Server | None = None
 
     async def start(self) -> None:
--- a/src/wayslip/http1/stalls.py
+++ b/src/wayslip/http1/stalls.py
@@ -11,6 +11,20 @@
 # Write buffers of stalled connections, all together. Several hundred fit, in
 # about the memory that an instance takes for itself.
 MAX_BUFFERED_BYTES = 64 * 1024 * 1024
+# The same as a share of the machine's memory. On the side of the endpoints up
+# to twice as much is buffered for the same connections.
+_MEMORY_SHARE = 0.1
+
+
+def find_limit(memory_mb: float) -> int:
+    """Returns what the write buffers of stalled connections may hold, bytes.
+
+    Args:
+        memory_mb: The memory of the machine, 10^6 bytes; 0 if unknown.
+    """
+    if not memory_mb:
+        return MAX_BUFFERED_BYTES
+    return min(int(memory_mb * 1e6 * _MEMORY_SHARE), MAX_BUFFERED_BYTES)
 
 
 class Connection(Protocol):
@@ -27,7 +41,14 @@
 class StalledConnections:
     """Connections with full write buffers. Used on the event loop only."""
 
-    def __init__(self) -> None:
+    def __init__(self, limit: int | None = None) -> None:
+        """Initializes without a connection.
+
+        Args:
+            limit: What the buffers may hold together, bytes; by default
+                `MAX_BUFFERED_BYTES`.
+        """
+        self._limit = limit
         # Since when each buffer is full, in seconds.
         self._since: dict[Connection, float] = {}
 
@@ -47,7 +68,8 @@
             stalled: buffering.Reader(stalled.buffered_bytes, now - since)
             for stalled, since in self._since.items()
         }
-        for slowest in buffering.choose_cuts(readers, MAX_BUFFERED_BYTES):
+        limit = MAX_BUFFERED_BYTES if self._limit is None else self._limit
+        for slowest in buffering.choose_cuts(readers, limit):
             logs.event(
                 _LOG,
                 "slow_reader_cut",
--- a/tests/http1/test_slow_readers.py
+++ b/tests/http1/test_slow_readers.py
@@ -3,6 +3,8 @@
 import asyncio
 from unittest import mock
 
+import pytest
+
 from tests.http1 import test_server
 from wayslip.http1 import server
 from wayslip.http1 import stalls
@@ -98,3 +100,11 @@
         for reader, writer in clients:
             assert await read_answer(reader, SIZE) == SIZE
             writer.close()
+
+
+@pytest.mark.parametrize(
+    ("memory_mb", "limit"),
+    [(0, 64 * 1024 * 1024), (160, 16_000_000), (1000, 64 * 1024 * 1024)],
+)
+def test_limit_depends_on_the_machines_memory(memory_mb, limit):
+    assert stalls.find_limit(memory_mb) == limit
