Entry daemon: admit bodies by their size, and let those that stall give way

Callers at the product's own interface saw a process of over 1 GB under 150 clients with bodies of 4 MB, whole or short of their end: each worker thread read its body on its own, added up `bytes` (a copy for each part), and what all of them hold counted nowhere. Bodies in small chunks were taken apart by one slow loop in each of 128 threads, so that an ordinary request waited many seconds for the interpreter; stalled bodies kept all workers for 10 s.

reading.py holds the same count as the gateway (decisions/intake.py) for the worker threads: a body is admitted by its length before it is read, in chunks as it grows, and once more before it is parsed as JSON, with the objects that it may make. Without room: 503, not-run, Retry-After 1. Connections behind the least pace give way for room, and for a worker if none is idle. bodies.py reads into one buffer, and decodes all chunks that have arrived in one thread at a time; its limit counts the body, no longer the framing, so that a chunked body of the largest size is served. What is left of a body that nobody read is dropped after the answer, and the connection ends. `limits.request_memory_bytes`, 96 MiB.

--- a/src/wayslip/errors.py
+++ b/src/wayslip/errors.py
@@ -27,6 +27,10 @@
     """A request to this process is malformed."""
 
 
+class NoRoomError(WayslipError):
+    """A request finds no room in memory. It was not run."""
+
+
 class ObjectError(WayslipError):
     """The object API did not carry out a request."""
 
--- a/src/wayslip/settings.py
+++ b/src/wayslip/settings.py
@@ -187,6 +187,8 @@
             is cancelled at the engine, so that it can be resumed at another
             entry.
         keyed_in_flight: Maximum concurrent requests with an Idempotency-Key.
+        request_memory_bytes: Memory for requests that are read or in progress,
+            half of it for those of 24 KiB and more.
     """
 
     __pydantic_config__ = _STRICT
@@ -201,6 +203,7 @@
     streams: Count = 2_048
     resume_seconds: Positive = 5.0
     keyed_in_flight: Count = 256
+    request_memory_bytes: Count = 100_663_296
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/wayslip/web.py
+++ b/src/wayslip/web.py
@@ -14,7 +14,6 @@
 import logging
 import socket
 import threading
-import time
 from typing import Any
 import urllib.parse
 
@@ -22,15 +21,24 @@
 from cheroot.ssl import builtin as cheroot_ssl
 
 from wayslip import addresses
-from wayslip import clock
+from wayslip import bodies
 from wayslip import documents
 from wayslip import errors
+from wayslip import reading
 from wayslip import settings as settings_module
+from wayslip.decisions import intake
 
 _LOG = logging.getLogger(__name__)
 _READ_BYTES = 65_536
-_SWEEP_SECONDS = 1.0
 _ACCEPT_QUEUE = 512
+# Steps in which a body of unknown length is counted.
+_COUNT_STEP_BYTES = 65_536
+# The rest of a body up to this size is read with the answer, and the connection
+# stays open.
+_MAX_REST_BYTES = 65_536
+# Retry-After of a request that found no room: a connection that sends nothing
+# is behind its pace by then and gives way.
+_NO_ROOM_SECONDS = 1
 
 OUTCOME = "Wayslip-Outcome"
 NOT_RUN = "not-run"
@@ -67,6 +75,11 @@
     def __init__(self, raw: Any, body_limit: int) -> None:
         self._raw = raw
         self._limit = body_limit
+        self._socket: socket.socket = raw.conn.socket
+        self._source: bodies.Source = raw.conn.rfile
+        self._readers: reading.Readers = raw.server.readers
+        # Size of the body for which there is room.
+        self._held_bytes = 0
         self.method = raw.method.decode("latin-1")
         uri = urllib.parse.urlsplit(raw.uri.decode("latin-1"))
         self.path = urllib.parse.unquote(uri.path)
@@ -84,35 +97,64 @@
 
         Raises:
             BadRequestError: It exceeds the limit or is truncated.
+            NoRoomError: There is no room for it in memory.
         """
+        self._readers.begin(self._socket)
+        try:
+            data = self._read_body()
+        except errors.WayslipError as e:
+            # The rest of the body would be taken for the next request.
+            self._raw.close_connection = True
+            if self._readers.is_displaced(self._socket):
+                raise _make_no_room() from e
+            raise
+        self._readers.note_complete(self._socket)
+        return data
+
+    def _read_body(self) -> bytes:
+        if self._raw.chunked_read:
+            return bodies.read_chunks(self._source, self._limit, self._count)
         length = self.header("Content-Length", "0")
         if not length.isdecimal() or int(length) > self._limit:
             raise errors.BadRequestError(
                 f"the body is longer than {self._limit} bytes",
                 "send less, or have limits.body_bytes raised",
             )
-        data = b""
-        while chunk := self._raw.rfile.read(_READ_BYTES):
-            data += chunk
-            if len(data) > self._limit:
-                raise errors.BadRequestError(
-                    f"the body is longer than {self._limit} bytes",
-                    "send less, or have limits.body_bytes raised",
-                )
-        if len(data) < int(length):
-            raise errors.BadRequestError(
-                "the body is truncated", "send Content-Length bytes"
-            )
-        return data
+        self._hold(int(length))
+        return bodies.read_length(self._source, int(length), self._count)
+
+    def _count(self, size: int, received: int) -> None:
+        """Records how much of the body has arrived."""
+        if not self._raw.chunked_read:
+            self._raw.rfile.remaining -= received
+        self._readers.note_received(self._socket, received)
+        if size > self._held_bytes:
+            self._hold(size + _COUNT_STEP_BYTES)
+
+    def _hold(self, size: int) -> None:
+        """Counts a body before it is read.
+
+        Raises:
+            NoRoomError: There is no room for it.
+        """
+        self._hold_cost(intake.estimate_cost(0, 0, size))
+        self._held_bytes = size
+
+    def _hold_cost(self, cost: int) -> None:
+        if not self._readers.hold(self._socket, cost):
+            raise _make_no_room()
 
     def read_json(self) -> Any:
         """Returns the body as a JSON object.
 
         Raises:
             BadRequestError: It is too long, truncated or not a JSON object.
+            NoRoomError: There is no room for it in memory.
         """
+        data = self.read()
+        self._hold_cost(intake.estimate_document_cost(data))
         try:
-            value = documents.parse_whole(self.read())
+            value = documents.parse_whole(data)
         except ValueError as e:
             raise errors.BadRequestError(
                 f"the body is not JSON: {e}", "send a JSON object"
@@ -132,9 +174,30 @@
             (b"Content-Length", str(len(answer.body)).encode()),
             *_encode_headers(answer.headers),
         ]
+        if self._rest > _MAX_REST_BYTES:
+            raw.close_connection = True
         raw.ensure_headers_sent()
         if self.method != "HEAD":
             raw.write(answer.body)
+        if self._rest and not self._readers.is_displaced(self._socket):
+            self._drop_rest()
+
+    @property
+    def _rest(self) -> int:
+        """How much of a body of a known length was not read."""
+        return int(getattr(self._raw.rfile, "remaining", 0))
+
+    def _drop_rest(self) -> None:
+        """Drops what the caller still sends, so that it reads the answer.
+
+        Closing while bytes are unread resets the connection.
+        """
+        self._raw.conn.wfile.flush()
+        self._readers.begin(self._socket)
+        left = self._rest
+        while left and (part := self._source.read1(min(left, _READ_BYTES))):
+            left -= len(part)
+            self._readers.note_received(self._socket, len(part))
 
     def detach(self, headers: Mapping[str, str]) -> tuple[socket.socket, Any]:
         """Sends the header of a chunked answer and hands over the connection.
@@ -179,49 +242,17 @@
 Application = Callable[[Request], Answer | None]
 
 
-class _ReadDeadlines:
-    """Closes connections whose request takes too long to arrive.
-
-    A socket time-out restarts with every byte, so a caller that sends single
-    bytes within the time-out could occupy a worker without limit.
-    """
-
-    def __init__(self, seconds: float) -> None:
-        self._seconds = seconds
-        self._lock = threading.Lock()
-        self._reading: dict[int, tuple[float, socket.socket]] = {}
-        threading.Thread(target=self._sweep, daemon=True).start()
-
-    def begin(self, sock: socket.socket) -> None:
-        with self._lock:
-            self._reading[id(sock)] = (clock.now(), sock)
-
-    def end(self, sock: socket.socket) -> None:
-        with self._lock:
-            self._reading.pop(id(sock), None)
-
-    def _sweep(self) -> None:
-        while True:
-            time.sleep(_SWEEP_SECONDS)
-            limit = clock.now() - self._seconds
-            with self._lock:
-                late = [s for at, s in self._reading.values() if at < limit]
-            for sock in late:
-                try:
-                    sock.shutdown(socket.SHUT_RD)
-                except OSError:
-                    continue
-
-
 class _Request(cheroot_server.HTTPRequest):
     """Adds the outcome to the answers that cheroot itself creates."""
 
     def parse_request(self) -> None:
-        deadlines: _ReadDeadlines = self.server.read_deadlines
-        deadlines.begin(self.conn.socket)
-        super().parse_request()
-        if not self.ready:
-            deadlines.end(self.conn.socket)
+        readers: reading.Readers = self.server.readers
+        readers.begin(self.conn.socket)
+        try:
+            super().parse_request()
+        finally:
+            if not self.ready:
+                readers.end(self.conn.socket)
 
     def simple_response(self, status: str, msg: str = "") -> None:
         text = json.dumps(
@@ -247,7 +278,7 @@
 
 class _Server(cheroot_server.HTTPServer):
     ConnectionClass = _Connection
-    read_deadlines: _ReadDeadlines
+    readers: reading.Readers
 
     def error_log(
         self, msg: str = "", level: int = 20, traceback: bool = False
@@ -290,7 +321,11 @@
         self._server.request_queue_size = _ACCEPT_QUEUE
         self._server.timeout = limits.idle_seconds
         self._server.keep_alive_conn_limit = limits.connections
-        self._server.read_deadlines = _ReadDeadlines(limits.idle_seconds)
+        self._server.readers = reading.Readers(
+            limits.idle_seconds,
+            limits.request_memory_bytes,
+            self._find_waiting,
+        )
         self._server.shutdown_timeout = 1
         if security is not None and security.certificate:
             self._server.ssl_adapter = cheroot_ssl.BuiltinSSLAdapter(
@@ -300,6 +335,11 @@
             target=self._server.serve, name="http", daemon=True
         )
 
+    def _find_waiting(self) -> int:
+        """Returns how many connections wait because no worker is idle."""
+        workers = self._server.requests
+        return 0 if workers.idle else workers.qsize
+
     @property
     def active(self) -> int:
         """Requests whose answer the socket does not have yet."""
@@ -330,6 +370,7 @@
             OSError: The address cannot be used.
         """
         self._server.prepare()
+        self._server.readers.start()
         self._thread.start()
 
     def stop(self) -> None:
@@ -341,18 +382,42 @@
     raw: Any, application: Application, limits: settings_module.Limits
 ) -> None:
     request = Request(raw, limits.body_bytes)
-    deadlines: _ReadDeadlines = raw.server.read_deadlines
+    readers: reading.Readers = raw.server.readers
+    # From here on only a body is read.
+    readers.note_complete(raw.conn.socket)
+    try:
+        answer = _find_answer(request, application, raw)
+        if answer is not None:
+            request.send(answer)
+    finally:
+        readers.end(raw.conn.socket)
+
+
+def _find_answer(
+    request: Request, application: Application, raw: Any
+) -> Answer | None:
+    """Returns the application's answer, or the one to its error."""
     try:
-        answer = application(request)
+        return application(request)
     except errors.BadRequestError as e:
-        answer = _answer_error(400, e)
         raw.close_connection = True
+        return _answer_error(400, e)
+    except errors.NoRoomError as e:
+        return _answer_no_room(e)
     except errors.WayslipError as e:
-        answer = _answer_error(503, e)
-    finally:
-        deadlines.end(raw.conn.socket)
-    if answer is not None:
-        request.send(answer)
+        return _answer_error(503, e)
+
+
+def _make_no_room() -> errors.NoRoomError:
+    return errors.NoRoomError(
+        "too many large requests are in progress", "try again later"
+    )
+
+
+def _answer_no_room(error: errors.WayslipError) -> Answer:
+    answer = _answer_error(503, error)
+    headers = {**answer.headers, "Retry-After": str(_NO_ROOM_SECONDS)}
+    return dataclasses.replace(answer, headers=headers)
 
 
 def _answer_error(status: int, error: errors.WayslipError) -> Answer:
