Keep what is in progress out of what gives way

By reading, not seen: a connection whose answer is still on its way to the socket could be the one that closes where descriptors run out, and a connection that was told to take no more behind a request in progress could be displaced in the count of what is held, though it held its request still.

Both are left out. Room that a displaced one holds is never counted as free before it is; answers that are ready are delivered.

--- a/src/wayslip/http1/server.py
+++ b/src/wayslip/http1/server.py
@@ -503,6 +503,8 @@
         self._is_closing = True
         self._queue.clear()
         self._reset_message()
+        # What is in progress does not give way.
+        self._server.intake.note_complete(self)
 
     def give_way(self) -> None:
         """Rejects the incomplete request: others need its room."""
@@ -700,12 +702,14 @@
         )
 
     def overstays(self, now: float) -> bool:
-        """Whether the client has not closed its side in the usual time.
+        """Whether a client with its whole answer stays for too long.
 
         Args:
             now: Steady seconds.
         """
-        return self.is_ending and now - self._ending_since > _LINGER_SECONDS
+        if not self.is_ending or self.buffered_bytes:
+            return False
+        return now - self._ending_since > _LINGER_SECONDS
 
     # Private methods
 
