--- a/src/wayslip/web.py
+++ b/src/wayslip/web.py
@@ -24,7 +24,7 @@
 from wayslip import bodies
 from wayslip import documents
 from wayslip import errors
-from wayslip import reading
+from wayslip import request_readers
 from wayslip import settings as settings_module
 from wayslip.decisions import intake
 
@@ -77,7 +77,7 @@
         self._limit = body_limit
         self._socket: socket.socket = raw.conn.socket
         self._source: bodies.Source = raw.conn.rfile
-        self._readers: reading.Readers = raw.server.readers
+        self._readers: request_readers.Readers = raw.server.readers
         # Size of the body for which there is room.
         self._held_bytes = 0
         self.method = raw.method.decode("latin-1")
@@ -246,7 +246,7 @@
     """Adds the outcome to the answers that cheroot itself creates."""
 
     def parse_request(self) -> None:
-        readers: reading.Readers = self.server.readers
+        readers: request_readers.Readers = self.server.readers
         readers.begin(self.conn.socket)
         try:
             super().parse_request()
@@ -278,7 +278,7 @@
 
 class _Server(cheroot_server.HTTPServer):
     ConnectionClass = _Connection
-    readers: reading.Readers
+    readers: request_readers.Readers
 
     def error_log(
         self, msg: str = "", level: int = 20, traceback: bool = False
@@ -321,7 +321,7 @@
         self._server.request_queue_size = _ACCEPT_QUEUE
         self._server.timeout = limits.idle_seconds
         self._server.keep_alive_conn_limit = limits.connections
-        self._server.readers = reading.Readers(
+        self._server.readers = request_readers.Readers(
             limits.idle_seconds,
             limits.request_memory_bytes,
             self._find_waiting,
@@ -382,7 +382,7 @@
     raw: Any, application: Application, limits: settings_module.Limits
 ) -> None:
     request = Request(raw, limits.body_bytes)
-    readers: reading.Readers = raw.server.readers
+    readers: request_readers.Readers = raw.server.readers
     # From here on only a body is read.
     readers.note_complete(raw.conn.socket)
     try:
